Add the caller's side of a flow and the agent's core

Cause: the path needs an owner of flows beside the upstream and a caller's side that commits to one owner. Ruled out: a home per hash bucket that asks the previous home (a dead previous home makes outcomes unknown). Change: byte streams with offsets and retransmission, open/offer/bind/fence state machines on both sides.

--- /dev/null
+++ b/src/include/citroncrank/agent_core.h
@@ -0,0 +1,206 @@
+#pragma once
+
+/// @file
+/// The owner of flows beside one upstream.
+
+#include "citroncrank/admission.h"
+#include "citroncrank/byte_stream.h"
+#include "citroncrank/deadline_index.h"
+#include "citroncrank/frame.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <deque>
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace citroncrank {
+
+/// Timeouts and limits of an agent.
+struct agent_settings
+{
+    std::string service;
+    flow_owner self;
+    duration offerTimeout{1'000'000};     ///< An offer that is not bound by then is withdrawn.
+    duration offerResend{250'000};        ///< An unanswered offer is sent again after this time.
+    duration edgeSilence{20'000'000};     ///< Silence with bytes outstanding after which the edge counts as gone.
+    duration idleProbe{1'800'000'000};    ///< Idle time after which the edge is asked for a sign of life.
+    duration lingerTimeout{10'000'000};   ///< Wait for the caller's end after the response is complete.
+    duration withdrawnMemory{60'000'000}; ///< How long a withdrawn offer can be answered with certainty.
+    std::size_t withdrawnLimit = 65'536;
+    stream_limits stream;
+};
+
+/// Sends a frame to the edge, preferably over the hop its last frame came by.
+struct agent_send
+{
+    frame value;
+    hop_id hop = 0;
+    bool alternatePath = false;
+    bool operator==(const agent_send &) const = default;
+};
+/// Opens the connection to the upstream for a flow.
+struct upstream_connect
+{
+    flow_id flow;
+    bool operator==(const upstream_connect &) const = default;
+};
+/// Asks for one read from the upstream, answered by `onUpstreamBytes`, `onUpstreamEnd` or `onUpstreamReset`.
+struct upstream_read
+{
+    flow_id flow;
+    std::uint64_t maxBytes = 0;
+    bool operator==(const upstream_read &) const = default;
+};
+struct upstream_write
+{
+    flow_id flow;
+    std::string bytes;
+    bool operator==(const upstream_write &) const = default;
+};
+/// Closes the writing direction towards the upstream after all bytes written so far.
+struct upstream_finish
+{
+    flow_id flow;
+    bool operator==(const upstream_finish &) const = default;
+};
+/// Closes the upstream's connection; with `abort` it is reset.
+struct upstream_close
+{
+    flow_id flow;
+    bool abort = false;
+    bool operator==(const upstream_close &) const = default;
+};
+
+/// Steps in the life of a flow, kept for `explain`.
+enum class flow_step : std::uint8_t { queued, offered, bound, delivered, refused, withdrawn, fenced, reset, completed };
+const char *toString(flow_step step);
+struct flow_note
+{
+    flow_id flow;
+    flow_step step = flow_step::queued;
+    std::variant<std::monostate, refusal_reason, reset_reason> reason;
+    bool operator==(const flow_note &) const = default;
+};
+
+using agent_action = std::variant<agent_send, upstream_connect, upstream_read, upstream_write, upstream_finish,
+                                  upstream_close, flow_note>;
+
+/// Counters of an agent since its start.
+struct agent_counters
+{
+    std::uint64_t opens = 0;
+    std::uint64_t offers = 0;
+    std::uint64_t binds = 0;
+    std::uint64_t withdrawn = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t serviceMismatches = 0;
+    std::uint64_t incarnationMismatches = 0;
+    std::uint64_t unknownFlows = 0;
+    std::array<std::uint64_t, kRefusalReasonCount> refusals{};
+    std::array<std::uint64_t, kResetReasonCount> resets{};
+};
+
+/// One flow as operators see it.
+struct flow_summary
+{
+    flow_id flow;
+    edge_id edge = 0;
+    flow_class flowClass = flow_class::normal;
+    flow_kind kind = flow_kind::request;
+    bool bound = false;
+    time_point since;
+};
+
+/// State machine of an agent. Pure: events and times in, actions out.
+///
+/// It alone decides whether a flow reaches its upstream: a flow is delivered only by binding an offer, an offer is
+/// bound at most once, and offer ids are never reused within an incarnation.
+class agent_core
+{
+public:
+    agent_core(agent_settings settings, const admission_settings &admission);
+    ~agent_core();
+
+    void onFrame(const frame &value, hop_id from, time_point now);
+    void onUpstreamConnected(const flow_id &flow, time_point now);
+    void onUpstreamConnectFailed(const flow_id &flow, time_point now);
+    void onUpstreamBytes(const flow_id &flow, std::string_view bytes, time_point now);
+    void onUpstreamEnd(const flow_id &flow, time_point now);
+    void onUpstreamReset(const flow_id &flow, time_point now);
+    void onUpstreamConsumed(const flow_id &flow, std::uint64_t bytes, time_point now);
+    void onTick(time_point now);
+
+    /// Draining refuses new and queued reservations at once and leaves bound flows alone.
+    void setServing(serving_state state, time_point now);
+    void setAdmission(const admission_settings &admission, time_point now);
+    /// Ends a flow at an operator's request. Returns false when there is no such bound flow.
+    bool endFlow(const flow_id &flow, time_point now);
+
+    std::vector<agent_action> takeActions();
+    std::optional<time_point> nextDeadline() const;
+    serving_state serving() const { return m_admission.serving(); }
+    load_report load(time_point now) const { return m_admission.load(now); }
+    const agent_counters &counters() const { return m_counters; }
+    const agent_settings &settings() const { return m_settings; }
+    std::size_t boundFlows() const { return m_boundFlows; }
+    std::vector<flow_summary> flows() const;
+
+private:
+    enum class phase : std::uint8_t { queued, offered, connecting, open };
+    struct flow_streams;
+    struct agent_flow;
+    struct frame_handler;
+    friend struct agent_state_codec;
+
+    void onOpen(const frame &value, const open_body &body, hop_id from, time_point now);
+    void onCancel(agent_flow *flow, const cancel_body &body, time_point now);
+    void onData(const frame &value, const data_body &body, hop_id from, time_point now);
+    void onAck(agent_flow *flow, const ack_body &body, time_point now);
+    void onFence(const frame &value, const fence_body &body, hop_id from, time_point now);
+    void onReset(agent_flow *flow, const reset_body &body, time_point now);
+
+    agent_flow *find(const flow_id &flow);
+    agent_flow *findFor(const frame &value, hop_id from);
+    bool acceptsIdentity(const frame &value, hop_id from, time_point now);
+    void makeOffer(agent_flow *flow, time_point now);
+    void answerReservation(agent_flow *flow, std::uint16_t position, time_point now);
+    void runAdmission(time_point now);
+    void bind(agent_flow *flow, time_point now);
+    void receiveData(agent_flow *flow, const data_body &body, time_point now);
+    void deliverToUpstream(agent_flow *flow, time_point now);
+    void flush(agent_flow *flow, time_point now);
+    void requestRead(agent_flow *flow);
+    void sendAck(agent_flow *flow, time_point now);
+    void releaseSlot(agent_flow *flow, time_point now);
+    void onFlowDeadline(agent_flow *flow, time_point now);
+    void onOfferDeadline(agent_flow *flow, time_point now);
+    void onBoundDeadline(agent_flow *flow, time_point now);
+    void withdraw(agent_flow *flow, time_point now);
+    void giveUp(agent_flow *flow, reset_reason reason, bool tellEdge, time_point now);
+    void finishIfComplete(agent_flow *flow, time_point now);
+    void erase(agent_flow *flow);
+    void rememberWithdrawn(offer_id offer, time_point now);
+    void forgetWithdrawn(time_point now);
+    void updateDeadline(const agent_flow &flow);
+
+    void send(const agent_flow &flow, frame_body body, time_point now, bool alternatePath = false);
+    void answer(const frame &value, hop_id hop, frame_body body, time_point now);
+    void refuse(const frame &value, hop_id hop, const refusal &reason, time_point now);
+    void note(const flow_id &flow, flow_step step,
+              std::variant<std::monostate, refusal_reason, reset_reason> reason = std::monostate());
+
+    agent_settings m_settings;
+    admission_queue m_admission;
+    offer_id m_lastOffer = 0;
+    std::size_t m_boundFlows = 0;
+    absl::flat_hash_map<flow_id, std::unique_ptr<agent_flow>> m_flows;
+    absl::flat_hash_set<offer_id> m_withdrawn;
+    std::deque<std::pair<time_point, offer_id>> m_withdrawnOrder;
+    deadline_index<flow_id> m_deadlines;
+    agent_counters m_counters;
+    std::vector<agent_action> m_actions;
+};
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/include/citroncrank/byte_stream.h
@@ -0,0 +1,133 @@
+#pragma once
+
+/// @file
+/// Reliable byte streams over paths that lose, delay, duplicate and reorder frames.
+
+#include "citroncrank/frame.h"
+#include "citroncrank/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace citroncrank {
+
+/// Bounds of the retransmission timeout and the window of one direction of a flow.
+struct stream_limits
+{
+    std::uint64_t windowBytes = 256 * 1024;
+    duration minimumTimeout{50'000};
+    duration maximumTimeout{2'000'000};
+    duration initialTimeout{200'000};
+    bool operator==(const stream_limits &) const = default;
+};
+
+/// A piece of a stream to send.
+struct stream_chunk
+{
+    std::uint64_t offset = 0;
+    std::string bytes;
+    bool fin = false;
+    bool retransmission = false;
+    auto operator<=>(const stream_chunk &) const = default;
+};
+
+/// Sending side of a stream: keeps bytes until they are acknowledged and retransmits them after a timeout.
+class send_stream
+{
+public:
+    explicit send_stream(const stream_limits &limits);
+
+    /// Bytes that may still be appended before the buffer reaches one window.
+    std::uint64_t room() const;
+    void append(std::string_view bytes);
+    /// Marks the end of the stream after the bytes appended so far.
+    void finish() { m_finished = true; }
+
+    /// Chunks that may be sent now: new ones within the peer's window, and overdue ones.
+    std::vector<stream_chunk> takeChunks(time_point now);
+    /// Handles an acknowledgement. Returns false when it acknowledges bytes that were never sent.
+    bool acknowledge(std::uint64_t ack, std::uint64_t windowEnd, bool finReceived, time_point now);
+    /// Forgets all transmission state, so that everything kept is sent again to another owner. Returns false when
+    /// bytes were already acknowledged and dropped.
+    bool restart();
+
+    std::optional<time_point> nextDeadline() const { return m_deadline; }
+    bool finished() const { return m_finished; }
+    /// The fin and all bytes were acknowledged.
+    bool complete() const { return m_finAcknowledged; }
+    /// Bytes or a fin were sent and not acknowledged yet.
+    bool hasUnacknowledged() const { return m_next > m_base || (m_finSent && !m_finAcknowledged); }
+    std::uint64_t acknowledgedOffset() const { return m_base; }
+    /// Timeouts in a row without progress.
+    int timeoutsInRow() const { return m_timeoutsInRow; }
+
+private:
+    std::uint64_t endOffset() const { return m_base + m_buffer.size() - m_head; }
+    stream_chunk chunkAt(std::uint64_t offset, std::uint64_t limit) const;
+    void sendNew(time_point now, std::vector<stream_chunk> *out);
+    void retransmitFirst(std::vector<stream_chunk> *out);
+    void onTimeout(std::vector<stream_chunk> *out);
+    void dropAcknowledged(std::uint64_t ack);
+    void measureRoundTrip(std::uint64_t ack, time_point now);
+    void armTimer(time_point now);
+    duration timeout() const;
+
+    stream_limits m_limits;
+    std::string m_buffer; // bytes from m_base on start at m_head
+    std::size_t m_head = 0;
+    std::uint64_t m_base = 0;
+    std::uint64_t m_next = 0;
+    std::uint64_t m_windowEnd;
+    std::uint64_t m_recoverEnd = 0;
+    bool m_recoveryStep = false;
+    bool m_finished = false;
+    bool m_finSent = false;
+    bool m_finAcknowledged = false;
+    int m_timeoutsInRow = 0;
+    std::optional<time_point> m_deadline;
+    // One timed segment at a time, never a retransmitted one (Karn's algorithm).
+    std::optional<std::pair<std::uint64_t, time_point>> m_timedSegment;
+    duration m_smoothedRoundTrip{0};
+    duration m_roundTripVariation{0};
+};
+
+/// Receiving side of a stream: reorders, drops duplicates, and limits how far the sender may run ahead.
+class receive_stream
+{
+public:
+    explicit receive_stream(std::uint64_t windowBytes)
+        : m_window(windowBytes)
+    {}
+
+    /// Takes a piece of the stream. Returns false when it lies outside the window or contradicts the end seen
+    /// before; the flow must then be reset.
+    bool insert(std::uint64_t offset, std::string_view bytes, bool fin);
+    /// Bytes that became contiguous and were not taken yet.
+    std::string takeReady();
+    /// Tells that `bytes` taken bytes were handed to the receiving socket, which opens the window.
+    void consumed(std::uint64_t bytes) { m_consumed += bytes; }
+
+    std::uint64_t ack() const { return m_received; }
+    std::uint64_t windowEnd() const { return m_consumed + m_window; }
+    /// All bytes up to the fin were received.
+    bool finReached() const { return m_end && *m_end == m_received; }
+    /// All bytes up to the fin were handed on.
+    bool drained() const { return finReached() && m_consumed == m_received; }
+
+private:
+    void insertLater(std::uint64_t offset, std::string_view bytes);
+    void mergeLater();
+
+    std::uint64_t m_window;
+    std::uint64_t m_received = 0;
+    std::uint64_t m_consumed = 0;
+    std::optional<std::uint64_t> m_end;
+    std::string m_ready;
+    std::map<std::uint64_t, std::string> m_later;
+};
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/include/citroncrank/caller_flow.h
@@ -0,0 +1,179 @@
+#pragma once
+
+/// @file
+/// The caller's side of one flow: reserves, binds exactly one owner, and carries both byte streams.
+
+#include "citroncrank/byte_stream.h"
+#include "citroncrank/frame.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace citroncrank {
+
+/// Settings of one flow, from the service address that the caller used and the configuration in force.
+struct caller_flow_settings
+{
+    std::string service;
+    flow_class flowClass = flow_class::normal;
+    flow_kind kind = flow_kind::request;
+    duration deadline{10'000'000};          ///< Time to get bound; after it the caller is told "not run".
+    int fanOut = 3;                         ///< Queues a flow may wait in at once.
+    int maxAttempts = 12;                   ///< Opens sent before the flow is refused.
+    duration openTimeout{200'000};          ///< Wait for an answer to an open before the next candidate is asked.
+    duration fenceAfter{1'500'000};         ///< Silence after the bind before the owner is asked to give up.
+    duration ownerSilence{15'000'000};      ///< Silence with bytes outstanding after which the outcome is unknown.
+    duration reservationRefresh{1'000'000}; ///< Silence of a queue after which the reservation is asked for again.
+    duration reservationLost{3'000'000};    ///< Silence of a queue after which the reservation counts as lost.
+    duration idleProbe{2'000'000}; ///< Idle time of a bound flow after which the owner is asked for a sign of life.
+    stream_limits stream;
+    bool operator==(const caller_flow_settings &) const = default;
+};
+
+/// Sends a frame. With `alternatePath` the last path used for the flow should be avoided.
+struct send_frame_action
+{
+    frame value;
+    bool alternatePath = false;
+    bool operator==(const send_frame_action &) const = default;
+};
+/// Asks for one read of at most `maxBytes` from the caller, answered by `onCallerBytes`, `onCallerEnd` or
+/// `onCallerReset`.
+struct read_caller_action
+{
+    std::uint64_t maxBytes = 0;
+    bool operator==(const read_caller_action &) const = default;
+};
+/// Writes response bytes to the caller. The shell reports `onCallerConsumed` when the socket took them.
+struct deliver_action
+{
+    std::string bytes;
+    bool operator==(const deliver_action &) const = default;
+};
+/// Closes the caller's connection for writing after the bytes delivered so far: the response is complete.
+struct finish_action
+{
+    bool operator==(const finish_action &) const = default;
+};
+/// Tells the caller that its request was not run, and closes.
+struct refuse_action
+{
+    refusal_reason reason = refusal_reason::no_free_slot;
+    std::chrono::milliseconds retryAfter{0};
+    bool operator==(const refuse_action &) const = default;
+};
+/// Resets the caller's connection: the outcome is unknown or the response is not complete.
+struct reset_caller_action
+{
+    reset_reason reason = reset_reason::owner_silent;
+    bool operator==(const reset_caller_action &) const = default;
+};
+
+using caller_action = std::variant<send_frame_action, read_caller_action, deliver_action, finish_action, refuse_action,
+                                   reset_caller_action>;
+
+/// Decides whether a flow may try another candidate after a refusal. Shared by all flows of an edge.
+class retry_permit
+{
+public:
+    virtual ~retry_permit() = default;
+    virtual bool tryRetry(time_point now) = 0;
+};
+
+/// State machine of one flow at its edge. Pure: events and times in, actions out.
+class caller_flow
+{
+public:
+    enum class state : std::uint8_t { opening, bound, done };
+
+    caller_flow(flow_id flow, edge_id edge, caller_flow_settings settings, retry_permit *permit, time_point now);
+
+    void onCallerBytes(std::string_view bytes, time_point now);
+    void onCallerEnd(time_point now);
+    void onCallerReset(time_point now);
+    void onCallerConsumed(std::uint64_t bytes, time_point now);
+    void onFrame(const frame &value, time_point now);
+    void onTick(time_point now);
+
+    std::vector<caller_action> takeActions();
+    std::optional<time_point> nextDeadline() const;
+    /// Bytes of the caller that may be read now.
+    std::uint64_t readRoom() const { return m_send.room(); }
+    state currentState() const { return m_state; }
+    const flow_owner &owner() const { return m_owner; }
+    const caller_flow_settings &settings() const { return m_settings; }
+    time_point openedAt() const { return m_openedAt; }
+    std::optional<time_point> boundAt() const { return m_boundAt; }
+    flow_id id() const { return m_flow; }
+
+private:
+    enum class reservation_state : std::uint8_t { queued, refused };
+    struct reservation
+    {
+        flow_owner owner;
+        reservation_state state = reservation_state::queued;
+        time_point heardAt;
+        time_point askedAt;
+    };
+    struct frame_handler;
+
+    frame makeFrame(frame_body body, const flow_owner &owner) const;
+    void send(frame_body body, const flow_owner &owner, bool alternatePath = false);
+    void sendOpen(time_point now, bool alternatePath);
+    bool mayOpen() const;
+    std::vector<node_id> triedAgents() const;
+    int queuedCount() const;
+    void onOffer(const flow_owner &owner, offer_id offer, time_point now);
+    void onQueued(const flow_owner &owner, time_point now);
+    void onRefused(const flow_owner &owner, const refused_body &body, time_point now);
+    void onBoundRefused(const refused_body &body, time_point now);
+    void retryElsewhere(const refused_body &body, time_point now);
+    void onData(const data_body &body, time_point now);
+    void onAck(const ack_body &body, time_point now);
+    void onFenced(const fenced_body &body, time_point now);
+    void onOwnerReset(reset_reason reason);
+    void unbind();
+    void recordReservation(const flow_owner &owner, reservation_state state, time_point now);
+    void refreshReservations(time_point now);
+    void onTickOpening(time_point now);
+    void onTickBound(time_point now);
+    void probeOwner(time_point now);
+    void noteOwnerHeard(time_point now);
+    void cancelReservations(const flow_owner &except);
+    void flush(time_point now);
+    void requestRead();
+    void deliverReady();
+    void sendAck();
+    void refuse(refusal_reason reason, std::chrono::milliseconds retryAfter);
+    void reset(reset_reason reason, bool tellOwner);
+    void finishIfComplete();
+    bool fromOwner(const flow_owner &owner) const;
+
+    flow_id m_flow;
+    edge_id m_edge;
+    caller_flow_settings m_settings;
+    retry_permit *m_permit;
+    state m_state = state::opening;
+    time_point m_openedAt;
+    std::optional<time_point> m_boundAt;
+    std::optional<time_point> m_openRetryAt;
+    int m_attempts = 0;
+    refused_body m_lastRefusal{refusal_reason::no_upstream, std::chrono::milliseconds(0)};
+    std::vector<reservation> m_reservations;
+    flow_owner m_owner;
+    offer_id m_offer = 0;
+    bool m_ownerHeard = false;
+    std::optional<time_point> m_waitingSince; // oldest unanswered transmission to the owner
+    std::optional<time_point> m_fenceAt;
+    std::optional<time_point> m_probeAt;
+    bool m_finishSent = false;
+    bool m_readPending = false;
+    bool m_callerEnded = false;
+    send_stream m_send;
+    receive_stream m_receive;
+    std::vector<caller_action> m_actions;
+};
+
+} // namespace citroncrank
--- a/src/include/citroncrank/ids.h
+++ b/src/include/citroncrank/ids.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 
 namespace citroncrank {
 
@@ -16,6 +17,12 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
     auto operator<=>(const flow_id &) const = default;
+
+    template<typename hash_state>
+    friend hash_state AbslHashValue(hash_state state, const flow_id &flow) // NOLINT(readability-identifier-naming)
+    {
+        return hash_state::combine(std::move(state), flow.high, flow.low);
+    }
 };
 
 /// Identifier of an edge process (a fabric adapter or a balancer's own listener). Changes at each start.
@@ -77,12 +84,6 @@
 
 } // namespace citroncrank
 
-template<>
-struct std::hash<citroncrank::flow_id>
-{
-    std::size_t operator()(const citroncrank::flow_id &flow) const noexcept { return flow.high ^ flow.low; }
-};
-
 template<>
 struct std::hash<citroncrank::host_address>
 {
--- /dev/null
+++ b/src/libflow/caller_flow.cpp
@@ -0,0 +1,511 @@
+#include "citroncrank/caller_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citroncrank {
+
+namespace {
+
+// Refusals that say nothing about load: asking elsewhere is a detour, not a retry that amplifies an overload.
+bool isDetour(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::draining:
+    case refusal_reason::not_ready:
+    case refusal_reason::wrong_service:
+    case refusal_reason::wrong_incarnation:
+    case refusal_reason::offer_withdrawn:
+        return true;
+    default:
+        return false;
+    }
+}
+
+std::optional<time_point> earlier(std::optional<time_point> first, std::optional<time_point> second)
+{
+    if (!first || !second)
+        return first ? first : second;
+    return std::min(*first, *second);
+}
+
+} // namespace
+
+caller_flow::caller_flow(flow_id flow, edge_id edge, caller_flow_settings settings, retry_permit *permit,
+                         time_point now)
+    : m_flow(flow)
+    , m_edge(edge)
+    , m_settings(std::move(settings))
+    , m_permit(permit)
+    , m_openedAt(now)
+    , m_send(m_settings.stream)
+    , m_receive(m_settings.stream.windowBytes)
+{
+    sendOpen(now, false);
+    requestRead();
+}
+
+// One read is outstanding at a time, so that unread bytes stay in the caller's socket while the window is full.
+void caller_flow::requestRead()
+{
+    if (m_readPending || m_callerEnded || m_send.room() == 0)
+        return;
+    m_readPending = true;
+    m_actions.emplace_back(read_caller_action{m_send.room()});
+}
+
+frame caller_flow::makeFrame(frame_body body, const flow_owner &owner) const
+{
+    return {.service = m_settings.service,
+            .flow = m_flow,
+            .edge = m_edge,
+            .direction = frame_direction::to_upstream,
+            .flowClass = m_settings.flowClass,
+            .owner = owner,
+            .load = std::nullopt,
+            .body = std::move(body)};
+}
+
+void caller_flow::send(frame_body body, const flow_owner &owner, bool alternatePath)
+{
+    m_actions.emplace_back(send_frame_action{makeFrame(std::move(body), owner), alternatePath});
+}
+
+// --- Opening ---------------------------------------------------------------------------------------------------
+
+void caller_flow::sendOpen(time_point now, bool alternatePath)
+{
+    const duration remaining = m_openedAt + m_settings.deadline - now;
+    const auto attempt = std::uint8_t(std::min(m_attempts, 255));
+    send(open_body{m_settings.kind, std::max(remaining, duration(1)), attempt, triedAgents()}, {}, alternatePath);
+    ++m_attempts;
+    m_openRetryAt = now + m_settings.openTimeout;
+}
+
+bool caller_flow::mayOpen() const
+{
+    return m_attempts < m_settings.maxAttempts;
+}
+
+std::vector<node_id> caller_flow::triedAgents() const
+{
+    std::vector<node_id> tried;
+    for (const auto &item : m_reservations)
+        tried.push_back(item.owner.agent);
+    return tried;
+}
+
+int caller_flow::queuedCount() const
+{
+    return int(std::count_if(m_reservations.begin(), m_reservations.end(),
+                             [](const auto &item) { return item.state == reservation_state::queued; }));
+}
+
+void caller_flow::recordReservation(const flow_owner &owner, reservation_state state, time_point now)
+{
+    const auto found = std::find_if(m_reservations.begin(), m_reservations.end(),
+                                    [&owner](const auto &item) { return item.owner.agent == owner.agent; });
+    if (found == m_reservations.end())
+        m_reservations.push_back({owner, state, now, now});
+    else
+        *found = {owner, state, now, now};
+}
+
+void caller_flow::onOffer(const flow_owner &owner, offer_id offer, time_point now)
+{
+    if (m_state == state::bound) {
+        if (owner != m_owner || offer != m_offer)
+            send(cancel_body{offer}, owner);
+        return;
+    }
+    m_state = state::bound;
+    m_boundAt = now;
+    m_owner = owner;
+    m_offer = offer;
+    m_ownerHeard = false;
+    m_openRetryAt.reset();
+    m_waitingSince = now;
+    cancelReservations(owner);
+    flush(now);
+    if (!m_send.hasUnacknowledged())
+        probeOwner(now);
+}
+
+void caller_flow::cancelReservations(const flow_owner &except)
+{
+    for (const auto &item : m_reservations) {
+        if (item.state == reservation_state::queued && item.owner.agent != except.agent)
+            send(cancel_body{}, item.owner);
+    }
+    std::erase_if(m_reservations, [](const auto &item) { return item.state == reservation_state::queued; });
+}
+
+void caller_flow::onQueued(const flow_owner &owner, time_point now)
+{
+    if (m_state == state::bound) {
+        if (owner != m_owner)
+            send(cancel_body{}, owner);
+        return;
+    }
+    const bool known = std::any_of(m_reservations.begin(), m_reservations.end(),
+                                   [&owner](const auto &item) { return item.owner == owner; });
+    recordReservation(owner, reservation_state::queued, now);
+    m_openRetryAt.reset();
+    if (!known && queuedCount() < m_settings.fanOut && mayOpen())
+        sendOpen(now, false);
+}
+
+void caller_flow::onRefused(const flow_owner &owner, const refused_body &body, time_point now)
+{
+    if (m_state == state::bound) {
+        if (owner == m_owner)
+            onBoundRefused(body, now);
+        return;
+    }
+    m_openRetryAt.reset();
+    if (body.reason != refusal_reason::no_upstream) {
+        m_lastRefusal = body;
+        recordReservation(owner, reservation_state::refused, now);
+        retryElsewhere(body, now);
+        return;
+    }
+    // No candidate is left. Without any earlier answer the balancer may just have started, so another one is asked.
+    if (queuedCount() > 0)
+        return;
+    if (m_reservations.empty() && mayOpen())
+        m_openRetryAt = now + m_settings.openTimeout;
+    else
+        refuse(m_lastRefusal.reason, m_lastRefusal.retryAfter);
+}
+
+void caller_flow::retryElsewhere(const refused_body &body, time_point now)
+{
+    const bool permitted = isDetour(body.reason) || m_permit == nullptr || m_permit->tryRetry(now);
+    if (mayOpen() && permitted && queuedCount() < m_settings.fanOut)
+        sendOpen(now, false);
+    else if (queuedCount() == 0)
+        refuse(body.reason, body.retryAfter);
+}
+
+void caller_flow::refreshReservations(time_point now)
+{
+    for (auto &item : m_reservations) {
+        if (item.state != reservation_state::queued)
+            continue;
+        if (now - item.heardAt >= m_settings.reservationLost) {
+            item.state = reservation_state::refused;
+        } else if (now - item.askedAt >= m_settings.reservationRefresh) {
+            item.askedAt = now;
+            const duration remaining = m_openedAt + m_settings.deadline - now;
+            send(open_body{m_settings.kind, std::max(remaining, duration(1)), 0, {}}, item.owner, true);
+        }
+    }
+}
+
+void caller_flow::onTickOpening(time_point now)
+{
+    if (now >= m_openedAt + m_settings.deadline) {
+        cancelReservations({});
+        refuse(refusal_reason::deadline_exceeded, std::chrono::milliseconds(0));
+        return;
+    }
+    refreshReservations(now);
+    const bool overdue = m_openRetryAt && now >= *m_openRetryAt;
+    const bool nothingPending = !m_openRetryAt && queuedCount() == 0;
+    if (!overdue && !nothingPending)
+        return;
+    m_openRetryAt.reset();
+    if (mayOpen() && queuedCount() < m_settings.fanOut)
+        sendOpen(now, true);
+    else if (queuedCount() == 0)
+        refuse(m_lastRefusal.reason, m_lastRefusal.retryAfter);
+}
+
+// --- Bound -----------------------------------------------------------------------------------------------------
+
+// The owner refused the bind, so it delivered nothing and never will: the flow may be moved.
+void caller_flow::onBoundRefused(const refused_body &body, time_point now)
+{
+    if (!m_send.restart()) {
+        reset(reset_reason::protocol_error, true);
+        return;
+    }
+    recordReservation(m_owner, reservation_state::refused, now);
+    unbind();
+    m_lastRefusal = body;
+    retryElsewhere(body, now);
+}
+
+void caller_flow::unbind()
+{
+    m_state = state::opening;
+    m_boundAt.reset();
+    m_owner = {};
+    m_offer = 0;
+    m_ownerHeard = false;
+    m_waitingSince.reset();
+    m_fenceAt.reset();
+    m_probeAt.reset();
+}
+
+void caller_flow::onFenced(const fenced_body &body, time_point now)
+{
+    if (m_state != state::bound || body.offer != m_offer || body.delivered)
+        return;
+    onBoundRefused({refusal_reason::offer_withdrawn, std::chrono::milliseconds(0)}, now);
+}
+
+bool caller_flow::fromOwner(const flow_owner &owner) const
+{
+    return m_state == state::bound && owner == m_owner;
+}
+
+void caller_flow::noteOwnerHeard(time_point now)
+{
+    m_waitingSince.reset();
+    m_fenceAt.reset();
+    m_probeAt = now + m_settings.idleProbe;
+}
+
+void caller_flow::onData(const data_body &body, time_point now)
+{
+    m_ownerHeard = true;
+    if (!m_send.acknowledge(body.ack, body.windowEnd, false, now)
+        || !m_receive.insert(body.offset, body.bytes, body.fin)) {
+        reset(reset_reason::protocol_error, true);
+        return;
+    }
+    deliverReady();
+    sendAck();
+    flush(now);
+    finishIfComplete();
+}
+
+void caller_flow::onAck(const ack_body &body, time_point now)
+{
+    m_ownerHeard = true;
+    if (!m_send.acknowledge(body.ack, body.windowEnd, body.finReceived, now)) {
+        reset(reset_reason::protocol_error, true);
+        return;
+    }
+    flush(now);
+    finishIfComplete();
+}
+
+void caller_flow::deliverReady()
+{
+    auto ready = m_receive.takeReady();
+    if (!ready.empty())
+        m_actions.emplace_back(deliver_action{std::move(ready)});
+    if (m_receive.finReached() && !m_finishSent) {
+        m_finishSent = true;
+        m_actions.emplace_back(finish_action{});
+    }
+}
+
+void caller_flow::sendAck()
+{
+    send(ack_body{m_receive.ack(), m_receive.windowEnd(), m_receive.finReached()}, m_owner);
+}
+
+void caller_flow::flush(time_point now)
+{
+    if (m_state != state::bound)
+        return;
+    for (auto &chunk : m_send.takeChunks(now)) {
+        send(
+            data_body{m_offer, chunk.offset, std::move(chunk.bytes), chunk.fin, m_receive.ack(), m_receive.windowEnd()},
+            m_owner, chunk.retransmission);
+        if (!m_waitingSince)
+            m_waitingSince = now;
+    }
+}
+
+// An empty data frame binds a flow whose caller has sent nothing yet, and asks for a sign of life later.
+void caller_flow::probeOwner(time_point now)
+{
+    const std::uint64_t offset = m_send.acknowledgedOffset();
+    send(data_body{m_offer, offset, {}, false, m_receive.ack(), m_receive.windowEnd()}, m_owner,
+         m_waitingSince.has_value() && m_ownerHeard);
+    if (!m_waitingSince)
+        m_waitingSince = now;
+    m_probeAt = now + (m_ownerHeard ? m_settings.idleProbe : m_settings.openTimeout);
+}
+
+void caller_flow::onTickBound(time_point now)
+{
+    if (m_waitingSince && now - *m_waitingSince >= m_settings.ownerSilence) {
+        reset(reset_reason::owner_silent, true);
+        return;
+    }
+    const bool unheard = !m_ownerHeard && m_waitingSince;
+    if (unheard && now - *m_waitingSince >= m_settings.fenceAfter && (!m_fenceAt || now >= *m_fenceAt)) {
+        m_fenceAt = now + m_settings.openTimeout;
+        send(fence_body{m_offer}, m_owner, true);
+    }
+    if (m_probeAt && now >= *m_probeAt)
+        probeOwner(now);
+    flush(now);
+}
+
+// --- Events ----------------------------------------------------------------------------------------------------
+
+void caller_flow::onCallerBytes(std::string_view bytes, time_point now)
+{
+    if (m_state == state::done)
+        return;
+    m_readPending = false;
+    m_send.append(bytes);
+    flush(now);
+    requestRead();
+}
+
+void caller_flow::onCallerEnd(time_point now)
+{
+    if (m_state == state::done)
+        return;
+    m_callerEnded = true;
+    m_send.finish();
+    flush(now);
+    finishIfComplete();
+}
+
+void caller_flow::onCallerReset(time_point now)
+{
+    if (m_state == state::done)
+        return;
+    cancelReservations({});
+    if (m_state == state::bound)
+        send(reset_body{reset_reason::caller_gone, m_offer}, m_owner);
+    m_state = state::done;
+}
+
+void caller_flow::onCallerConsumed(std::uint64_t bytes, time_point now)
+{
+    if (m_state == state::done)
+        return;
+    // A window update is worth a frame only once it opens a quarter of the window, or the sender may have stalled.
+    const std::uint64_t quarter = m_settings.stream.windowBytes / 4;
+    const std::uint64_t before = m_receive.windowEnd();
+    m_receive.consumed(bytes);
+    if (m_state == state::bound && before / quarter != m_receive.windowEnd() / quarter)
+        sendAck();
+    finishIfComplete();
+}
+
+struct caller_flow::frame_handler
+{
+    caller_flow &flow;
+    const flow_owner &owner;
+    time_point now;
+
+    void operator()(const offer_body &body) const { flow.onOffer(owner, body.offer, now); }
+    void operator()(const queued_body &) const { flow.onQueued(owner, now); }
+    void operator()(const refused_body &body) const { flow.onRefused(owner, body, now); }
+    void operator()(const data_body &body) const
+    {
+        if (flow.fromOwner(owner))
+            flow.onData(body, now);
+        else
+            flow.send(reset_body{reset_reason::unknown_flow, 0}, owner);
+    }
+    void operator()(const ack_body &body) const
+    {
+        if (flow.fromOwner(owner))
+            flow.onAck(body, now);
+    }
+    void operator()(const fenced_body &body) const
+    {
+        if (flow.fromOwner(owner))
+            flow.onFenced(body, now);
+    }
+    void operator()(const reset_body &body) const
+    {
+        if (flow.fromOwner(owner) && (body.offer == 0 || body.offer == flow.m_offer))
+            flow.onOwnerReset(body.reason);
+    }
+    // Other bodies belong to hops or to the control plane, not to a flow.
+    template<typename other_body>
+    void operator()(const other_body &) const
+    {}
+};
+
+void caller_flow::onFrame(const frame &value, time_point now)
+{
+    if (m_state == state::done || value.service != m_settings.service)
+        return;
+    if (fromOwner(value.owner))
+        noteOwnerHeard(now);
+    std::visit(frame_handler{*this, value.owner, now}, value.body);
+    // Bytes that are still unacknowledged keep the silence timer running.
+    if (m_state == state::bound && !m_waitingSince && m_send.hasUnacknowledged())
+        m_waitingSince = now;
+    requestRead();
+}
+
+void caller_flow::onTick(time_point now)
+{
+    if (m_state == state::opening)
+        onTickOpening(now);
+    else if (m_state == state::bound)
+        onTickBound(now);
+}
+
+// Once the whole response was delivered a reset by the owner takes nothing away from the caller. Resetting the
+// caller's connection then could discard response bytes that it has not read yet.
+void caller_flow::onOwnerReset(reset_reason reason)
+{
+    if (m_finishSent)
+        m_state = state::done;
+    else
+        reset(reason, false);
+}
+
+void caller_flow::refuse(refusal_reason reason, std::chrono::milliseconds retryAfter)
+{
+    m_state = state::done;
+    m_actions.emplace_back(refuse_action{reason, retryAfter});
+}
+
+void caller_flow::reset(reset_reason reason, bool tellOwner)
+{
+    if (tellOwner)
+        send(reset_body{reason, m_offer}, m_owner);
+    m_state = state::done;
+    m_actions.emplace_back(reset_caller_action{reason});
+}
+
+void caller_flow::finishIfComplete()
+{
+    if (m_state == state::bound && m_finishSent && m_receive.drained() && m_send.complete())
+        m_state = state::done;
+}
+
+std::vector<caller_action> caller_flow::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+std::optional<time_point> caller_flow::nextDeadline() const
+{
+    if (m_state == state::done)
+        return std::nullopt;
+    if (m_state == state::opening) {
+        auto next = earlier(m_openedAt + m_settings.deadline, m_openRetryAt);
+        for (const auto &item : m_reservations) {
+            if (item.state == reservation_state::queued)
+                next = earlier(next, std::min(item.askedAt + m_settings.reservationRefresh,
+                                              item.heardAt + m_settings.reservationLost));
+        }
+        return next;
+    }
+    auto next = earlier(m_send.nextDeadline(), m_probeAt);
+    if (m_waitingSince) {
+        next = earlier(next, *m_waitingSince + m_settings.ownerSilence);
+        if (!m_ownerHeard)
+            next = earlier(next, m_fenceAt ? *m_fenceAt : *m_waitingSince + m_settings.fenceAfter);
+    }
+    return next;
+}
+
+} // namespace citroncrank
