--- /dev/null
+++ b/src/libnet/hop.cpp
@@ -0,0 +1,214 @@
+#include "hop_pvt.h"
+
+#include "citroncrank/timer_service.h"
+
+#include <boost/asio/write.hpp>
+
+namespace citroncrank {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 64 * 1024;
+constexpr std::size_t kWriteBatchBytes = 256 * 1024;
+constexpr std::size_t kLaneQuantumBytes = 1024;
+
+} // namespace
+
+void lane_queue::push(flow_class lane, std::string encoded)
+{
+    m_bytes += encoded.size();
+    m_lanes[std::size_t(lane)].push_back(std::move(encoded));
+}
+
+bool lane_queue::takeOne(std::size_t lane, std::string *out)
+{
+    auto &queue = m_lanes[lane];
+    if (queue.empty())
+        return false;
+    m_bytes -= queue.front().size();
+    out->append(queue.front());
+    queue.pop_front();
+    return true;
+}
+
+std::string lane_queue::takeBatch(std::size_t maxBytes)
+{
+    std::string batch;
+    while (m_bytes > 0 && batch.size() < maxBytes) {
+        for (std::size_t lane = 0; lane < m_lanes.size(); ++lane) {
+            const std::size_t limit = batch.size() + m_shares[lane] * kLaneQuantumBytes;
+            while (batch.size() < limit && takeOne(lane, &batch)) {
+            }
+        }
+    }
+    return batch;
+}
+
+hop::hop(tcp::socket socket, hop_id id, const net_settings &settings, const frame_codec &codec, net_counters &counters,
+         hop_owner &owner)
+    : m_socket(std::move(socket))
+    , m_id(id)
+    , m_settings(settings)
+    , m_codec(codec)
+    , m_counters(counters)
+    , m_owner(owner)
+    , m_queue(settings.laneShares)
+{}
+
+void hop::startAccepted(time_point now)
+{
+    m_startedAt = now;
+    m_connected = true;
+    boost::system::error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    readMore();
+}
+
+void hop::startConnect(const host_address &target, time_point now)
+{
+    m_startedAt = now;
+    m_target = target;
+    m_authenticated = true;
+    m_socket.async_connect(endpointOf(target), [self = shared_from_this()](const boost::system::error_code &error) {
+        if (self->m_closed)
+            return;
+        if (error) {
+            self->close(hop_close_reason::connect_failed);
+            return;
+        }
+        boost::system::error_code ignored;
+        self->m_socket.set_option(tcp::no_delay(true), ignored);
+        self->m_connected = true;
+        self->m_owner.onHopConnected(self->m_id);
+        self->readMore();
+        self->writeMore();
+    });
+}
+
+void hop::send(const frame &value, time_point now)
+{
+    if (m_closed || m_queue.bytes() > m_settings.hopQueueBytes) {
+        ++m_counters.framesDropped;
+        return;
+    }
+    std::string encoded;
+    m_codec.encode(value, &encoded);
+    m_queue.push(value.flowClass, std::move(encoded));
+    ++m_counters.framesOut;
+    if (!m_unansweredSince)
+        m_unansweredSince = now;
+    writeMore();
+}
+
+void hop::writeMore()
+{
+    if (!m_connected || m_closed || !m_writing.empty() || m_queue.bytes() == 0)
+        return;
+    m_writing = m_queue.takeBatch(kWriteBatchBytes);
+    m_counters.bytesOut += m_writing.size();
+    asio::async_write(m_socket, asio::buffer(m_writing),
+                      [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+                          self->m_writing.clear();
+                          if (error)
+                              self->close(hop_close_reason::peer_closed);
+                          else
+                              self->writeMore();
+                      });
+}
+
+void hop::readMore()
+{
+    if (m_input.size() < m_inputUsed + kReadBytes)
+        m_input.resize(m_inputUsed + kReadBytes);
+    m_socket.async_read_some(asio::buffer(m_input.data() + m_inputUsed, m_input.size() - m_inputUsed),
+                             [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+                                 if (self->m_closed)
+                                     return;
+                                 if (error) {
+                                     self->close(hop_close_reason::peer_closed);
+                                     return;
+                                 }
+                                 self->m_inputUsed += bytes;
+                                 self->m_counters.bytesIn += bytes;
+                                 self->parseFrames();
+                                 if (!self->m_closed)
+                                     self->readMore();
+                             });
+}
+
+void hop::parseFrames()
+{
+    std::size_t used = 0;
+    while (!m_closed) {
+        decode_error reason{};
+        auto decoded = m_codec.decode(std::string_view(m_input).substr(used, m_inputUsed - used), &reason);
+        if (!decoded) {
+            if (reason != decode_error::incomplete) {
+                ++m_counters.decodeErrors[std::size_t(reason)];
+                close(hop_close_reason::bad_frame);
+            }
+            break;
+        }
+        used += decoded->consumedBytes;
+        onFrame(std::move(decoded->value));
+    }
+    m_input.erase(0, used);
+    m_inputUsed -= used;
+}
+
+void hop::onFrame(frame value)
+{
+    ++m_counters.framesIn;
+    m_authenticated = true;
+    m_unansweredSince.reset();
+    m_pingSentAt.reset();
+    if (const auto *ping = std::get_if<ping_body>(&value.body)) {
+        frame pong;
+        pong.flowClass = flow_class::urgent;
+        pong.body = pong_body{ping->nonce};
+        send(pong, monotonicNow());
+        // A pong is not answered, so it must not start the silence timer.
+        m_unansweredSince.reset();
+        return;
+    }
+    if (!std::holds_alternative<pong_body>(value.body))
+        m_owner.onHopFrame(m_id, std::move(value));
+}
+
+void hop::onTimer(time_point now)
+{
+    if (!m_connected && now - m_startedAt > m_settings.connectTimeout) {
+        close(hop_close_reason::connect_failed);
+        return;
+    }
+    if (!m_authenticated && now - m_startedAt > m_settings.authenticationTimeout) {
+        close(hop_close_reason::not_authenticated);
+        return;
+    }
+    if (m_pingSentAt) {
+        if (now - *m_pingSentAt > m_settings.hopPingTimeout) {
+            ++m_counters.hopsSilent;
+            close(hop_close_reason::silent);
+        }
+        return;
+    }
+    if (!m_connected || !m_unansweredSince || now - *m_unansweredSince < m_settings.hopSilence)
+        return;
+    frame ping;
+    ping.flowClass = flow_class::urgent;
+    ping.body = ping_body{++m_pingNonce};
+    send(ping, now);
+    m_pingSentAt = now;
+}
+
+void hop::close(hop_close_reason reason)
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_owner.onHopClosed(m_id, reason);
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libnet/hop_pvt.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "citroncrank/net.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+
+namespace citroncrank {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+tcp::endpoint endpointOf(const host_address &address);
+host_address addressOf(const tcp::endpoint &endpoint);
+
+/// Send queue of a hop with one lane per class. A flood in one class leaves the other lanes their share of the bytes.
+class lane_queue
+{
+public:
+    explicit lane_queue(std::array<std::size_t, kFlowClassCount> shares) : m_shares(shares) {}
+
+    void push(flow_class lane, std::string encoded);
+    /// Takes about `maxBytes` bytes in the lanes' shares; unused shares go to the other lanes.
+    std::string takeBatch(std::size_t maxBytes);
+    std::size_t bytes() const { return m_bytes; }
+
+private:
+    bool takeOne(std::size_t lane, std::string *out);
+
+    std::array<std::size_t, kFlowClassCount> m_shares;
+    std::array<std::deque<std::string>, kFlowClassCount> m_lanes;
+    std::size_t m_bytes = 0;
+};
+
+/// What a hop reports to its owner.
+class hop_owner
+{
+public:
+    virtual ~hop_owner() = default;
+    virtual void onHopFrame(hop_id hop, frame value) = 0;
+    virtual void onHopConnected(hop_id hop) = 0;
+    virtual void onHopClosed(hop_id hop, hop_close_reason reason) = 0;
+};
+
+/// One connection that carries frames.
+class hop : public std::enable_shared_from_this<hop>
+{
+public:
+    hop(tcp::socket socket, hop_id id, const net_settings &settings, const frame_codec &codec, net_counters &counters,
+        hop_owner &owner);
+
+    void startAccepted(time_point now);
+    void startConnect(const host_address &target, time_point now);
+    void send(const frame &value, time_point now);
+    /// Checks silence and timeouts.
+    void onTimer(time_point now);
+    void close(hop_close_reason reason);
+
+    hop_id id() const { return m_id; }
+    const std::optional<host_address> &target() const { return m_target; }
+    bool unanswered() const { return m_pingSentAt.has_value(); }
+
+private:
+    void readMore();
+    void parseFrames();
+    void onFrame(frame value);
+    void writeMore();
+
+    tcp::socket m_socket;
+    hop_id m_id;
+    const net_settings &m_settings;
+    const frame_codec &m_codec;
+    net_counters &m_counters;
+    hop_owner &m_owner;
+    std::optional<host_address> m_target;
+    lane_queue m_queue;
+    std::string m_writing;
+    std::string m_input;
+    std::size_t m_inputUsed = 0;
+    bool m_connected = false;
+    bool m_authenticated = false;
+    bool m_closed = false;
+    time_point m_startedAt;
+    std::optional<time_point> m_unansweredSince;
+    std::optional<time_point> m_pingSentAt;
+    std::uint64_t m_pingNonce = 0;
+};
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libnet/stream_socket.cpp
@@ -0,0 +1,186 @@
+#include "stream_socket_pvt.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+
+namespace citroncrank {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 64 * 1024;
+
+/// All sockets of the network thread read into this buffer, so that idle connections hold none.
+std::array<char, kReadBytes> &readBuffer()
+{
+    thread_local std::array<char, kReadBytes> buffer;
+    return buffer;
+}
+
+} // namespace
+
+void stream_socket::setOptions()
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
+}
+
+void stream_socket::startConnect(const host_address &target)
+{
+    m_socket.async_connect(endpointOf(target), [self = shared_from_this()](const boost::system::error_code &error) {
+        if (self->m_gone)
+            return;
+        if (error) {
+            self->m_owner.onStreamEvent(stream_connect_failed{self->m_id});
+            self->destroy();
+            return;
+        }
+        self->setOptions();
+        self->m_owner.onStreamEvent(stream_connected{self->m_id});
+        self->writeMore();
+    });
+}
+
+void stream_socket::read(std::uint64_t maxBytes)
+{
+    if (m_gone || m_closeWanted)
+        return;
+    m_socket.async_wait(tcp::socket::wait_read,
+                        [self = shared_from_this(), maxBytes](const boost::system::error_code &error) {
+                            self->onReadable(error, maxBytes);
+                        });
+}
+
+void stream_socket::onReadable(const boost::system::error_code &error, std::uint64_t maxBytes)
+{
+    if (m_gone || m_closeWanted)
+        return;
+    boost::system::error_code readError = error;
+    auto &buffer = readBuffer();
+    std::size_t bytes = 0;
+    if (!readError)
+        bytes = m_socket.read_some(asio::buffer(buffer.data(), std::min<std::uint64_t>(maxBytes, buffer.size())),
+                                   readError);
+    if (readError == asio::error::would_block || readError == asio::error::try_again) {
+        read(maxBytes);
+    } else if (readError == asio::error::eof) {
+        m_endSeen = true;
+        m_owner.onStreamEvent(stream_ended{m_id});
+    } else if (readError) {
+        fail();
+    } else {
+        m_owner.onStreamEvent(stream_bytes{m_id, std::string(buffer.data(), bytes)});
+    }
+}
+
+void stream_socket::write(std::string bytes)
+{
+    if (m_gone || m_failed)
+        return;
+    m_pending.append(bytes);
+    writeMore();
+}
+
+void stream_socket::writeMore()
+{
+    if (!m_writing.empty() || m_gone)
+        return;
+    if (m_pending.empty()) {
+        if (m_finishWanted)
+            shutdownSend();
+        if (m_closeWanted)
+            discardUntilEnd();
+        return;
+    }
+    m_writing.swap(m_pending);
+    asio::async_write(m_socket, asio::buffer(m_writing),
+                      [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+                          self->onWritten(error);
+                      });
+}
+
+void stream_socket::onWritten(const boost::system::error_code &error)
+{
+    if (m_gone)
+        return;
+    if (error) {
+        fail();
+        return;
+    }
+    const std::uint64_t bytes = m_writing.size();
+    m_writing.clear();
+    if (!m_closeWanted)
+        m_owner.onStreamEvent(stream_consumed{m_id, bytes});
+    writeMore();
+}
+
+void stream_socket::finish()
+{
+    m_finishWanted = true;
+    writeMore();
+}
+
+void stream_socket::shutdownSend()
+{
+    if (std::exchange(m_shutdownDone, true))
+        return;
+    boost::system::error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void stream_socket::close(bool abort)
+{
+    if (m_gone)
+        return;
+    if (abort) {
+        boost::system::error_code ignored;
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        destroy();
+        return;
+    }
+    m_closeWanted = true;
+    m_finishWanted = true;
+    writeMore();
+}
+
+// Closing with unread bytes in the socket makes the kernel send a reset, which could discard response bytes that
+// the peer has not read yet. So what still arrives is read and dropped until the peer ends its side.
+void stream_socket::discardUntilEnd()
+{
+    if (m_endSeen) {
+        destroy();
+        return;
+    }
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code error) {
+        if (self->m_gone)
+            return;
+        auto &buffer = readBuffer();
+        if (!error)
+            self->m_socket.read_some(asio::buffer(buffer), error);
+        if (error && error != asio::error::would_block && error != asio::error::try_again)
+            self->destroy();
+        else
+            self->discardUntilEnd();
+    });
+}
+
+void stream_socket::fail()
+{
+    if (m_gone)
+        return;
+    m_failed = true;
+    if (!m_closeWanted)
+        m_owner.onStreamEvent(stream_reset{m_id});
+    destroy();
+}
+
+void stream_socket::destroy()
+{
+    if (std::exchange(m_gone, true))
+        return;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_owner.onStreamGone(m_id);
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libnet/stream_socket_pvt.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "hop_pvt.h"
+
+namespace citroncrank {
+
+/// What a stream reports to its owner.
+class stream_owner
+{
+public:
+    virtual ~stream_owner() = default;
+    virtual void onStreamEvent(net_event event) = 0;
+    virtual void onStreamGone(stream_id stream) = 0;
+};
+
+/// A plain TCP connection to a caller or an upstream. Reads only on request, so that an idle connection holds no
+/// buffer and a slow receiver slows the sender down.
+class stream_socket : public std::enable_shared_from_this<stream_socket>
+{
+public:
+    stream_socket(tcp::socket socket, stream_id id, stream_owner &owner)
+        : m_socket(std::move(socket)), m_id(id), m_owner(owner)
+    {}
+
+    void startConnect(const host_address &target);
+    void setOptions();
+    void read(std::uint64_t maxBytes);
+    void write(std::string bytes);
+    void finish();
+    void close(bool abort);
+
+private:
+    void onReadable(const boost::system::error_code &error, std::uint64_t maxBytes);
+    void writeMore();
+    void onWritten(const boost::system::error_code &error);
+    void shutdownSend();
+    void discardUntilEnd();
+    void fail();
+    void destroy();
+
+    tcp::socket m_socket;
+    stream_id m_id;
+    stream_owner &m_owner;
+    std::string m_writing;
+    std::string m_pending;
+    bool m_finishWanted = false;
+    bool m_shutdownDone = false;
+    bool m_closeWanted = false;
+    bool m_failed = false;
+    bool m_gone = false;
+    bool m_endSeen = false;
+};
+
+} // namespace citroncrank
