Add the admission queue of an agent

Cause: an agent must decide which open gets a slot, waits or is refused, and keep urgent and bulk work apart. Ruled out: strict priority (starves bulk), shares counted in grants (a class with long requests would take more slot time than its share), a plain ordered set (position in the queue would cost O(n)). Change: admission_queue with slots, connections, a bounded queue with places reserved per class, virtual-time fair sharing of slot time, earliest deadline first in a class, refusal of deadlines that cannot be met, slow start, drain. Before: no admission.

--- /dev/null
+++ b/src/include/citroncrank/admission.h
@@ -0,0 +1,147 @@
+#pragma once
+
+/// @file
+/// Admission at one agent: which reservation gets a slot, waits or is refused.
+
+#include "citroncrank/frame.h"
+#include "citroncrank/ids.h"
+#include "citroncrank/member.h"
+#include "citroncrank/time.h"
+
+#include <array>
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace citroncrank {
+
+/// Identifies one reservation at an agent.
+struct reservation_key
+{
+    flow_id flow;
+    edge_id edge = 0;
+    auto operator<=>(const reservation_key &) const = default;
+
+    template<typename H>
+    friend H AbslHashValue(H state, const reservation_key &key)
+    {
+        return H::combine(std::move(state), key.flow.high, key.flow.low, key.edge);
+    }
+};
+
+/// A flow that asks for a slot (request) or a connection (session).
+struct reservation
+{
+    flow_id flow;
+    edge_id edge = 0;
+    flow_class flowClass = flow_class::normal;
+    flow_kind kind = flow_kind::request;
+    time_point arrival;
+    std::optional<time_point> deadline; ///< The response must be complete by then.
+    auto operator<=>(const reservation &) const = default;
+};
+
+inline reservation_key keyOf(const reservation &value)
+{
+    return {value.flow, value.edge};
+}
+
+/// The slot or connection is held until `release` or `cancel`.
+struct granted
+{
+    auto operator<=>(const granted &) const = default;
+};
+
+/// The reservation waits; `advance` reports the outcome.
+struct queued
+{
+    std::uint16_t position = 0; ///< Estimated number of reservations served before it, over all classes.
+    auto operator<=>(const queued &) const = default;
+};
+
+/// The reservation was not accepted, or was dropped from the queue. The agent keeps nothing of it.
+struct refusal
+{
+    refusal_reason reason = refusal_reason::no_free_slot;
+    std::chrono::milliseconds retryAfter{0}; ///< Shortest useful wait before a retry at this agent; 0: none helps.
+    auto operator<=>(const refusal &) const = default;
+};
+
+using admission_result = std::variant<granted, queued, refusal>;
+
+/// Outcome of a queued reservation.
+struct admission_event
+{
+    reservation_key key;
+    std::variant<granted, refusal> outcome;
+    auto operator<=>(const admission_event &) const = default;
+};
+
+struct admission_settings
+{
+    std::uint16_t slots = 1;       ///< Requests served at once.
+    std::uint32_t connections = 1; ///< Sessions held at once.
+    std::uint16_t queueLimit = 64; ///< Reservations waiting at once, over all classes.
+    /// Weights of urgent, normal and bulk for slot time and queue places. A weight of 0 counts as 1, so that no
+    /// class is starved.
+    std::array<std::uint16_t, kFlowClassCount> classShares{60, 30, 10};
+    duration warmUp = std::chrono::seconds(30); ///< Time from `starting` to `ready` with all slots; 0 disables it.
+    double warmUpFraction = 0.2;                ///< Part of the slots usable at the start of the warm-up, 0 to 1.
+    duration initialServiceTime = std::chrono::milliseconds(50); ///< Assumed until requests were observed.
+    /// Orders reservations without a deadline among those with one. They never expire.
+    duration patience = std::chrono::seconds(30);
+    auto operator<=>(const admission_settings &) const = default;
+};
+
+/// Slots, connections and the waiting reservations of one upstream. Not thread safe; O(log n) per reservation.
+///
+/// Call `advance` after `request`, `release`, `cancel`, `setServing` and `setSettings`, and when `nextDeadline` has
+/// come: each of them can let another reservation in or push one out.
+class admission_queue
+{
+public:
+    explicit admission_queue(const admission_settings &settings);
+    ~admission_queue();
+    admission_queue(admission_queue &&) noexcept;
+    admission_queue &operator=(admission_queue &&) noexcept;
+
+    /// Asks for a slot or connection. Repeating a key that is granted or queued returns its present state.
+    admission_result request(const reservation &value, time_point now);
+
+    /// Ends a granted flow; its service time feeds the estimates. Returns false if the key holds no grant.
+    bool release(const reservation_key &key, time_point now);
+
+    /// Withdraws a queued reservation, or a grant that was never used. Returns false if the key is unknown.
+    bool cancel(const reservation_key &key, time_point now);
+
+    /// Returns the reservations granted or refused by `now`, in order.
+    std::vector<admission_event> advance(time_point now);
+
+    /// When `advance` must run next even if nothing else happens.
+    std::optional<time_point> nextDeadline() const;
+
+    /// Changes the state of the upstream. Leaving `ready` refuses all queued reservations; entering it from
+    /// `starting` begins the warm-up. Granted flows are not affected.
+    void setServing(serving_state state, time_point now);
+
+    /// Replaces the settings. Grants above a lowered capacity stay; reservations above a lowered queue limit stay.
+    void setSettings(const admission_settings &settings);
+
+    serving_state serving() const;
+    /// Slots usable at `now`: 0 unless ready, fewer than configured during the warm-up.
+    std::uint16_t usableSlots(time_point now) const;
+    /// Load to report to balancers; `slots` is the usable number.
+    load_report load(time_point now) const;
+    /// Expected wait of a request of this class that arrives at `now` with the latest deadline.
+    duration estimatedWait(flow_class flowClass, time_point now) const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace citroncrank
