--- a/src/include/citroncrank/net.h
+++ b/src/include/citroncrank/net.h
@@ -26,10 +26,10 @@
 struct net_settings
 {
     frame_keys keys;
-    duration hopSilence{300'000};      ///< Unanswered for this long: the hop is pinged.
-    duration hopPingTimeout{700'000};  ///< No pong for this long: the hop is closed as silent.
+    duration hopSilence{300'000};     ///< Unanswered for this long: the hop is pinged.
+    duration hopPingTimeout{700'000}; ///< No pong for this long: the hop is closed as silent.
     duration connectTimeout{1'000'000};
-    duration authenticationTimeout{5'000'000}; ///< An accepted hop must send a valid frame by then.
+    duration authenticationTimeout{5'000'000};   ///< An accepted hop must send a valid frame by then.
     std::size_t hopQueueBytes = 8 * 1024 * 1024; ///< Frames beyond this are dropped; flows retransmit them.
     std::array<std::size_t, kFlowClassCount> laneShares{60, 30, 10}; ///< Share of a hop's bytes per class.
     std::size_t maxInboundHops = 8192;
@@ -104,9 +104,9 @@
     std::uint64_t bytes = 0;
 };
 
-using net_event = std::variant<frame_received, datagram_received, hop_connected, hop_closed, stream_accepted,
-                               stream_connected, stream_connect_failed, stream_bytes, stream_ended, stream_reset,
-                               stream_consumed>;
+using net_event =
+    std::variant<frame_received, datagram_received, hop_connected, hop_closed, stream_accepted, stream_connected,
+                 stream_connect_failed, stream_bytes, stream_ended, stream_reset, stream_consumed>;
 
 /// Sends on an existing hop. Dropped and counted when the hop is gone.
 struct send_on_hop
--- a/src/libnet/hop_pvt.h
+++ b/src/libnet/hop_pvt.h
@@ -20,7 +20,9 @@
 class lane_queue
 {
 public:
-    explicit lane_queue(std::array<std::size_t, kFlowClassCount> shares) : m_shares(shares) {}
+    explicit lane_queue(std::array<std::size_t, kFlowClassCount> shares)
+        : m_shares(shares)
+    {}
 
     void push(flow_class lane, std::string encoded);
     /// Takes about `maxBytes` bytes in the lanes' shares; unused shares go to the other lanes.
--- a/src/libnet/network.cpp
+++ b/src/libnet/network.cpp
@@ -32,8 +32,8 @@
 
 const char *toString(hop_close_reason reason)
 {
-    static constexpr std::array<const char *, 6> kNames{"peer_closed", "silent",            "connect_failed",
-                                                        "bad_frame",   "not_authenticated", "local"};
+    static constexpr std::array<const char *, 6> kNames{"peer_closed",       "silent", "connect_failed", "bad_frame",
+                                                        "not_authenticated", "local"};
     return kNames[std::size_t(reason)];
 }
 
@@ -90,8 +90,8 @@
         if (!bindAcceptor(acceptor, address, lastReason))
             return std::nullopt;
         const auto bound = addressOf(acceptor.local_endpoint());
-        auto &stored = m_streamAcceptors.emplace(bound, std::make_unique<tcp::acceptor>(std::move(acceptor)))
-                           .first->second;
+        auto &stored =
+            m_streamAcceptors.emplace(bound, std::make_unique<tcp::acceptor>(std::move(acceptor))).first->second;
         acceptStream(bound, *stored);
         return bound;
     }
@@ -408,7 +408,8 @@
     std::thread m_thread;
 };
 
-network::network(net_settings settings) : m_events(settings.eventCapacity)
+network::network(net_settings settings)
+    : m_events(settings.eventCapacity)
 {
     m_implementation = std::make_unique<implementation>(std::move(settings), m_counters, m_events);
 }
--- a/src/libnet/stream_socket.cpp
+++ b/src/libnet/stream_socket.cpp
@@ -93,10 +93,9 @@
         return;
     }
     m_writing.swap(m_pending);
-    asio::async_write(m_socket, asio::buffer(m_writing),
-                      [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-                          self->onWritten(error);
-                      });
+    asio::async_write(
+        m_socket, asio::buffer(m_writing),
+        [self = shared_from_this()](const boost::system::error_code &error, std::size_t) { self->onWritten(error); });
 }
 
 void stream_socket::onWritten(const boost::system::error_code &error)
--- a/src/libnet/stream_socket_pvt.h
+++ b/src/libnet/stream_socket_pvt.h
@@ -19,7 +19,9 @@
 {
 public:
     stream_socket(tcp::socket socket, stream_id id, stream_owner &owner)
-        : m_socket(std::move(socket)), m_id(id), m_owner(owner)
+        : m_socket(std::move(socket))
+        , m_id(id)
+        , m_owner(owner)
     {}
 
     void startConnect(const host_address &target);
