Add the upstream table, load hints, candidate choice and retry budget

Cause: a balancer must pick an agent for each open without agreeing with other balancers. Ruled out: least load over all agents (many balancers with the same hints pick the same agent), a random choice (balancers cannot be compared or replayed), hints alone (a frozen idle report draws all opens). Change: immutable upstream_table, load_hints with the opens sent since a report and a short memory of queued answers, chooseCandidate (own failure domain while it has room, least load among three in rendezvous order), retry_budget. Before: no routing. After: routing_test passes (9 tests).

--- a/src/include/citroncrank/admission.h
+++ b/src/include/citroncrank/admission.h
@@ -27,7 +27,7 @@
     auto operator<=>(const reservation_key &) const = default;
 
     template<typename H>
-    friend H AbslHashValue(H state, const reservation_key &key)
+    friend H AbslHashValue(H state, const reservation_key &key) // NOLINT(readability-identifier-naming): Abseil's name
     {
         return H::combine(std::move(state), key.flow.high, key.flow.low, key.edge);
     }
--- /dev/null
+++ b/src/include/citroncrank/routing.h
@@ -0,0 +1,185 @@
+#pragma once
+
+/// @file
+/// Choice of an agent for an open at one balancer: upstream table, load hints, candidate choice, retry budget.
+
+#include "citroncrank/frame.h"
+#include "citroncrank/ids.h"
+#include "citroncrank/member.h"
+#include "citroncrank/time.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace citroncrank {
+
+/// What a balancer knows of one agent from its member record.
+struct upstream_record
+{
+    node_id agent = 0;
+    std::uint64_t incarnation = 0;
+    host_address address;
+    std::string service;
+    std::string domain; ///< Failure domain.
+    member_state state = member_state::alive;
+    serving_state serving = serving_state::starting;
+    std::uint16_t slots = 0;
+    std::uint32_t connections = 0;
+    auto operator<=>(const upstream_record &) const = default;
+};
+
+/// All agents known to a balancer. Immutable; a membership change builds a new one.
+class upstream_table
+{
+public:
+    upstream_table() = default;
+
+    /// Builds the table from member records; records of balancers are left out. A later record of the same name
+    /// replaces an earlier one with a lower (incarnation, version).
+    static upstream_table build(std::span<const member_record> members, std::uint64_t revision);
+
+    /// Agents of the service, ordered by agent id. Empty if the service is unknown.
+    std::span<const upstream_record> ofService(std::string_view service) const;
+    /// The agent with the id, whatever its state, or null.
+    const upstream_record *find(node_id agent) const;
+
+    std::uint64_t revision() const { return m_revision; }
+    std::size_t size() const { return m_records.size(); }
+
+private:
+    struct record_range
+    {
+        std::size_t first = 0;
+        std::size_t count = 0;
+    };
+
+    std::uint64_t m_revision = 0;
+    std::vector<upstream_record> m_records; ///< Ordered by (service, agent).
+    absl::flat_hash_map<std::string, record_range> m_services;
+    absl::flat_hash_map<node_id, std::size_t> m_byAgent;
+};
+
+/// Estimated load of one agent.
+struct load_estimate
+{
+    double slotLoad = 0;       ///< Requests running, queued and just sent there, per slot.
+    double connectionLoad = 0; ///< Sessions open and just sent there, per connection.
+    bool draining = false;
+    auto operator<=>(const load_estimate &) const = default;
+};
+
+struct load_hint_settings
+{
+    duration maxAge = std::chrono::seconds(2); ///< A report read longer ago is ignored.
+    /// How long an agent that queued an open counts as full, even if its reports say otherwise.
+    duration queuedMemory = std::chrono::milliseconds(100);
+    auto operator<=>(const load_hint_settings &) const = default;
+};
+
+/// Last load report per agent, as this balancer read it. Only hints: a wrong one costs a detour, never correctness.
+/// Not thread safe.
+class load_hints
+{
+public:
+    explicit load_hints(const load_hint_settings &settings = {})
+        : m_settings(settings)
+    {}
+
+    /// A frame with a load report passed. Resets the count of opens sent since.
+    void reported(node_id agent, const load_report &report, time_point now);
+    /// This balancer forwarded an open to the agent.
+    void opened(node_id agent, time_point now);
+    /// The agent queued an open. Kept apart from the reports, which can be wrong or frozen.
+    void queuedAt(node_id agent, std::uint16_t position, time_point now);
+
+    /// Estimate from what is fresh at `now`; nullopt if nothing is. `slots` and `connections` are the announced
+    /// capacity, used where the report has none.
+    std::optional<load_estimate> estimate(const upstream_record &upstream, time_point now) const;
+
+    /// Drops entries with nothing fresh. Call once per `maxAge` to bound the memory by the live agents.
+    void removeStale(time_point now);
+    std::size_t size() const { return m_hints.size(); }
+
+private:
+    struct hint
+    {
+        load_report report;
+        std::optional<time_point> readAt;
+        std::uint32_t opensSince = 0;
+        std::optional<time_point> lastOpen;
+        std::uint16_t queuePosition = 0;
+        std::optional<time_point> queuedSeen;
+    };
+
+    bool isFresh(const std::optional<time_point> &since, duration age, time_point now) const
+    {
+        return since && now - *since <= age;
+    }
+
+    load_hint_settings m_settings;
+    absl::flat_hash_map<node_id, hint> m_hints;
+};
+
+/// What an open asks for.
+struct candidate_query
+{
+    std::string_view service;
+    flow_id flow;
+    flow_kind kind = flow_kind::request;
+    flow_class flowClass = flow_class::normal;
+    std::span<const node_id> tried; ///< Agents to skip.
+    std::string_view ownDomain;     ///< Failure domain of the balancer.
+    /// Agents compared by load. More follow the load better, fewer keep many balancers with the same hints from
+    /// sending all flows to one agent. 0 counts as 1.
+    std::uint32_t choices = 3;
+    std::uint64_t seed = 0; ///< Of the rendezvous order; equal at all balancers.
+};
+
+/// Why there is no candidate.
+enum class no_candidate_reason : std::uint8_t {
+    unknown_service, ///< The table has no agent of the service.
+    none_ready,      ///< All agents are dead, starting or draining.
+    all_tried,       ///< Every ready agent is in `tried`.
+};
+constexpr int kNoCandidateReasonCount = 3;
+const char *toString(no_candidate_reason reason);
+
+/// Picks an agent for an open. The same flow, table and hints give the same choice at every balancer. Returns nullopt
+/// and stores the cause in `lastReason` (may be null) when there is none.
+std::optional<upstream_record> chooseCandidate(const upstream_table &table, const load_hints &hints,
+                                               const candidate_query &query, time_point now,
+                                               no_candidate_reason *lastReason);
+
+struct retry_budget_settings
+{
+    std::uint32_t retriesPer1000Successes = 100;
+    std::uint32_t initialTokens = 10; ///< Retries allowed before the first success.
+    std::uint32_t maxTokens = 100;    ///< Retries that can be saved up.
+    auto operator<=>(const retry_budget_settings &) const = default;
+};
+
+/// Limits retries to a part of the successes, so that a failing service does not get a multiple of its usual load.
+class retry_budget
+{
+public:
+    explicit retry_budget(const retry_budget_settings &settings = {});
+
+    void onSuccess();
+    /// Takes one token. Returns false if none is left; then the flow must not be retried.
+    bool trySpend();
+    std::uint32_t tokens() const { return std::uint32_t(m_milliTokens / kMilli); }
+
+private:
+    static constexpr std::uint64_t kMilli = 1000;
+
+    retry_budget_settings m_settings;
+    std::uint64_t m_milliTokens = 0;
+};
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/librouting/routing_test.cpp
@@ -0,0 +1,181 @@
+#include "citroncrank/routing.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace citroncrank {
+namespace {
+
+time_point at(int ms)
+{
+    return time_point(std::chrono::milliseconds(ms));
+}
+
+member_record agent(const std::string &name, const std::string &domain)
+{
+    return {.name = name,
+            .role = node_role::agent,
+            .incarnation = 1,
+            .domain = domain,
+            .service = "receipts",
+            .serving = serving_state::ready,
+            .slots = 2,
+            .connections = 100};
+}
+
+std::vector<member_record> sixAgents()
+{
+    return {agent("a1", "nbi-west"), agent("a2", "nbi-west"),  agent("b1", "nbi-east"),
+            agent("b2", "nbi-east"), agent("c1", "nbi-south"), agent("c2", "nbi-south")};
+}
+
+candidate_query query(std::uint64_t flow, std::string_view domain = "nbi-west")
+{
+    return {.service = "receipts", .flow = {1, flow}, .ownDomain = domain};
+}
+
+load_report busy(std::uint16_t slots)
+{
+    return {.busySlots = slots, .slots = 2, .connections = 100};
+}
+
+// Guards against a stale record that replaces a newer one, and against agents of another service.
+TEST(UpstreamTable, KeepsTheNewestRecordAndSeparatesServices)
+{
+    auto members = sixAgents();
+    auto newer = members[0];
+    newer.incarnation = 2;
+    newer.address = {1, 2};
+    members.insert(members.begin(), newer);
+    members.push_back(agent("d1", "nbi-west"));
+    members.back().service = "returns-desk";
+    members.push_back({.name = "balancer", .role = node_role::balancer, .service = "receipts"});
+    const auto table = upstream_table::build(members, 9);
+    EXPECT_EQ(table.revision(), 9U);
+    EXPECT_EQ(table.ofService("receipts").size(), 6U);
+    EXPECT_EQ(table.ofService("returns-desk").size(), 1U);
+    EXPECT_TRUE(table.ofService("unknown").empty());
+    ASSERT_TRUE(table.find(nodeIdOf("a1")));
+    EXPECT_EQ(table.find(nodeIdOf("a1"))->address, (host_address{1, 2}));
+    EXPECT_FALSE(table.find(nodeIdOf("balancer")));
+}
+
+// Guards against opens sent to agents that cannot take them.
+TEST(ChooseCandidate, SkipsTriedDeadAndDraining)
+{
+    auto members = sixAgents();
+    members[0].state = member_state::dead;
+    members[1].serving = serving_state::draining;
+    members[2].serving = serving_state::starting;
+    const auto table = upstream_table::build(members, 1);
+    load_hints hints;
+    hints.reported(nodeIdOf("b2"), {.slots = 2, .draining = true}, at(0));
+    const std::vector<node_id> tried{nodeIdOf("c1")};
+    auto asked = query(1);
+    asked.tried = tried;
+    for (asked.flow.low = 1; asked.flow.low < 200; ++asked.flow.low)
+        EXPECT_EQ(chooseCandidate(table, hints, asked, at(1), nullptr)->agent, nodeIdOf("c2"));
+}
+
+// Guards against a refusal whose cause the edge and operators cannot tell.
+TEST(ChooseCandidate, ReportsWhyThereIsNone)
+{
+    auto members = sixAgents();
+    members.resize(1);
+    const std::vector<node_id> tried{nodeIdOf("a1")};
+    auto asked = query(1);
+    no_candidate_reason reason{};
+    EXPECT_FALSE(chooseCandidate({}, load_hints(), asked, at(0), &reason));
+    EXPECT_EQ(reason, no_candidate_reason::unknown_service);
+    asked.tried = tried;
+    EXPECT_FALSE(chooseCandidate(upstream_table::build(members, 1), load_hints(), asked, at(0), &reason));
+    EXPECT_EQ(reason, no_candidate_reason::all_tried);
+    members[0].state = member_state::left;
+    EXPECT_FALSE(chooseCandidate(upstream_table::build(members, 1), load_hints(), asked, at(0), &reason));
+    EXPECT_EQ(reason, no_candidate_reason::none_ready);
+}
+
+// Guards against expensive traffic between failure domains, and against an own domain that is overloaded by it.
+TEST(ChooseCandidate, PrefersTheOwnDomainWhileItHasRoom)
+{
+    const auto table = upstream_table::build(sixAgents(), 1);
+    load_hints hints;
+    for (std::uint64_t flow = 0; flow < 100; ++flow)
+        EXPECT_EQ(chooseCandidate(table, hints, query(flow), at(0), nullptr)->domain, "nbi-west");
+    hints.reported(nodeIdOf("a1"), busy(2), at(0));
+    hints.reported(nodeIdOf("a2"), busy(2), at(0));
+    for (std::uint64_t flow = 0; flow < 100; ++flow)
+        EXPECT_NE(chooseCandidate(table, hints, query(flow), at(1), nullptr)->domain, "nbi-west");
+}
+
+// Guards against a burst that follows one idle report to a single agent.
+TEST(LoadHints, OpensSinceTheReportCount)
+{
+    const auto table = upstream_table::build(sixAgents(), 1);
+    load_hints hints;
+    std::array<int, 2> chosen{};
+    for (const char *name : {"a1", "a2", "b1", "b2", "c1", "c2"})
+        hints.reported(nodeIdOf(name), busy(0), at(0));
+    for (std::uint64_t flow = 0; flow < 12; ++flow) {
+        const auto candidate = chooseCandidate(table, hints, query(flow), at(1), nullptr);
+        hints.opened(candidate->agent, at(1));
+        if (candidate->domain == "nbi-west")
+            ++chosen[candidate->agent == nodeIdOf("a1") ? 0 : 1];
+    }
+    EXPECT_EQ(chosen, (std::array<int, 2>{2, 2}));
+}
+
+// Guards against a frozen idle report that outweighs what the agent just answered.
+TEST(LoadHints, QueuedAnswerOutweighsAnIdleReport)
+{
+    const auto table = upstream_table::build(sixAgents(), 1);
+    const auto *upstream = table.find(nodeIdOf("a1"));
+    load_hints hints;
+    hints.queuedAt(upstream->agent, 0, at(0));
+    hints.reported(upstream->agent, busy(0), at(1));
+    EXPECT_GT(hints.estimate(*upstream, at(1))->slotLoad, 1);
+    EXPECT_EQ(hints.estimate(*upstream, at(200))->slotLoad, 0);
+}
+
+// Guards against decisions from old reports, and against memory kept for agents that are gone.
+TEST(LoadHints, AgeOut)
+{
+    const auto table = upstream_table::build(sixAgents(), 1);
+    const auto *upstream = table.find(nodeIdOf("a1"));
+    load_hints hints;
+    hints.reported(upstream->agent, busy(2), at(0));
+    EXPECT_EQ(hints.estimate(*upstream, at(2000))->slotLoad, 1);
+    EXPECT_FALSE(hints.estimate(*upstream, at(2001)));
+    hints.removeStale(at(2001));
+    EXPECT_EQ(hints.size(), 0U);
+}
+
+// Guards against balancers that need to agree with each other, and against flows that move without cause.
+RC_GTEST_PROP(ChooseCandidate, RemovalMovesOnlyFlowsOfTheRemovedAgent, (std::uint64_t flow))
+{
+    auto members = sixAgents();
+    const auto before =
+        chooseCandidate(upstream_table::build(members, 1), load_hints(), query(flow, ""), at(0), nullptr);
+    std::reverse(members.begin(), members.end());
+    const auto removed = *rc::gen::inRange<std::size_t>(0, members.size());
+    const auto removedAgent = idOf(members[removed]);
+    members.erase(members.begin() + std::ptrdiff_t(removed));
+    const auto after =
+        chooseCandidate(upstream_table::build(members, 2), load_hints(), query(flow, ""), at(0), nullptr);
+    RC_ASSERT(before->agent == removedAgent || before->agent == after->agent);
+}
+
+// Guards against retries that multiply the load of a failing service.
+TEST(RetryBudget, IsEarnedSpentAndCapped)
+{
+    retry_budget budget({.retriesPer1000Successes = 100, .initialTokens = 1, .maxTokens = 2});
+    EXPECT_TRUE(budget.trySpend());
+    EXPECT_FALSE(budget.trySpend());
+    for (int success = 0; success < 1000; ++success)
+        budget.onSuccess();
+    EXPECT_EQ(budget.tokens(), 2U);
+}
+
+} // namespace
+} // namespace citroncrank
