Prefer candidates with room before comparing a few by load

Ruled out: a weaker test; agents with room by hint are known and should be compared first. Change: chooseCandidate compares only agents with room by hint when there are any, then the own failure domain.

--- a/src/librouting/candidate.cpp
+++ b/src/librouting/candidate.cpp
@@ -78,6 +78,7 @@
         return std::nullopt;
     // A suspect member is often alive, but an open sent there may cost a timeout.
     keepIfAny(&candidates, [](const auto &each) { return each.upstream->state == member_state::alive; });
+    keepIfAny(&candidates, [](const auto &each) { return each.load < 1; });
     keepIfAny(&candidates, [&](const auto &each) { return each.load < 1 && each.upstream->domain == query.ownDomain; });
 
     const auto compared = std::min<std::size_t>(candidates.size(), std::max<std::uint32_t>(query.choices, 1));
