--- a/src/citroncrank-agent/agent_process.cpp
+++ b/src/citroncrank-agent/agent_process.cpp
@@ -46,7 +46,7 @@
     void operator()(const stream_connected &event) const
     {
         if (event.stream == process.m_checkStream) {
-            process.m_network.post(stream_close{event.stream, true});
+            process.m_network.post(stream_close{event.stream, false});
             process.onCheckResult(true, now);
         } else if (const auto flow = process.m_flowOf.find(event.stream); flow != process.m_flowOf.end()) {
             process.m_core->onUpstreamConnected(flow->second, now);
