--- a/scripts/generate-code.sh
+++ b/scripts/generate-code.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
 # Regenerates the committed FlatBuffers code. Needs the Debian package flatbuffers-compiler.
 set -euo pipefail
-cd "$(dirname "$0")/../src/libprotocol"
-flatc --cpp --scoped-enums -o generated frame.fbs
+cd "$(dirname "$0")/../src"
+for schema in libprotocol/frame.fbs libagent/agent_state.fbs citroncrank-agent/upgrade_state.fbs; do
+    flatc --cpp --scoped-enums -o "$(dirname "$schema")/generated" "$schema"
+done
--- a/src/citroncrank-agent/agent_process.cpp
+++ b/src/citroncrank-agent/agent_process.cpp
@@ -1,32 +1,55 @@
 #include "agent_process.h"
 
-#include "citroncrank/timer_service.h"
-
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <utility>
 
 namespace citroncrank {
 
 namespace {
 
-constexpr duration kCheckPeriod{500'000};
-constexpr duration kLongestWait{100'000};
-/// One refused connection may be a full accept queue; this many in a row mean that the upstream is down.
-constexpr int kFailedChecksUntilDown = 3;
+member_record localRecord(const agent_file &file)
+{
+    member_record record;
+    record.role = node_role::agent;
+    record.service = file.service;
+    record.serving = serving_state::starting;
+    record.slots = file.slots;
+    record.connections = file.connections;
+    return record;
+}
+
+/// Longest reason that an operator may give for ending a flow, in bytes.
+constexpr std::size_t kMaxReasonBytes = 1024;
 
 } // namespace
 
-agent_process::agent_process(agent_process_settings settings)
-    : m_settings(std::move(settings))
-    , m_network(m_settings.net)
-{}
+agent_process::agent_process(agent_file file, const daemon_options &options)
+    : node_process(file.node, localRecord(file), "agent")
+    , m_file(std::move(file))
+    , m_options(options)
+{
+    m_announced.slots = m_file.slots;
+    m_announced.connections = m_file.connections;
+}
 
 bool agent_process::listen(std::error_code *lastReason)
 {
-    const auto bound = m_network.listenForHops(m_settings.listen, lastReason);
-    if (!bound)
+    if (!node_process::listen(lastReason))
         return false;
-    m_settings.core.self.address = *bound;
-    m_core = std::make_unique<agent_core>(m_settings.core, m_settings.admission);
+    m_coreSettings.service = m_file.service;
+    m_coreSettings.self = {idOf(m_local), m_local.incarnation, m_local.address};
+    // The slow start is for a cold upstream; a restored core learns its warm-up time with the configuration.
+    auto initial = m_announced;
+    if (!m_options.resume.empty())
+        initial.warmUp = duration(0);
+    m_core = std::make_unique<agent_core>(m_coreSettings, initial);
+    if (!m_options.resume.empty() && !resume(m_options.resume, monotonicNow()))
+        m_log.error("cannot read the flows of the replaced program; they are lost");
     return true;
 }
 
@@ -37,12 +60,14 @@
 
     void operator()(const frame_received &event) const
     {
-        auto &hops = process.m_hops;
-        if (std::find(hops.begin(), hops.end(), event.hop) == hops.end())
-            hops.push_back(event.hop);
+        const auto hop = process.m_hops.try_emplace(event.hop).first;
+        if (std::holds_alternative<hello_body>(event.value.body))
+            hop->second = event.value.owner.address;
         process.m_core->onFrame(event.value, event.hop, now);
+        if (hop->second.port != 0 && process.m_core->holds(event.value.flow))
+            process.m_balancerOf[event.value.flow] = hop->second;
     }
-    void operator()(const hop_closed &event) const { std::erase(process.m_hops, event.hop); }
+    void operator()(const hop_closed &event) const { process.m_hops.erase(event.hop); }
     void operator()(const stream_connected &event) const
     {
         if (event.stream == process.m_checkStream) {
@@ -101,7 +126,7 @@
         const stream_id stream = process.m_network.nextStreamId();
         process.m_streamOf[action.flow] = stream;
         process.m_flowOf[stream] = action.flow;
-        process.m_network.post(stream_connect{stream, process.m_settings.upstream});
+        process.m_network.post(stream_connect{stream, process.m_file.upstream});
     }
     void operator()(const upstream_read &action) const
     {
@@ -119,76 +144,134 @@
             process.m_network.post(stream_finish{stream->second});
     }
     void operator()(const upstream_close &action) const { process.closeStream(action.flow, action.abort); }
-    void operator()(const flow_note &) const {}
+    void operator()(const flow_note &action) const
+    {
+        if (!process.m_core->holds(action.flow))
+            process.m_balancerOf.erase(action.flow);
+        std::string detail;
+        if (const auto *refused = std::get_if<refusal_reason>(&action.reason))
+            detail = absl::StrCat("reason=", toString(*refused));
+        else if (const auto *reset = std::get_if<reset_reason>(&action.reason))
+            detail = absl::StrCat("reason=", toString(*reset));
+        if (action.step == flow_step::refused)
+            process.m_log.info(absl::StrCat("refused flow, ", detail, " service=", process.m_file.service,
+                                            " flow=", toString(action.flow)));
+        process.note(action.flow, toString(action.step), std::move(detail));
+    }
 };
 
-void agent_process::run(const std::atomic<bool> &stopping)
+void agent_process::onEvent(net_event event, time_point now)
 {
-    m_network.start();
-    std::vector<net_event> events;
-    while (!m_draining || m_core->boundFlows() > 0) {
-        if (stopping && !m_draining) {
-            m_draining = true;
-            m_core->setServing(serving_state::draining, monotonicNow());
-        }
-        auto deadline = monotonicNow() + kLongestWait;
-        if (const auto next = m_core->nextDeadline())
-            deadline = std::min(deadline, *next);
-        events.clear();
-        m_network.events().drain(&events, deadline);
-        const auto now = monotonicNow();
-        for (auto &event : events)
-            std::visit(event_handler{*this, now}, event);
-        m_core->onTick(now);
-        checkUpstream(now);
-        runActions();
-    }
-    m_network.stop();
+    std::visit(event_handler{*this, now}, event);
 }
 
-void agent_process::runActions()
+void agent_process::onTick(time_point now)
+{
+    m_core->onTick(now);
+    checkUpstream(now);
+}
+
+void agent_process::runActions(time_point)
 {
     for (auto &action : m_core->takeActions())
         std::visit(action_handler{*this}, action);
 }
 
+void agent_process::onConfig(const config_revision &revision, time_point now)
+{
+    m_coreSettings = agentSettings(revision, place(), m_coreSettings);
+    m_core->setSettings(m_coreSettings);
+    m_check = healthCheckSettings(revision, m_file.service, place());
+    m_core->setAdmission(admissionSettings(revision, m_file.service, place(), m_announced), now);
+}
+
+// A frame goes back over the hop by which the flow's last frame came, or over a new hop to the same balancer. Every
+// second retransmission goes over another balancer: the usual path may be silent, but for a caller that a balancer
+// holds itself it is the only one that leads back.
 void agent_process::sendFrame(const agent_send &action)
 {
-    if (const hop_id hop = chooseHop(action))
-        m_network.post(send_on_hop{hop, action.value});
+    const bool otherPath = action.alternatePath && ++m_retransmissions % 2 == 0;
+    if (m_hops.contains(action.hop) && !otherPath) {
+        m_network.post(send_on_hop{action.hop, action.value});
+        return;
+    }
+    const auto balancer = balancerOf(action.value.flow);
+    if (balancer.port != 0 && !otherPath)
+        m_network.post(send_to_address{balancer, action.value, action.alternatePath});
+    else if (!m_balancers.empty())
+        m_network.post(send_to_address{m_balancers[m_retransmissions % m_balancers.size()], action.value, false});
 }
 
-// A retransmission goes over another hop every second time: the usual one may be silent, but for a caller that a
-// balancer holds itself it is the only one that leads back.
-hop_id agent_process::chooseHop(const agent_send &action)
+host_address agent_process::balancerOf(const flow_id &flow) const
 {
-    const bool usable = std::find(m_hops.begin(), m_hops.end(), action.hop) != m_hops.end();
-    if (m_hops.empty())
-        return 0;
-    ++m_nextHop;
-    if (usable && (!action.alternatePath || m_nextHop % 2 == 0))
-        return action.hop;
-    return m_hops[(m_nextHop / 2) % m_hops.size()];
+    const auto found = m_balancerOf.find(flow);
+    return found == m_balancerOf.end() ? host_address{} : found->second;
+}
+
+void agent_process::onMembersChanged()
+{
+    m_balancers.clear();
+    for (const auto &record : m_fleet->reachableMembers()) {
+        if (record.role == node_role::balancer
+            && (record.state == member_state::alive || record.state == member_state::suspect))
+            m_balancers.push_back(record.address);
+    }
 }
 
 void agent_process::checkUpstream(time_point now)
 {
     if (now < m_nextCheck)
         return;
-    m_nextCheck = now + kCheckPeriod;
+    m_nextCheck = now + m_check.period;
     m_checkStream = m_network.nextStreamId();
-    m_network.post(stream_connect{m_checkStream, m_settings.upstream});
+    m_network.post(stream_connect{m_checkStream, m_file.upstream});
 }
 
+// One refused connection may come from a full accept queue; several in a row mean that the upstream is down.
 void agent_process::onCheckResult(bool reachable, time_point now)
 {
     m_failedChecks = reachable ? 0 : m_failedChecks + 1;
     if (m_draining)
         return;
     if (reachable && m_core->serving() == serving_state::starting)
-        m_core->setServing(serving_state::ready, now);
-    else if (m_failedChecks >= kFailedChecksUntilDown && m_core->serving() == serving_state::ready)
-        m_core->setServing(serving_state::starting, now);
+        setServing(serving_state::ready, now);
+    else if (m_failedChecks >= m_check.failuresUntilDown && m_core->serving() == serving_state::ready)
+        setServing(serving_state::starting, now);
+}
+
+void agent_process::setServing(serving_state state, time_point now)
+{
+    static constexpr std::array<const char *, 3> kNames{"starting", "ready", "draining"};
+    m_log.info(absl::StrCat("serving state changed, state=", kNames[std::size_t(state)], " service=", m_file.service,
+                            " open_flows=", m_core->boundFlows()));
+    m_core->setServing(state, now);
+    m_fleet->setLocal({.serving = state}, now);
+}
+
+void agent_process::drain(time_point now)
+{
+    if (m_draining)
+        return;
+    m_draining = true;
+    setServing(serving_state::draining, now);
+}
+
+void agent_process::beginStop(time_point now)
+{
+    drain(now);
+}
+
+std::vector<std::string> agent_process::notReadyReasons() const
+{
+    switch (m_core->serving()) {
+    case serving_state::ready:
+        return {};
+    case serving_state::starting:
+        return {"upstream does not accept connections yet"};
+    case serving_state::draining:
+        return {"draining"};
+    }
+    return {};
 }
 
 void agent_process::closeStream(const flow_id &flow, bool abort)
@@ -201,4 +284,107 @@
     m_streamOf.erase(stream);
 }
 
+operator_reply agent_process::onOperator(const operator_request &request, time_point now)
+{
+    if (request.method == "GET" && request.path == "/flows")
+        return listFlows();
+    if (request.method == "POST" && request.path == "/drain") {
+        drain(now);
+        return jsonReply(boost::json::object{{"serving", "draining"}, {"openFlows", m_core->boundFlows()}});
+    }
+    if (request.method == "POST" && request.path == "/upgrade") {
+        m_upgradeWanted = true;
+        return {202, R"({"upgrade":"started"})"};
+    }
+    if (request.method == "POST" && request.path.starts_with("/flows/"))
+        return endFlow(request, now);
+    return errorReply(404, "not_found", absl::StrCat("an agent has no ", request.method, " ", request.path));
+}
+
+operator_reply agent_process::listFlows() const
+{
+    const auto now = monotonicNow();
+    boost::json::array flows;
+    for (const auto &flow : m_core->flows()) {
+        flows.emplace_back(boost::json::object{
+            {"id", toString(flow.flow)},
+            {"service", m_file.service},
+            {"class", toString(flow.flowClass)},
+            {"kind", toString(flow.kind)},
+            {"ageSeconds", double((now - flow.since).count()) / 1e6},
+            {"bound", flow.bound},
+            {"edge", absl::StrCat(absl::Hex(flow.edge, absl::kZeroPad16))},
+        });
+    }
+    return jsonReply(boost::json::object{{"flows", std::move(flows)}});
+}
+
+// Path: /flows/ID/end; body: {"reason": "..."}.
+operator_reply agent_process::endFlow(const operator_request &request, time_point now)
+{
+    const std::vector<std::string> parts = absl::StrSplit(request.path, '/', absl::SkipEmpty());
+    const auto flow = parts.size() == 3 && parts[2] == "end" ? parseFlowId(parts[1]) : std::nullopt;
+    if (!flow)
+        return errorReply(400, "bad_request", "the path must be /flows/ID/end with 32 hexadecimal digits as ID");
+    boost::json::error_code error;
+    const auto body = boost::json::parse(request.body, error);
+    const auto *reason = !error && body.is_object() ? body.as_object().if_contains("reason") : nullptr;
+    const bool blank = reason == nullptr || !reason->is_string()
+                       || absl::StripAsciiWhitespace(std::string_view(reason->as_string())).empty();
+    if (blank || reason->as_string().size() > kMaxReasonBytes)
+        return errorReply(400, "reason_missing", "ending a flow needs a written reason of at most 1,024 bytes");
+    if (!m_core->endFlow(*flow, now))
+        return errorReply(404, "not_found", "no bound flow has this id");
+    const std::string text(reason->as_string());
+    m_log.warn(absl::StrCat("operator ended flow, flow=", parts[1], " reason=\"", text, "\""));
+    note(*flow, "ended_by_operator", absl::StrCat("reason=", text));
+    return jsonReply(boost::json::object{{"ended", parts[1]}});
+}
+
+void agent_process::addStatus(boost::json::object *status) const
+{
+    const auto load = m_core->load(monotonicNow());
+    (*status)["load"] = boost::json::object{{"busySlots", load.busySlots},
+                                            {"slots", load.slots},
+                                            {"queued", load.queued},
+                                            {"sessions", load.sessions},
+                                            {"connections", load.connections}};
+    (*status)["upstream"] = toString(m_file.upstream);
+}
+
+void agent_process::updateMetrics()
+{
+    const auto &counters = m_core->counters();
+    const metric_labels service{{"service", m_file.service}};
+    const auto set = [&](const char *metric, const char *help, std::uint64_t value) {
+        m_metrics.gauge(metric, help, service).set(double(value));
+    };
+    set("citroncrank_opens", "Opens received since the start.", counters.opens);
+    set("citroncrank_offers", "Offers made since the start.", counters.offers);
+    set("citroncrank_binds", "Offers bound since the start.", counters.binds);
+    set("citroncrank_offers_withdrawn", "Offers withdrawn since the start.", counters.withdrawn);
+    set("citroncrank_flows_completed", "Flows that ended with a complete response since the start.",
+        counters.completed);
+    set("citroncrank_service_mismatches", "Frames for another service, dropped since the start.",
+        counters.serviceMismatches);
+    set("citroncrank_incarnation_mismatches", "Frames for another incarnation, dropped since the start.",
+        counters.incarnationMismatches);
+    set("citroncrank_flows_open", "Bound flows.", m_core->boundFlows());
+    const auto load = m_core->load(monotonicNow());
+    set("citroncrank_slots_busy", "Slots in use.", load.busySlots);
+    set("citroncrank_reservations_queued", "Reservations waiting for a slot.", load.queued);
+    for (int i = 0; i < kRefusalReasonCount; ++i) {
+        auto labels = service;
+        labels.emplace_back("reason", toString(refusal_reason(i)));
+        m_metrics.gauge("citroncrank_flows_refused", "Refusals since the start.", labels)
+            .set(double(counters.refusals[std::size_t(i)]));
+    }
+    for (int i = 0; i < kResetReasonCount; ++i) {
+        auto labels = service;
+        labels.emplace_back("reason", toString(reset_reason(i)));
+        m_metrics.gauge("citroncrank_flows_reset", "Bound flows that ended without a complete response.", labels)
+            .set(double(counters.resets[std::size_t(i)]));
+    }
+}
+
 } // namespace citroncrank
--- a/src/citroncrank-agent/agent_process.h
+++ b/src/citroncrank-agent/agent_process.h
@@ -1,54 +1,70 @@
 #pragma once
 
 #include "citroncrank/agent_core.h"
-#include "citroncrank/net.h"
+#include "citroncrank/daemon_main.h"
+#include "citroncrank/node_process.h"
 
 #include <absl/container/flat_hash_map.h>
-#include <atomic>
 #include <vector>
 
 namespace citroncrank {
 
-struct agent_process_settings
-{
-    std::string name;
-    host_address listen;
-    host_address upstream;
-    agent_settings core;
-    admission_settings admission;
-    net_settings net;
-};
-
-/// Runs an agent_core on sockets. The decision thread is the one that calls run().
-class agent_process
+/// Runs an agent_core on sockets.
+class agent_process : public node_process
 {
 public:
-    explicit agent_process(agent_process_settings settings);
+    agent_process(agent_file file, const daemon_options &options);
 
-    /// Binds the hop listener. Returns false with the system's error in `lastReason`.
-    bool listen(std::error_code *lastReason);
-    void run(const std::atomic<bool> &stopping);
+    bool listen(std::error_code *lastReason) override;
+
+protected:
+    void onEvent(net_event event, time_point now) override;
+    void onTick(time_point now) override;
+    void runActions(time_point now) override;
+    void onConfig(const config_revision &revision, time_point now) override;
+    void onMembersChanged() override;
+    void afterEvents(time_point now) override;
+    void beginStop(time_point now) override;
+    std::size_t openFlows() const override { return m_core->boundFlows(); }
+    std::vector<std::string> notReadyReasons() const override;
+    std::optional<time_point> nextDeadline() const override { return m_core->nextDeadline(); }
+    operator_reply onOperator(const operator_request &request, time_point now) override;
+    void addStatus(boost::json::object *status) const override;
+    void updateMetrics() override;
 
 private:
     struct event_handler;
     struct action_handler;
 
-    void runActions();
     void sendFrame(const agent_send &action);
-    hop_id chooseHop(const agent_send &action);
     void checkUpstream(time_point now);
     void onCheckResult(bool reachable, time_point now);
+    void setServing(serving_state state, time_point now);
+    void drain(time_point now);
     void closeStream(const flow_id &flow, bool abort);
+    operator_reply listFlows() const;
+    operator_reply endFlow(const operator_request &request, time_point now);
+
+    host_address balancerOf(const flow_id &flow) const;
+    bool resume(const std::string &descriptors, time_point now);
+    void upgrade(time_point now);
+    std::string saveForUpgrade(time_point now);
 
-    agent_process_settings m_settings;
-    network m_network;
+    agent_file m_file;
+    daemon_options m_options;
+    bool m_upgradeWanted = false;
+    agent_settings m_coreSettings;
+    admission_settings m_announced; ///< Capacity from the settings file.
     std::unique_ptr<agent_core> m_core;
     absl::flat_hash_map<flow_id, stream_id> m_streamOf;
     absl::flat_hash_map<stream_id, flow_id> m_flowOf;
-    std::vector<hop_id> m_hops;
-    std::size_t m_nextHop = 0;
+    absl::flat_hash_map<hop_id, host_address> m_hops; ///< Open inbound hops with the peer's address; port 0: unknown.
+    absl::flat_hash_map<flow_id, host_address> m_balancerOf; ///< Balancer of the flow's last frame.
+    std::vector<host_address> m_balancers;
+    std::size_t m_retransmissions = 0;
     stream_id m_checkStream = 0;
     time_point m_nextCheck;
+    health_check_settings m_check;
     int m_failedChecks = 0;
     bool m_draining = false;
 };
--- /dev/null
+++ b/src/citroncrank-agent/agent_upgrade.cpp
@@ -0,0 +1,80 @@
+// Upgrade in place: the agent's program is replaced by execve while the upstream's connections stay open. The upstream
+// host has room for one process only, and flows end at it, so a second process cannot take over.
+
+#include "agent_process.h"
+#include "upgrade.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace citroncrank {
+
+namespace {
+
+/// Rounds of events and commands until nothing is left in the rings; each round empties both.
+constexpr int kQuiesceRounds = 100;
+
+} // namespace
+
+void agent_process::afterEvents(time_point now)
+{
+    if (!m_upgradeWanted)
+        return;
+    m_upgradeWanted = false;
+    upgrade(now);
+}
+
+void agent_process::upgrade(time_point now)
+{
+    m_log.info(absl::StrCat("upgrade in place begins, open_flows=", m_core->boundFlows()));
+    m_network.pause();
+    for (int round = 0; round < kQuiesceRounds && m_network.events().size() > 0; ++round) {
+        dispatchPendingEvents(now);
+        runActions(now);
+        m_network.runCommandsNow();
+    }
+    std::error_code reason;
+    const auto pipes = writeToPipes(saveForUpgrade(now), &reason);
+    if (pipes) {
+        stopEndpoint();
+        reason = replaceProgram(m_options.program, m_options.settingsFile, *pipes);
+        restartEndpoint();
+    }
+    m_log.error(absl::StrCat("upgrade failed, going on with the present program: ", reason.message()));
+    m_network.resume();
+}
+
+std::string agent_process::saveForUpgrade(time_point now)
+{
+    upgrade_state state{.core = m_core->saveState(now), .streams = {}, .draining = m_draining};
+    runActions(now);
+    m_network.runCommandsNow();
+    for (auto &saved : m_network.saveStreams()) {
+        const auto flow = m_flowOf.find(saved.stream);
+        if (flow != m_flowOf.end())
+            state.streams.push_back({flow->second, std::move(saved), balancerOf(flow->second)});
+    }
+    return encodeUpgradeState(state);
+}
+
+bool agent_process::resume(const std::string &descriptors, time_point now)
+{
+    const auto pipes = parseDescriptors(descriptors);
+    const auto bytes = pipes ? readFromPipes(*pipes) : std::nullopt;
+    const auto state = bytes ? decodeUpgradeState(*bytes) : std::nullopt;
+    if (!state || !m_core->restoreState(state->core, now))
+        return false;
+    m_coreSettings = m_core->settings();
+    m_draining = state->draining;
+    for (auto item : state->streams) {
+        item.stream.stream = m_network.nextStreamId();
+        m_streamOf[item.flow] = item.stream.stream;
+        m_flowOf[item.stream.stream] = item.flow;
+        if (item.balancer.port != 0)
+            m_balancerOf[item.flow] = item.balancer;
+        m_network.adoptStream(item.stream);
+    }
+    m_log.info(absl::StrCat("upgrade in place done, open_flows=", m_core->boundFlows()));
+    return true;
+}
+
+} // namespace citroncrank
--- a/src/citroncrank-balancer/balancer_process.cpp
+++ b/src/citroncrank-balancer/balancer_process.cpp
@@ -1,65 +1,56 @@
 #include "balancer_process.h"
 
-#include "citroncrank/timer_service.h"
-
-#include <algorithm>
+#include <absl/strings/str_cat.h>
+#include <boost/json/array.hpp>
+#include <random>
+#include <utility>
 
 namespace citroncrank {
 
 namespace {
 
-constexpr duration kLongestWait{100'000};
-
-} // namespace
+member_record localRecord()
+{
+    member_record record;
+    record.role = node_role::balancer;
+    record.serving = serving_state::ready;
+    return record;
+}
 
-balancer_process::balancer_process(balancer_process_settings settings)
-    : m_settings(std::move(settings))
-    , m_network(m_settings.net)
-    , m_core(m_settings.core)
-    , m_edge(m_settings.core.ownEdge, nullptr)
+balancer_settings initialSettings(const node_settings &node)
 {
-    for (const auto &[address, listener] : m_settings.listeners)
-        m_edge.setListener(address, listener);
-    m_core.setTable(upstream_table::build(m_settings.members, 1));
+    balancer_settings settings;
+    settings.ownDomain = node.domain;
+    // Flow ids are derived from the edge id, so it must differ between starts of the process.
+    std::random_device random;
+    settings.ownEdge = hashPair(random(), random(), nodeIdOf(node.name));
+    return settings;
 }
 
-bool balancer_process::listen(std::error_code *lastReason)
+} // namespace
+
+void edge_retry_permit::configure(const retry_budget_settings &settings)
 {
-    if (!m_network.listenForHops(m_settings.listen, lastReason))
-        return false;
-    for (const auto &[address, listener] : m_settings.listeners) {
-        if (!m_network.listenForStreams(address, lastReason))
-            return false;
-    }
-    return true;
+    if (settings == m_settings)
+        return;
+    m_settings = settings;
+    m_budget = retry_budget(settings);
 }
 
-void balancer_process::run(const std::atomic<bool> &stopping)
+balancer_process::balancer_process(balancer_file file, const daemon_options &)
+    : node_process(file.node, localRecord(), "balancer")
+    , m_accept(file.accept.begin(), file.accept.end())
+    , m_coreSettings(initialSettings(m_settings))
+    , m_core(m_coreSettings)
+    , m_edge(m_coreSettings.ownEdge, &m_retries)
+{}
+
+bool balancer_process::listen(std::error_code *lastReason)
 {
-    m_network.start();
-    std::vector<net_event> events;
-    while (!m_draining || m_edge.openFlows() > 0) {
-        if (stopping && !m_draining) {
-            m_draining = true;
-            for (const auto &[address, listener] : m_settings.listeners)
-                m_network.post(listen_streams{address, false});
-        }
-        auto deadline = monotonicNow() + kLongestWait;
-        if (const auto next = m_edge.nextDeadline())
-            deadline = std::min(deadline, *next);
-        events.clear();
-        m_network.events().drain(&events, deadline);
-        const auto now = monotonicNow();
-        for (auto &event : events)
-            handle(std::move(event), now);
-        m_edge.onTick(now);
-        m_core.onTick(now);
-        runActions(now);
-    }
-    m_network.stop();
+    return node_process::listen(lastReason);
 }
 
-void balancer_process::handle(net_event event, time_point now)
+void balancer_process::onEvent(net_event event, time_point now)
 {
     if (m_edge.onEvent(event, now))
         return;
@@ -69,6 +60,12 @@
         m_core.onHopClosed(closed->hop);
 }
 
+void balancer_process::onTick(time_point now)
+{
+    m_edge.onTick(now);
+    m_core.onTick(now);
+}
+
 struct balancer_process::action_handler
 {
     balancer_process &process;
@@ -83,7 +80,18 @@
         process.m_network.post(send_on_hop{action.hop, std::move(action.value)});
     }
     void operator()(const deliver_to_own_edge &action) const { process.m_edge.onFrame(action.value, now); }
-    void operator()(const candidate_note &) const {}
+    void operator()(const candidate_note &action) const
+    {
+        std::string detail = absl::StrCat("service=", action.service, " attempt=", action.attempt);
+        if (const auto *reason = std::get_if<no_candidate_reason>(&action.choice)) {
+            process.note(action.flow, "no_candidate", absl::StrCat(detail, " reason=", toString(*reason)));
+            return;
+        }
+        const auto *chosen = process.m_core.table().find(std::get<node_id>(action.choice));
+        if (chosen != nullptr)
+            absl::StrAppend(&detail, " agent=", toString(chosen->address), " domain=", chosen->domain);
+        process.note(action.flow, "candidate", std::move(detail));
+    }
 };
 
 // The core and the edge feed each other: frames of the own edge go through the core, and the core's frames for it
@@ -102,7 +110,128 @@
     }
     for (auto &command : m_edge.takeCommands())
         m_network.post(std::move(command));
-    m_edge.takeEnded();
+    countEnded();
+}
+
+void balancer_process::countEnded()
+{
+    for (const auto &ended : m_edge.takeEnded()) {
+        const metric_labels labels{{"service", ended.service}, {"class", toString(ended.flowClass)}};
+        auto outcomeLabels = labels;
+        outcomeLabels.emplace_back("outcome", toString(ended.outcome));
+        m_metrics.counter("citroncrank_flows_total", "Plain TCP flows by their outcome.", outcomeLabels).increment();
+        if (ended.timeToBind > duration(0))
+            m_metrics.histogram("citroncrank_flow_open_seconds", "Time from accept to bind.", labels)
+                .observe(ended.timeToBind);
+        if (ended.outcome == flow_outcome::completed)
+            m_retries.onSuccess();
+        std::string detail = absl::StrCat("service=", ended.service);
+        if (const auto *reason = std::get_if<refusal_reason>(&ended.reason)) {
+            absl::StrAppend(&detail, " reason=", toString(*reason));
+            m_log.info(absl::StrCat("refused flow, reason=", toString(*reason), " service=", ended.service,
+                                    " flow=", toString(ended.flow)));
+        } else if (const auto *reset = std::get_if<reset_reason>(&ended.reason)) {
+            absl::StrAppend(&detail, " reason=", toString(*reset));
+        }
+        note(ended.flow, toString(ended.outcome), std::move(detail));
+    }
+}
+
+void balancer_process::onConfig(const config_revision &revision, time_point)
+{
+    m_coreSettings = balancerSettings(revision, place(), m_coreSettings);
+    m_core.setSettings(m_coreSettings);
+    m_retries.configure(retryBudgetSettings(revision, place()));
+    applyListeners(listenerSettings(revision, place()));
+}
+
+// Settings of a listener apply to flows that are accepted from now on; open flows keep theirs.
+void balancer_process::applyListeners(const std::map<host_address, listener_settings> &configured)
+{
+    for (const auto &address : m_accept) {
+        const auto found = configured.find(address);
+        const bool open = m_listeners.contains(address);
+        if (found == configured.end()) {
+            if (open) {
+                m_network.post(listen_streams{address, false});
+                m_edge.removeListener(address);
+                m_listeners.erase(address);
+                m_log.warn(absl::StrCat("stopped accepting, no service has the address ", toString(address)));
+            }
+            continue;
+        }
+        m_edge.setListener(address, found->second);
+        m_listeners[address] = found->second;
+        if (!open && !stopping()) {
+            m_network.post(listen_streams{address, true});
+            m_log.info(absl::StrCat("accepting plain TCP, address=", toString(address),
+                                    " service=", found->second.flow.service));
+        }
+    }
+}
+
+void balancer_process::onMembersChanged()
+{
+    m_core.setTable(upstream_table::build(m_fleet->reachableMembers(), ++m_tableRevision));
+}
+
+void balancer_process::beginStop(time_point)
+{
+    for (const auto &address : m_accept)
+        m_network.post(listen_streams{address, false});
+}
+
+std::vector<std::string> balancer_process::notReadyReasons() const
+{
+    return {};
+}
+
+operator_reply balancer_process::onOperator(const operator_request &request, time_point)
+{
+    if (request.method == "GET" && request.path == "/flows")
+        return listFlows();
+    return errorReply(404, "not_found", absl::StrCat("a balancer has no ", request.method, " ", request.path));
+}
+
+operator_reply balancer_process::listFlows() const
+{
+    const auto now = monotonicNow();
+    boost::json::array flows;
+    m_edge.core().forEach([&](const caller_flow &flow) {
+        flows.emplace_back(boost::json::object{
+            {"id", toString(flow.id())},
+            {"service", flow.settings().service},
+            {"class", toString(flow.settings().flowClass)},
+            {"kind", toString(flow.settings().kind)},
+            {"ageSeconds", double((now - flow.openedAt()).count()) / 1e6},
+            {"bound", flow.currentState() == caller_flow::state::bound},
+            {"owner", toString(flow.owner().address)},
+        });
+    });
+    return jsonReply(boost::json::object{{"flows", std::move(flows)}});
+}
+
+void balancer_process::addStatus(boost::json::object *status) const
+{
+    (*status)["edges"] = m_core.edges();
+    (*status)["upstreams"] = m_core.table().size();
+}
+
+void balancer_process::updateMetrics()
+{
+    const auto &counters = m_core.counters();
+    const auto set = [this](const char *metric, const char *help, std::uint64_t value) {
+        m_metrics.gauge(metric, help).set(double(value));
+    };
+    set("citroncrank_opens_forwarded", "Opens sent to a candidate since the start.", counters.opensForwarded);
+    set("citroncrank_bound_frames_forwarded", "Frames of bound flows sent to their owner since the start.",
+        counters.boundForwarded);
+    set("citroncrank_responses_forwarded", "Frames sent to edges since the start.", counters.responsesForwarded);
+    set("citroncrank_no_candidate", "Opens without a candidate since the start.", counters.noCandidate);
+    set("citroncrank_unknown_edge", "Frames dropped because their edge has no hop here, since the start.",
+        counters.unknownEdge);
+    set("citroncrank_misdirected", "Frames dropped because they name no owner, since the start.", counters.misdirected);
+    set("citroncrank_flows_open", "Plain TCP flows open at this balancer.", m_edge.openFlows());
 }
 
 } // namespace citroncrank
--- a/src/citroncrank-balancer/balancer_process.h
+++ b/src/citroncrank-balancer/balancer_process.h
@@ -1,47 +1,63 @@
 #pragma once
 
 #include "citroncrank/balancer_core.h"
+#include "citroncrank/daemon_main.h"
 #include "citroncrank/edge_streams.h"
-#include "citroncrank/net.h"
+#include "citroncrank/node_process.h"
 
-#include <atomic>
-#include <map>
+#include <set>
 
 namespace citroncrank {
 
-struct balancer_process_settings
+/// Limits retries of the balancer's own edge to a part of its successes.
+class edge_retry_permit : public retry_permit
 {
-    std::string name;
-    host_address listen;
-    balancer_settings core;
-    net_settings net;
-    std::map<host_address, listener_settings> listeners;
-    std::vector<member_record> members;
+public:
+    bool tryRetry(time_point) override { return m_budget.trySpend(); }
+    void onSuccess() { m_budget.onSuccess(); }
+    void configure(const retry_budget_settings &settings);
+
+private:
+    retry_budget_settings m_settings;
+    retry_budget m_budget;
 };
 
-/// Runs a balancer_core, and the balancer's own edge for plain TCP callers, on sockets. The decision thread is the
-/// one that calls run().
-class balancer_process
+/// Runs a balancer_core, and the balancer's own edge for plain TCP callers, on sockets.
+class balancer_process : public node_process
 {
 public:
-    explicit balancer_process(balancer_process_settings settings);
-
-    /// Binds all listeners. Returns false with the system's error in `lastReason`.
-    bool listen(std::error_code *lastReason);
-    void run(const std::atomic<bool> &stopping);
+    balancer_process(balancer_file file, const daemon_options &options);
+
+    bool listen(std::error_code *lastReason) override;
+
+protected:
+    void onEvent(net_event event, time_point now) override;
+    void onTick(time_point now) override;
+    void runActions(time_point now) override;
+    void onConfig(const config_revision &revision, time_point now) override;
+    void onMembersChanged() override;
+    void beginStop(time_point now) override;
+    std::size_t openFlows() const override { return m_edge.openFlows(); }
+    std::vector<std::string> notReadyReasons() const override;
+    std::optional<time_point> nextDeadline() const override { return m_edge.nextDeadline(); }
+    operator_reply onOperator(const operator_request &request, time_point now) override;
+    void addStatus(boost::json::object *status) const override;
+    void updateMetrics() override;
 
 private:
-    struct event_handler;
     struct action_handler;
 
-    void handle(net_event event, time_point now);
-    void runActions(time_point now);
+    void applyListeners(const std::map<host_address, listener_settings> &configured);
+    void countEnded();
+    operator_reply listFlows() const;
 
-    balancer_process_settings m_settings;
-    network m_network;
+    std::set<host_address> m_accept;
+    std::map<host_address, listener_settings> m_listeners; ///< In force on the addresses in m_accept.
+    balancer_settings m_coreSettings;
     balancer_core m_core;
+    edge_retry_permit m_retries;
     edge_streams m_edge;
-    bool m_draining = false;
+    std::uint64_t m_tableRevision = 0;
 };
 
 } // namespace citroncrank
--- a/src/include/citroncrank/agent_core.h
+++ b/src/include/citroncrank/agent_core.h
@@ -134,16 +134,27 @@
 
     /// Draining refuses new and queued reservations at once and leaves bound flows alone.
     void setServing(serving_state state, time_point now);
+    /// Replaces timeouts and limits; open flows keep their stream limits.
+    void setSettings(const agent_settings &settings) { m_settings = settings; }
     void setAdmission(const admission_settings &admission, time_point now);
     /// Ends a flow at an operator's request. Returns false when there is no such bound flow.
     bool endFlow(const flow_id &flow, time_point now);
 
+    /// Saves all bound flows for the program that replaces this one in place, and withdraws the reservations: their
+    /// edges ask again. The core must not be used afterwards, unless the replacement fails: then it may go on.
+    std::string saveState(time_point now);
+    /// Continues the flows of a saved state under the saved incarnation. Call once on a new core. Returns false, and
+    /// changes nothing, when the state is not valid.
+    bool restoreState(const std::string &state, time_point now);
+
     std::vector<agent_action> takeActions();
     std::optional<time_point> nextDeadline() const;
     serving_state serving() const { return m_admission.serving(); }
     load_report load(time_point now) const { return m_admission.load(now); }
     const agent_counters &counters() const { return m_counters; }
     const agent_settings &settings() const { return m_settings; }
+    /// True while the flow has a reservation or is bound.
+    bool holds(const flow_id &flow) const { return m_flows.contains(flow); }
     std::size_t boundFlows() const { return m_boundFlows; }
     std::vector<flow_summary> flows() const;
 
--- a/src/include/citroncrank/byte_stream.h
+++ b/src/include/citroncrank/byte_stream.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace citroncrank {
@@ -35,11 +36,27 @@
     auto operator<=>(const stream_chunk &) const = default;
 };
 
+/// State of a send_stream that outlives the process in an upgrade.
+struct send_stream_state
+{
+    std::uint64_t base = 0;
+    std::uint64_t next = 0;
+    std::uint64_t windowEnd = 0;
+    std::string bytes; ///< From `base` on.
+    bool finished = false;
+    bool finSent = false;
+    bool finAcknowledged = false;
+    auto operator<=>(const send_stream_state &) const = default;
+};
+
 /// Sending side of a stream: keeps bytes until they are acknowledged and retransmits them after a timeout.
 class send_stream
 {
 public:
     explicit send_stream(const stream_limits &limits);
+    /// Continues from a saved state; unacknowledged bytes are retransmitted after the first timeout.
+    send_stream(const stream_limits &limits, const send_stream_state &state, time_point now);
+    send_stream_state save() const;
 
     /// Bytes that may still be appended before the buffer reaches one window.
     std::uint64_t room() const;
@@ -95,13 +112,26 @@
     duration m_roundTripVariation{0};
 };
 
+/// State of a receive_stream that outlives the process in an upgrade.
+struct receive_stream_state
+{
+    std::uint64_t received = 0;
+    std::uint64_t consumed = 0;
+    std::optional<std::uint64_t> end;
+    std::string ready;
+    std::map<std::uint64_t, std::string> later; ///< Pieces beyond a gap, by offset.
+    auto operator<=>(const receive_stream_state &) const = default;
+};
+
 /// Receiving side of a stream: reorders, drops duplicates, and limits how far the sender may run ahead.
 class receive_stream
 {
 public:
-    explicit receive_stream(std::uint64_t windowBytes)
+    explicit receive_stream(std::uint64_t windowBytes, receive_stream_state state = {})
         : m_window(windowBytes)
+        , m_state(std::move(state))
     {}
+    const receive_stream_state &save() const { return m_state; }
 
     /// Takes a piece of the stream. Returns false when it lies outside the window or contradicts the end seen
     /// before; the flow must then be reset.
@@ -109,25 +139,21 @@
     /// Bytes that became contiguous and were not taken yet.
     std::string takeReady();
     /// Tells that `bytes` taken bytes were handed to the receiving socket, which opens the window.
-    void consumed(std::uint64_t bytes) { m_consumed += bytes; }
+    void consumed(std::uint64_t bytes) { m_state.consumed += bytes; }
 
-    std::uint64_t ack() const { return m_received; }
-    std::uint64_t windowEnd() const { return m_consumed + m_window; }
+    std::uint64_t ack() const { return m_state.received; }
+    std::uint64_t windowEnd() const { return m_state.consumed + m_window; }
     /// All bytes up to the fin were received.
-    bool finReached() const { return m_end && *m_end == m_received; }
+    bool finReached() const { return m_state.end && *m_state.end == m_state.received; }
     /// All bytes up to the fin were handed on.
-    bool drained() const { return finReached() && m_consumed == m_received; }
+    bool drained() const { return finReached() && m_state.consumed == m_state.received; }
 
 private:
     void insertLater(std::uint64_t offset, std::string_view bytes);
     void mergeLater();
 
     std::uint64_t m_window;
-    std::uint64_t m_received = 0;
-    std::uint64_t m_consumed = 0;
-    std::optional<std::uint64_t> m_end;
-    std::string m_ready;
-    std::map<std::uint64_t, std::string> m_later;
+    receive_stream_state m_state;
 };
 
 } // namespace citroncrank
--- /dev/null
+++ b/src/include/citroncrank/decision_trail.h
@@ -0,0 +1,43 @@
+#pragma once
+
+/// @file
+/// Recent decisions per flow, for `explain`.
+
+#include "citroncrank/ids.h"
+#include "citroncrank/time.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace citroncrank {
+
+/// One decision about a flow.
+struct trail_entry
+{
+    wall_time when;
+    std::string step;   ///< For example "offered".
+    std::string detail; ///< For example "reason=draining".
+};
+
+/// Keeps the most recent decisions of a node, bounded in number. Not thread safe.
+class decision_trail
+{
+public:
+    explicit decision_trail(std::size_t capacity)
+        : m_capacity(capacity)
+    {}
+
+    void add(const flow_id &flow, trail_entry entry);
+    /// Decisions about the flow, oldest first; empty when none is remembered.
+    std::vector<trail_entry> find(const flow_id &flow) const;
+    std::size_t size() const { return m_order.size(); }
+
+private:
+    std::size_t m_capacity;
+    std::deque<flow_id> m_order;
+    absl::flat_hash_map<flow_id, std::deque<trail_entry>> m_entries;
+};
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/include/citroncrank/fleet_node.h
@@ -0,0 +1,88 @@
+#pragma once
+
+/// @file
+/// A node's part in the fleet: membership, configuration in force, and the platform.
+
+#include "citroncrank/config_spread.h"
+#include "citroncrank/membership.h"
+#include "citroncrank/net.h"
+#include "citroncrank/platform_worker.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace citroncrank {
+
+struct fleet_node_settings
+{
+    member_record local;
+    std::optional<host_address> platform;
+    std::vector<host_address> seeds;
+    std::uint64_t seed = 0; ///< For the random choices of membership and dissemination.
+};
+
+/// Joins membership and dissemination to the network and the platform. Used by the decision thread only.
+class fleet_node
+{
+public:
+    fleet_node(fleet_node_settings settings, network &net, time_point now);
+    ~fleet_node();
+
+    /// Handles membership and configuration events; returns false for others.
+    bool onEvent(const net_event &event, time_point now);
+    void onTick(time_point now);
+    void setLocal(const local_change &change, time_point now);
+    /// Announces that the node stops.
+    void leave(time_point now);
+
+    /// The revision that came into force since the last call, if any.
+    shared_revision takeAppliedRevision();
+    /// True once after members changed.
+    bool takeMembersChanged();
+    /// True once another process took this node's name.
+    bool nameTaken() const { return m_nameTaken; }
+
+    /// All reachable members, this node included.
+    std::vector<member_record> reachableMembers() const;
+    const membership &members() const { return m_membership; }
+    const config_spread &config() const { return m_spread; }
+    /// When the revision in force was applied; nullopt before the first.
+    std::optional<wall_time> appliedAt() const { return m_appliedAt; }
+    std::uint64_t platformCalls() const { return m_platform ? m_platform->calls() : 0; }
+    /// False while the last call to the platform failed.
+    bool platformReachable() const { return m_platformReachable; }
+    time_point nextDeadline() const;
+
+private:
+    struct membership_handler;
+    struct spread_handler;
+    struct reply_handler;
+
+    void handleSpread(const config_spread_event &event, time_point now);
+    void onControlFrame(const frame &value, const host_address &from, time_point now);
+    void runMembershipActions(time_point now);
+    void drainReplies(time_point now);
+    void sendToPeer(node_id peer, frame_body body);
+    void sendFrame(const host_address &target, frame value, bool reliable);
+    frame controlFrame(frame_body body) const;
+    void readRostersIfAlone(time_point now);
+
+    fleet_node_settings m_settings;
+    network &m_network;
+    membership m_membership;
+    config_spread m_spread;
+    std::unique_ptr<platform_worker> m_platform;
+    absl::flat_hash_map<node_id, host_address> m_addresses;
+    shared_revision m_applied;
+    std::optional<wall_time> m_appliedAt;
+    bool m_membersChanged = true;
+    bool m_nameTaken = false;
+    bool m_platformReachable = true;
+    time_point m_nextSpreadTick;
+    time_point m_nextRosterRead;
+};
+
+} // namespace citroncrank
--- a/src/include/citroncrank/ids.h
+++ b/src/include/citroncrank/ids.h
@@ -6,7 +6,9 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace citroncrank {
@@ -64,8 +66,12 @@
 
 /// Formats an address as "127.0.0.1:8080".
 std::string toString(const host_address &address);
+/// Parses "127.0.0.1:8080". Returns nullopt for anything else.
+std::optional<host_address> parseHostAddress(std::string_view text);
 /// Formats a flow id as 32 hexadecimal digits.
 std::string toString(const flow_id &flow);
+/// Inverse of toString for flow ids.
+std::optional<flow_id> parseFlowId(std::string_view text);
 /// Returns "urgent", "normal" or "bulk".
 const char *toString(flow_class flowClass);
 /// Returns "request" or "session".
--- a/src/include/citroncrank/net.h
+++ b/src/include/citroncrank/net.h
@@ -22,6 +22,17 @@
 /// Identifier of a plain TCP stream within the process.
 using stream_id = std::uint64_t;
 
+/// A stream that is handed to the program that replaces this one in place.
+struct saved_stream
+{
+    stream_id stream = 0;
+    int descriptor = -1; ///< Survives execve.
+    std::string unsent;  ///< Bytes that the socket has not taken yet.
+    bool finishWanted = false;
+    bool shutdownDone = false;
+    bool ended = false; ///< The peer's end was seen.
+};
+
 /// Limits and timeouts of the sockets.
 struct net_settings
 {
@@ -36,6 +47,7 @@
     std::size_t maxStreams = 200'000;
     std::size_t eventCapacity = 65'536;
     std::size_t commandCapacity = 65'536;
+    std::optional<frame> greeting; ///< First frame on each hop that this process opens.
 };
 
 enum class hop_close_reason : std::uint8_t {
@@ -104,9 +116,13 @@
     std::uint64_t bytes = 0;
 };
 
+/// Another ring of the decision thread has something to read.
+struct wake_up
+{};
+
 using net_event =
     std::variant<frame_received, datagram_received, hop_connected, hop_closed, stream_accepted, stream_connected,
-                 stream_connect_failed, stream_bytes, stream_ended, stream_reset, stream_consumed>;
+                 stream_connect_failed, stream_bytes, stream_ended, stream_reset, stream_consumed, wake_up>;
 
 /// Sends on an existing hop. Dropped and counted when the hop is gone.
 struct send_on_hop
@@ -204,6 +220,17 @@
     /// Stops the thread; open sockets are closed.
     void stop();
 
+    /// Stops the thread without closing sockets. The caller then runs commands by runCommandsNow().
+    void pause();
+    /// Starts the thread again after pause().
+    void resume();
+    void runCommandsNow();
+    /// Saves the connected streams. Only while paused.
+    std::vector<saved_stream> saveStreams();
+    /// Takes over a saved stream under its new id `stream`. Only before start().
+    void adoptStream(const saved_stream &saved);
+    void setGreeting(frame greeting);
+
     /// Queues commands; waits while the ring is full.
     void post(net_command command);
     /// Stream ids given by the decision thread for connections it opens. Accepted streams use the other half.
@@ -220,7 +247,4 @@
     std::unique_ptr<implementation> m_implementation;
 };
 
-/// Parses "127.0.0.1:8080". Returns nullopt for anything else.
-std::optional<host_address> parseHostAddress(const std::string &text);
-
 } // namespace citroncrank
--- /dev/null
+++ b/src/include/citroncrank/operator_api.h
@@ -0,0 +1,59 @@
+#pragma once
+
+/// @file
+/// Requests of operators, answered by the decision thread so that every answer is consistent.
+
+#include "citroncrank/bounded_ring.h"
+#include "citroncrank/decision_trail.h"
+#include "citroncrank/fleet_node.h"
+
+#include <boost/json/value.hpp>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+
+namespace citroncrank {
+
+struct operator_reply
+{
+    int status = 200; ///< HTTP status.
+    std::string body; ///< JSON.
+};
+
+struct operator_request
+{
+    std::string method;
+    std::string path; ///< Without the query.
+    std::string body;
+    std::shared_ptr<std::promise<operator_reply>> reply;
+};
+
+/// Hands requests from HTTP threads to the decision thread.
+class operator_requests
+{
+public:
+    /// `wake` is called when a request waits; it must be cheap and thread safe.
+    explicit operator_requests(std::function<void()> wake);
+
+    /// Waits for the decision thread's answer, at most 2 s; then answers 503.
+    operator_reply ask(std::string method, std::string path, std::string body);
+    /// Called by the decision thread: answers all waiting requests with `handler`.
+    void serve(const std::function<operator_reply(const operator_request &)> &handler);
+
+private:
+    bounded_ring<operator_request> m_ring{64};
+};
+
+/// Error reply with a JSON body.
+operator_reply errorReply(int status, const std::string &code, const std::string &message);
+operator_reply jsonReply(const boost::json::value &value);
+
+/// Parts of /status that both daemons share.
+boost::json::object describeNode(const fleet_node &node, std::size_t openFlows, bool ready);
+/// Answer of /members.
+boost::json::value describeMembers(const fleet_node &node);
+/// Answer of /explain/ID.
+operator_reply explainFlow(const decision_trail &trail, const std::string &flowText);
+
+} // namespace citroncrank
--- a/src/libbalancer/balancer_core.cpp
+++ b/src/libbalancer/balancer_core.cpp
@@ -26,7 +26,9 @@
 void balancer_core::onFrame(const frame &value, hop_id from, time_point now)
 {
     if (std::holds_alternative<hello_body>(value.body)) {
-        m_edges[value.edge] = from;
+        // Agents greet as well, without an edge id.
+        if (value.edge != 0)
+            m_edges[value.edge] = from;
         return;
     }
     if (value.direction == frame_direction::to_caller) {
--- a/src/libflow/byte_stream.cpp
+++ b/src/libflow/byte_stream.cpp
@@ -16,6 +16,24 @@
     , m_windowEnd(limits.windowBytes)
 {}
 
+send_stream::send_stream(const stream_limits &limits, const send_stream_state &state, time_point now)
+    : m_limits(limits)
+    , m_buffer(state.bytes)
+    , m_base(state.base)
+    , m_next(state.next)
+    , m_windowEnd(state.windowEnd)
+    , m_finished(state.finished)
+    , m_finSent(state.finSent)
+    , m_finAcknowledged(state.finAcknowledged)
+{
+    armTimer(now);
+}
+
+send_stream_state send_stream::save() const
+{
+    return {m_base, m_next, m_windowEnd, m_buffer.substr(m_head), m_finished, m_finSent, m_finAcknowledged};
+}
+
 std::uint64_t send_stream::room() const
 {
     const std::uint64_t held = endOffset() - m_base;
@@ -180,17 +198,17 @@
     if (end > windowEnd())
         return false;
     if (fin) {
-        if ((m_end && *m_end != end) || end < m_received)
+        if ((m_state.end && *m_state.end != end) || end < m_state.received)
             return false;
-        m_end = end;
+        m_state.end = end;
     }
-    if (m_end && end > *m_end)
+    if (m_state.end && end > *m_state.end)
         return false;
-    if (end <= m_received)
+    if (end <= m_state.received)
         return true;
-    if (offset <= m_received) {
-        m_ready.append(bytes.substr(m_received - offset));
-        m_received = end;
+    if (offset <= m_state.received) {
+        m_state.ready.append(bytes.substr(m_state.received - offset));
+        m_state.received = end;
         mergeLater();
     } else {
         insertLater(offset, bytes);
@@ -200,28 +218,28 @@
 
 void receive_stream::insertLater(std::uint64_t offset, std::string_view bytes)
 {
-    auto &held = m_later[offset];
+    auto &held = m_state.later[offset];
     if (held.size() < bytes.size())
         held.assign(bytes);
 }
 
 void receive_stream::mergeLater()
 {
-    while (!m_later.empty() && m_later.begin()->first <= m_received) {
-        const auto &[offset, bytes] = *m_later.begin();
+    while (!m_state.later.empty() && m_state.later.begin()->first <= m_state.received) {
+        const auto &[offset, bytes] = *m_state.later.begin();
         const std::uint64_t end = offset + bytes.size();
-        if (end > m_received) {
-            m_ready.append(std::string_view(bytes).substr(m_received - offset));
-            m_received = end;
+        if (end > m_state.received) {
+            m_state.ready.append(std::string_view(bytes).substr(m_state.received - offset));
+            m_state.received = end;
         }
-        m_later.erase(m_later.begin());
+        m_state.later.erase(m_state.later.begin());
     }
 }
 
 std::string receive_stream::takeReady()
 {
     std::string ready;
-    ready.swap(m_ready);
+    ready.swap(m_state.ready);
     return ready;
 }
 
--- a/src/libnet/network.cpp
+++ b/src/libnet/network.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <charconv>
 
 namespace citroncrank {
 
@@ -37,21 +36,6 @@
     return kNames[std::size_t(reason)];
 }
 
-std::optional<host_address> parseHostAddress(const std::string &text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address_v4(text.substr(0, colon), error);
-    std::uint16_t port = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    if (error || parsed.ec != std::errc() || parsed.ptr != end)
-        return std::nullopt;
-    return host_address{ip.to_uint(), port};
-}
-
 class network::implementation : public hop_owner, public stream_owner
 {
 public:
@@ -112,6 +96,45 @@
             m_thread.join();
     }
 
+    void pause()
+    {
+        m_context.stop();
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+    void resume()
+    {
+        m_context.restart();
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    std::vector<saved_stream> saveStreams()
+    {
+        std::vector<saved_stream> saved;
+        for (const auto &[id, stream] : m_streams) {
+            if (auto item = stream->save())
+                saved.push_back(std::move(*item));
+        }
+        return saved;
+    }
+
+    void adoptStream(const saved_stream &saved)
+    {
+        boost::system::error_code error;
+        tcp::socket socket(m_context);
+        socket.assign(tcp::v4(), saved.descriptor, error);
+        if (error) {
+            pushEvent(stream_reset{saved.stream});
+            return;
+        }
+        auto stream = std::make_shared<stream_socket>(std::move(socket), saved.stream, *this);
+        addStream(saved.stream, stream);
+        stream->startAdopted(saved);
+    }
+
+    void setGreeting(frame greeting) { m_settings.greeting = std::move(greeting); }
+
     void post(net_command command) { m_commands.push(std::move(command)); }
 
     // hop_owner
@@ -229,6 +252,14 @@
             listenForStreams(command.address, &ignored);
     }
 
+    void runCommands()
+    {
+        m_commandBatch.clear();
+        m_commands.drain(&m_commandBatch, time_point());
+        for (auto &command : m_commandBatch)
+            std::visit(*this, command);
+    }
+
 private:
     static bool bindAcceptor(tcp::acceptor &acceptor, const host_address &address, std::error_code *lastReason)
     {
@@ -259,14 +290,6 @@
             m_overflow.pop_front();
     }
 
-    void runCommands()
-    {
-        m_commandBatch.clear();
-        m_commands.drain(&m_commandBatch, time_point());
-        for (auto &command : m_commandBatch)
-            std::visit(*this, command);
-    }
-
     void armTimer()
     {
         m_timer.expires_after(kTimerPeriod);
@@ -312,6 +335,8 @@
         auto created = addHop(tcp::socket(m_context));
         m_hopByTarget[target] = created->id();
         created->startConnect(target, monotonicNow());
+        if (m_settings.greeting)
+            created->send(*m_settings.greeting, monotonicNow());
         return created;
     }
 
@@ -342,7 +367,7 @@
         }
         const stream_id id = ++m_lastAccepted | kAcceptedBit;
         auto stream = std::make_shared<stream_socket>(std::move(socket), id, *this);
-        stream->setOptions();
+        stream->startAccepted();
         addStream(id, stream);
         pushEvent(stream_accepted{id, listener, addressOf(remote)});
     }
@@ -440,6 +465,36 @@
     m_implementation->stop();
 }
 
+void network::pause()
+{
+    m_implementation->pause();
+}
+
+void network::resume()
+{
+    m_implementation->resume();
+}
+
+void network::runCommandsNow()
+{
+    m_implementation->runCommands();
+}
+
+std::vector<saved_stream> network::saveStreams()
+{
+    return m_implementation->saveStreams();
+}
+
+void network::adoptStream(const saved_stream &saved)
+{
+    m_implementation->adoptStream(saved);
+}
+
+void network::setGreeting(frame greeting)
+{
+    m_implementation->setGreeting(std::move(greeting));
+}
+
 void network::post(net_command command)
 {
     m_implementation->post(std::move(command));
--- a/src/libnet/stream_socket.cpp
+++ b/src/libnet/stream_socket.cpp
@@ -1,7 +1,7 @@
 #include "stream_socket_pvt.h"
 
 #include <array>
-#include <boost/asio/write.hpp>
+#include <fcntl.h>
 
 namespace citroncrank {
 
@@ -18,6 +18,34 @@
 
 } // namespace
 
+void stream_socket::startAccepted()
+{
+    m_connected = true;
+    setOptions();
+}
+
+void stream_socket::startAdopted(const saved_stream &saved)
+{
+    m_connected = true;
+    m_pending = saved.unsent;
+    m_finishWanted = saved.finishWanted;
+    m_shutdownDone = saved.shutdownDone;
+    m_endSeen = saved.ended;
+    setOptions();
+    writeMore();
+}
+
+std::optional<saved_stream> stream_socket::save()
+{
+    if (!m_connected || m_gone || m_closeWanted)
+        return std::nullopt;
+    const int descriptor = m_socket.native_handle();
+    const int flags = ::fcntl(descriptor, F_GETFD);
+    if (flags < 0 || ::fcntl(descriptor, F_SETFD, flags & ~FD_CLOEXEC) < 0)
+        return std::nullopt;
+    return saved_stream{m_id, descriptor, m_pending.substr(m_pendingHead), m_finishWanted, m_shutdownDone, m_endSeen};
+}
+
 void stream_socket::setOptions()
 {
     boost::system::error_code ignored;
@@ -35,6 +63,7 @@
             self->destroy();
             return;
         }
+        self->m_connected = true;
         self->setOptions();
         self->m_owner.onStreamEvent(stream_connected{self->m_id});
         self->writeMore();
@@ -81,9 +110,10 @@
     writeMore();
 }
 
+// Bytes leave m_pending only when the kernel has taken them, so that what is unsent is known at any moment.
 void stream_socket::writeMore()
 {
-    if (!m_writing.empty() || m_gone)
+    if (m_waitingToWrite || m_gone || !m_connected)
         return;
     if (m_pending.empty()) {
         if (m_finishWanted)
@@ -92,23 +122,33 @@
             discardUntilEnd();
         return;
     }
-    m_writing.swap(m_pending);
-    asio::async_write(
-        m_socket, asio::buffer(m_writing),
-        [self = shared_from_this()](const boost::system::error_code &error, std::size_t) { self->onWritten(error); });
+    m_waitingToWrite = true;
+    m_socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const boost::system::error_code &error) {
+        self->onWritable(error);
+    });
 }
 
-void stream_socket::onWritten(const boost::system::error_code &error)
+void stream_socket::onWritable(const boost::system::error_code &error)
 {
+    m_waitingToWrite = false;
     if (m_gone)
         return;
-    if (error) {
+    boost::system::error_code writeError = error;
+    std::size_t bytes = 0;
+    if (!writeError)
+        bytes = m_socket.write_some(asio::buffer(m_pending.data() + m_pendingHead, m_pending.size() - m_pendingHead),
+                                    writeError);
+    if (writeError && writeError != asio::error::would_block && writeError != asio::error::try_again) {
         fail();
         return;
     }
-    const std::uint64_t bytes = m_writing.size();
-    m_writing.clear();
-    if (!m_closeWanted)
+    m_pendingHead += bytes;
+    if (m_pendingHead == m_pending.size()) {
+        m_pending.clear();
+        m_pending.shrink_to_fit();
+        m_pendingHead = 0;
+    }
+    if (bytes > 0 && !m_closeWanted)
         m_owner.onStreamEvent(stream_consumed{m_id, bytes});
     writeMore();
 }
--- a/src/libnet/stream_socket_pvt.h
+++ b/src/libnet/stream_socket_pvt.h
@@ -25,16 +25,21 @@
     {}
 
     void startConnect(const host_address &target);
-    void setOptions();
+    void startAccepted();
+    /// Continues a stream of the program that this one replaced.
+    void startAdopted(const saved_stream &saved);
+    /// Nullopt unless the stream is connected and in use. The descriptor survives execve.
+    std::optional<saved_stream> save();
     void read(std::uint64_t maxBytes);
     void write(std::string bytes);
     void finish();
     void close(bool abort);
 
 private:
+    void setOptions();
     void onReadable(const boost::system::error_code &error, std::uint64_t maxBytes);
     void writeMore();
-    void onWritten(const boost::system::error_code &error);
+    void onWritable(const boost::system::error_code &error);
     void shutdownSend();
     void discardUntilEnd();
     void fail();
@@ -43,8 +48,10 @@
     tcp::socket m_socket;
     stream_id m_id;
     stream_owner &m_owner;
-    std::string m_writing;
-    std::string m_pending;
+    std::string m_pending; ///< Bytes the socket has not taken yet, from m_pendingHead on.
+    std::size_t m_pendingHead = 0;
+    bool m_waitingToWrite = false;
+    bool m_connected = false;
     bool m_finishWanted = false;
     bool m_shutdownDone = false;
     bool m_closeWanted = false;
--- /dev/null
+++ b/src/libnode/fleet_node.cpp
@@ -0,0 +1,321 @@
+#include "citroncrank/fleet_node.h"
+
+#include "citroncrank/frame_codec.h"
+#include "citroncrank/timer_service.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citroncrank {
+
+namespace {
+
+constexpr duration kSpreadTick{100'000};
+constexpr duration kRosterReadPeriod{2'000'000};
+/// A body with its frame fits one datagram up to this size; larger ones go over a hop.
+constexpr std::size_t kLargestDatagramBody = 1'100;
+
+config_member toConfigMember(const member_record &record, bool reachable)
+{
+    const bool alive = record.state == member_state::alive || record.state == member_state::suspect;
+    return {record.name, record.domain, alive && reachable};
+}
+
+spread_time spreadNow(time_point now)
+{
+    return {now, wallNow()};
+}
+
+} // namespace
+
+fleet_node::fleet_node(fleet_node_settings settings, network &net, time_point now)
+    : m_settings(std::move(settings))
+    , m_network(net)
+    , m_membership(m_settings.local, membership_settings{}, m_settings.seed, now)
+    , m_spread({.name = m_settings.local.name, .domain = m_settings.local.domain}, m_settings.seed, spreadNow(now))
+{
+    m_membership.addSeeds(m_settings.seeds);
+    if (!m_settings.platform)
+        return;
+    m_platform = std::make_unique<platform_worker>(*m_settings.platform);
+    m_platform->replies().setNotify([this] { m_network.events().tryPush(wake_up{}); });
+    m_platform->request(read_rosters{});
+    m_nextRosterRead = now + kRosterReadPeriod;
+}
+
+fleet_node::~fleet_node() = default;
+
+bool fleet_node::onEvent(const net_event &event, time_point now)
+{
+    const frame *value = nullptr;
+    host_address from;
+    if (const auto *datagram = std::get_if<datagram_received>(&event)) {
+        value = &datagram->value;
+        from = datagram->from;
+    } else if (const auto *received = std::get_if<frame_received>(&event)) {
+        value = &received->value;
+        from = received->value.owner.address;
+    } else {
+        return std::holds_alternative<wake_up>(event);
+    }
+    const bool control = std::holds_alternative<gossip_message>(value->body)
+                         || std::holds_alternative<config_fetch_body>(value->body)
+                         || std::holds_alternative<config_revision_body>(value->body)
+                         || std::holds_alternative<applied_body>(value->body);
+    if (control)
+        onControlFrame(*value, from, now);
+    return control;
+}
+
+void fleet_node::onControlFrame(const frame &value, const host_address &from, time_point now)
+{
+    const node_id peer = value.owner.agent;
+    m_addresses.try_emplace(peer, value.owner.address);
+    if (const auto *gossip = std::get_if<gossip_message>(&value.body)) {
+        m_membership.onMessage(*gossip, from, now);
+        runMembershipActions(now);
+        if (gossip->configRevision > 0)
+            handleSpread(revision_heard{nodeIdOf(gossip->sender), gossip->configRevision}, now);
+    } else if (const auto *fetch = std::get_if<config_fetch_body>(&value.body)) {
+        handleSpread(fetch_requested{peer, fetch->above}, now);
+    } else if (const auto *revision = std::get_if<config_revision_body>(&value.body)) {
+        if (revision->document.empty())
+            handleSpread(revision_heard{peer, revision->revision}, now);
+        else
+            handleSpread(
+                body_received{peer, revision->revision, std::make_shared<const std::string>(revision->document)}, now);
+    } else if (const auto *applied = std::get_if<applied_body>(&value.body)) {
+        handleSpread(report_received{peer, {applied->node, applied->revision, applied->appliedAt}}, now);
+    }
+}
+
+void fleet_node::onTick(time_point now)
+{
+    m_membership.onTick(now);
+    runMembershipActions(now);
+    drainReplies(now);
+    if (now >= m_nextSpreadTick) {
+        m_nextSpreadTick = now + kSpreadTick;
+        handleSpread(spread_tick{}, now);
+    }
+    readRostersIfAlone(now);
+}
+
+void fleet_node::setLocal(const local_change &change, time_point now)
+{
+    m_membership.setLocal(change, now);
+    runMembershipActions(now);
+}
+
+void fleet_node::leave(time_point now)
+{
+    m_membership.leave(now);
+    runMembershipActions(now);
+}
+
+// --- Membership ------------------------------------------------------------------------------------------------
+
+struct fleet_node::membership_handler
+{
+    fleet_node &node;
+    time_point now;
+    std::vector<config_member> &changed;
+
+    void operator()(const send_gossip &action) const
+    {
+        frame value = node.controlFrame(action.message);
+        node.sendFrame(action.to, std::move(value), action.reliable);
+    }
+    void operator()(const member_changed &action) const
+    {
+        node.m_membersChanged = true;
+        const auto &record = action.after ? *action.after : *action.before;
+        node.m_addresses[idOf(record)] = record.address;
+        changed.push_back(toConfigMember(record, action.after.has_value() && !action.unreachable));
+        if (!action.after)
+            node.m_addresses.erase(idOf(record));
+    }
+    void operator()(const roster_change_wanted &action) const
+    {
+        if (node.m_platform)
+            node.m_platform->request(write_roster{action.domain, action.addresses});
+    }
+    void operator()(const higher_revision_heard &action) const
+    {
+        node.handleSpread(revision_heard{nodeIdOf(action.member), action.revision}, now);
+    }
+    void operator()(const name_conflict &) const { node.m_nameTaken = true; }
+};
+
+void fleet_node::runMembershipActions(time_point now)
+{
+    std::vector<config_member> changed;
+    for (const auto &action : m_membership.takeActions())
+        std::visit(membership_handler{*this, now, changed}, action);
+    if (!changed.empty())
+        handleSpread(members_changed{std::move(changed)}, now);
+}
+
+std::vector<member_record> fleet_node::reachableMembers() const
+{
+    std::vector<member_record> reachable{m_membership.local()};
+    for (const auto &view : m_membership.members()) {
+        if (!view.unreachable)
+            reachable.push_back(view.record);
+    }
+    return reachable;
+}
+
+bool fleet_node::takeMembersChanged()
+{
+    return std::exchange(m_membersChanged, false);
+}
+
+// --- Configuration ---------------------------------------------------------------------------------------------
+
+struct fleet_node::spread_handler
+{
+    fleet_node &node;
+    time_point now;
+
+    void operator()(const fetch_from_peer &action) const
+    {
+        node.sendToPeer(action.peer, config_fetch_body{action.above});
+    }
+    void operator()(const announce_to_peer &action) const
+    {
+        node.sendToPeer(action.peer, config_revision_body{action.number, {}});
+    }
+    void operator()(const send_body &action) const
+    {
+        node.sendToPeer(action.peer, config_revision_body{action.number, *action.document});
+    }
+    void operator()(const start_watch &action) const
+    {
+        if (node.m_platform)
+            node.m_platform->startWatch(action.above);
+    }
+    void operator()(const stop_watch &) const
+    {
+        if (node.m_platform)
+            node.m_platform->stopWatch();
+    }
+    void operator()(const read_platform &action) const
+    {
+        if (node.m_platform)
+            node.m_platform->request(action);
+    }
+    void operator()(const apply_revision &action) const
+    {
+        node.m_applied = action.revision;
+        node.m_appliedAt = wallNow();
+        node.m_membership.setLocal({.configRevision = action.revision->number}, now);
+    }
+    void operator()(const send_report &action) const
+    {
+        node.sendToPeer(action.peer,
+                        applied_body{action.report.member, action.report.revision, action.report.appliedAt});
+    }
+    void operator()(const write_in_force_record &action) const
+    {
+        if (node.m_platform)
+            node.m_platform->request(action);
+    }
+};
+
+void fleet_node::handleSpread(const config_spread_event &event, time_point now)
+{
+    for (const auto &action : m_spread.handle(event, spreadNow(now)))
+        std::visit(spread_handler{*this, now}, action);
+}
+
+shared_revision fleet_node::takeAppliedRevision()
+{
+    return std::exchange(m_applied, nullptr);
+}
+
+// --- Platform --------------------------------------------------------------------------------------------------
+
+struct fleet_node::reply_handler
+{
+    fleet_node &node;
+    time_point now;
+
+    void operator()(const config_spread_event &event) const
+    {
+        const bool failed = std::holds_alternative<platform_read_failed>(event)
+                            || std::holds_alternative<watch_failed>(event)
+                            || std::holds_alternative<record_write_failed>(event);
+        node.m_platformReachable = !failed;
+        node.handleSpread(event, now);
+    }
+    void operator()(const rosters_read &rosters) const
+    {
+        node.m_platformReachable = true;
+        const auto &own = node.m_settings.local;
+        for (const auto &[domain, addresses] : rosters.addresses) {
+            node.m_membership.addSeeds(addresses);
+            if (domain == own.domain)
+                node.m_membership.setRoster(addresses);
+        }
+        if (!rosters.addresses.contains(own.domain))
+            node.m_membership.setRoster({});
+        node.runMembershipActions(now);
+    }
+    void operator()(const rosters_failed &) const { node.m_platformReachable = false; }
+};
+
+void fleet_node::drainReplies(time_point now)
+{
+    if (!m_platform)
+        return;
+    std::vector<platform_reply> replies;
+    m_platform->replies().drain(&replies, time_point());
+    for (const auto &item : replies)
+        std::visit(reply_handler{*this, now}, item);
+}
+
+// A node that knows nobody reads the seed objects again: other nodes may have started meanwhile.
+void fleet_node::readRostersIfAlone(time_point now)
+{
+    if (!m_platform || now < m_nextRosterRead || m_membership.reachableCount() > 0)
+        return;
+    m_nextRosterRead = now + kRosterReadPeriod;
+    m_platform->request(read_rosters{});
+}
+
+// --- Sending ---------------------------------------------------------------------------------------------------
+
+frame fleet_node::controlFrame(frame_body body) const
+{
+    frame value;
+    value.flowClass = flow_class::urgent;
+    value.owner = {idOf(m_settings.local), m_settings.local.incarnation, m_settings.local.address};
+    value.body = std::move(body);
+    return value;
+}
+
+void fleet_node::sendToPeer(node_id peer, frame_body body)
+{
+    const auto found = m_addresses.find(peer);
+    if (found == m_addresses.end())
+        return;
+    const auto *revision = std::get_if<config_revision_body>(&body);
+    const bool large = revision != nullptr && revision->document.size() > kLargestDatagramBody;
+    sendFrame(found->second, controlFrame(std::move(body)), large);
+}
+
+void fleet_node::sendFrame(const host_address &target, frame value, bool reliable)
+{
+    if (reliable)
+        m_network.post(send_to_address{target, std::move(value), false});
+    else
+        m_network.post(send_datagram{target, std::move(value)});
+}
+
+time_point fleet_node::nextDeadline() const
+{
+    return std::min(m_membership.nextDeadline(), m_nextSpreadTick);
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libnode/node_process.cpp
@@ -0,0 +1,253 @@
+#include "citroncrank/node_process.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+namespace citroncrank {
+
+namespace {
+
+constexpr duration kLongestWait{100'000};
+constexpr duration kMetricsPeriod{500'000};
+/// Exceptions expire at any moment; their effect is applied within this time.
+constexpr duration kExpiryPeriod{1'000'000};
+constexpr std::size_t kTrailCapacity = 50'000;
+/// Time for the announcement that the node leaves to spread.
+constexpr duration kLeaveTime{500'000};
+
+std::atomic<bool> &stopFlag()
+{
+    static std::atomic<bool> flag{false};
+    return flag;
+}
+
+net_settings netSettings(const node_settings &settings)
+{
+    net_settings net;
+    net.keys = settings.keys;
+    return net;
+}
+
+} // namespace
+
+const std::atomic<bool> &stopOnSignals()
+{
+    const auto handler = [](int) { stopFlag() = true; };
+    std::signal(SIGTERM, handler);
+    std::signal(SIGINT, handler);
+    std::signal(SIGPIPE, SIG_IGN);
+    return stopFlag();
+}
+
+node_process::node_process(node_settings settings, member_record local, const std::string &component)
+    : m_settings(std::move(settings))
+    , m_local(std::move(local))
+    , m_network(netSettings(m_settings))
+    , m_trail(kTrailCapacity)
+    , m_log(component)
+    , m_operators([this] { m_network.events().tryPush(wake_up{}); })
+{
+    m_local.name = m_settings.name;
+    m_local.region = m_settings.region;
+    m_local.domain = m_settings.domain;
+    m_local.incarnation = std::uint64_t(wallNow().time_since_epoch().count());
+}
+
+node_process::~node_process() = default;
+
+bool node_process::listen(std::error_code *lastReason)
+{
+    const auto bound = m_network.listenForHops(m_settings.listen, lastReason);
+    if (!bound)
+        return false;
+    m_local.address = *bound;
+    frame greeting;
+    greeting.flowClass = flow_class::urgent;
+    greeting.owner = {idOf(m_local), m_local.incarnation, m_local.address};
+    greeting.body = hello_body{m_local.name};
+    m_network.setGreeting(std::move(greeting));
+    return startEndpoint(lastReason);
+}
+
+bool node_process::startEndpoint(std::error_code *lastReason)
+{
+    m_endpoint = std::make_unique<http_endpoint>(http_endpoint_settings{.address = m_settings.http}, m_metrics, [this] {
+        const std::lock_guard lock(m_readinessMutex);
+        return m_notReady;
+    });
+    const auto ask = [this](const http_request &request) {
+        auto reply = m_operators.ask(request.method, request.path, request.body);
+        return http_reply{reply.status, "application/json", std::move(reply.body), {}};
+    };
+    for (const char *path : {"/status", "/members", "/explain", "/flows"})
+        m_endpoint->handle("GET", path, ask);
+    for (const char *path : {"/drain", "/flows", "/upgrade"})
+        m_endpoint->handle("POST", path, ask);
+    const auto failure = m_endpoint->start();
+    if (failure)
+        *lastReason = std::error_code(failure->systemError, std::system_category());
+    return !failure;
+}
+
+void node_process::run(const std::atomic<bool> &stopping)
+{
+    m_network.start();
+    m_fleet = std::make_unique<fleet_node>(fleet_node_settings{.local = m_local,
+                                                               .platform = m_settings.platform,
+                                                               .seeds = m_settings.seeds,
+                                                               .seed = hashText(m_local.name, m_local.incarnation)},
+                                           m_network, monotonicNow());
+    m_periodic = m_timers.subscribe(kMetricsPeriod, [this](time_point) {
+        updateMetrics();
+        exportNetworkMetrics();
+    });
+    m_expiryCheck = m_timers.subscribe(kExpiryPeriod, [this](time_point now) {
+        if (m_revision)
+            onConfig(*m_revision, now);
+    });
+    m_log.info(absl::StrCat("started, name=", m_local.name, " domain=", m_local.domain,
+                            " listen=", toString(m_local.address)));
+    std::optional<time_point> leaveUntil;
+    while (!leaveUntil || monotonicNow() < *leaveUntil) {
+        const auto now = monotonicNow();
+        if (stopping && !m_stopBegun) {
+            m_stopBegun = true;
+            m_log.info(absl::StrCat("graceful shutdown begins, open_flows=", openFlows()));
+            beginStop(now);
+        }
+        if (m_stopBegun && !leaveUntil && openFlows() == 0) {
+            m_fleet->leave(now);
+            leaveUntil = now + kLeaveTime;
+        }
+        handleEvents(now);
+    }
+    m_endpoint.reset();
+    m_fleet.reset();
+    m_network.stop();
+    m_log.info("stopped");
+}
+
+void node_process::dispatchEvents(time_point now)
+{
+    for (auto &event : m_events) {
+        if (!m_fleet->onEvent(event, now))
+            onEvent(std::move(event), now);
+    }
+}
+
+void node_process::dispatchPendingEvents(time_point now)
+{
+    m_events.clear();
+    m_network.events().drain(&m_events, time_point());
+    dispatchEvents(now);
+}
+
+void node_process::restartEndpoint()
+{
+    std::error_code reason;
+    if (!startEndpoint(&reason))
+        m_log.error(absl::StrCat("operators' endpoint is not available: ", reason.message()));
+}
+
+void node_process::handleEvents(time_point now)
+{
+    m_events.clear();
+    m_network.events().drain(&m_events, nextWake(now));
+    const auto woken = monotonicNow();
+    dispatchEvents(woken);
+    m_fleet->onTick(woken);
+    onTick(woken);
+    followConfig(woken);
+    m_timers.runDue(woken);
+    m_operators.serve([this, woken](const operator_request &request) { return answerOperator(request, woken); });
+    runActions(woken);
+    publishReadiness();
+    afterEvents(woken);
+}
+
+void node_process::publishReadiness()
+{
+    auto reasons = notReadyReasons();
+    if (!m_fleet->config().isReady())
+        reasons.emplace_back("configuration not known yet");
+    if (m_fleet->nameTaken())
+        reasons.emplace_back("another process uses the name of this node");
+    if (m_stopBegun)
+        reasons.emplace_back("shutting down");
+    const std::lock_guard lock(m_readinessMutex);
+    m_notReady = std::move(reasons);
+}
+
+time_point node_process::nextWake(time_point now) const
+{
+    auto wake = std::min(now + kLongestWait, m_fleet->nextDeadline());
+    if (const auto next = nextDeadline())
+        wake = std::min(wake, *next);
+    if (const auto due = m_timers.nextDue())
+        wake = std::min(wake, *due);
+    return wake;
+}
+
+void node_process::followConfig(time_point now)
+{
+    if (m_fleet->takeMembersChanged())
+        onMembersChanged();
+    if (auto applied = m_fleet->takeAppliedRevision()) {
+        m_revision = std::move(applied);
+        m_log.info(absl::StrCat("configuration in force, revision=", m_revision->number, " author=", m_revision->author,
+                                " change=", m_revision->changeId));
+        onConfig(*m_revision, now);
+    }
+}
+
+void node_process::note(const flow_id &flow, std::string step, std::string detail)
+{
+    m_trail.add(flow, {wallNow(), std::move(step), std::move(detail)});
+}
+
+operator_reply node_process::answerOperator(const operator_request &request, time_point now)
+{
+    constexpr std::string_view kExplain = "/explain/";
+    if (request.path == "/status") {
+        auto status = describeNode(*m_fleet, openFlows(), m_notReady.empty());
+        addStatus(&status);
+        return jsonReply(status);
+    }
+    if (request.path == "/members")
+        return jsonReply(describeMembers(*m_fleet));
+    if (request.path.starts_with(kExplain))
+        return explainFlow(m_trail, request.path.substr(kExplain.size()));
+    return onOperator(request, now);
+}
+
+void node_process::exportNetworkMetrics()
+{
+    const auto &counters = m_network.counters();
+    const auto set = [this](const char *metric, const char *help, double value) {
+        m_metrics.gauge(metric, help).set(value);
+    };
+    set("citroncrank_frames_in", "Frames received since the start.", double(counters.framesIn));
+    set("citroncrank_frames_out", "Frames queued for sending since the start.", double(counters.framesOut));
+    set("citroncrank_frames_dropped", "Frames dropped for a full queue or a closed hop since the start.",
+        double(counters.framesDropped));
+    set("citroncrank_hops_open", "Open hops.", double(counters.hopsOpen));
+    set("citroncrank_hops_silent", "Hops closed because they went silent since the start.",
+        double(counters.hopsSilent));
+    set("citroncrank_streams_open", "Open TCP streams of callers or of the upstream.", double(counters.streamsOpen));
+    set("citroncrank_membership_bytes_out", "Membership bytes sent since the start.",
+        double(counters.datagramBytesOut));
+    set("citroncrank_config_revision", "Configuration revision in force.", double(m_fleet->config().currentNumber()));
+    set("citroncrank_members_reachable", "Members that this node reaches.",
+        double(m_fleet->members().reachableCount()));
+    set("citroncrank_platform_calls", "Calls to the platform since the start.", double(m_fleet->platformCalls()));
+    for (int i = 0; i < kDecodeErrorCount; ++i) {
+        m_metrics
+            .gauge("citroncrank_frame_errors", "Frames refused by the decoder since the start.",
+                   {{"reason", toString(decode_error(i))}})
+            .set(double(counters.decodeErrors[std::size_t(i)]));
+    }
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libnode/platform_worker.cpp
@@ -0,0 +1,232 @@
+#include "citroncrank/platform_worker.h"
+
+#include "citroncrank/config_log.h"
+
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+
+namespace citroncrank {
+
+namespace {
+
+constexpr std::string_view kRosterPrefix = "roster/";
+constexpr std::chrono::milliseconds kWatchWait{25'000};
+constexpr std::chrono::milliseconds kCallDeadline{2'000};
+
+std::string formatRoster(const std::vector<host_address> &addresses)
+{
+    return absl::StrJoin(addresses, "\n",
+                         [](std::string *out, const host_address &address) { out->append(toString(address)); });
+}
+
+std::vector<host_address> parseRoster(const std::string &text)
+{
+    std::vector<host_address> addresses;
+    for (const auto line : absl::StrSplit(text, '\n', absl::SkipEmpty())) {
+        if (const auto address = parseHostAddress(line))
+            addresses.push_back(*address);
+    }
+    return addresses;
+}
+
+/// Highest revision above `above`; number 0 when there is none. Nullopt when the platform did not answer.
+std::optional<platform_read_done> readHighest(object_store &store, std::uint64_t above)
+{
+    platform_failure reason{};
+    const auto listed = store.list({.prefix = std::string(kRevisionPrefix), .limit = 1, .descending = true}, &reason);
+    if (!listed)
+        return std::nullopt;
+    if (listed->entries.empty())
+        return platform_read_done{};
+    const auto number = revisionNumberOf(listed->entries.front().key);
+    if (!number || *number <= above)
+        return platform_read_done{};
+    auto object = store.get(listed->entries.front().key, &reason);
+    if (!object)
+        return std::nullopt;
+    return platform_read_done{*number, std::make_shared<const std::string>(std::move(object->value))};
+}
+
+bool writeRosterObject(object_store &store, const write_roster &call)
+{
+    platform_failure reason{};
+    const auto key = rosterKey(call.domain);
+    const auto value = formatRoster(call.addresses);
+    const auto present = store.get(key, &reason);
+    if (!present)
+        return reason == platform_failure::not_found && store.create(key, value, &reason).has_value();
+    return present->value == value || store.update(key, value, present->version, &reason).has_value();
+}
+
+bool writeRecord(object_store &store, const config_in_force_record &record)
+{
+    platform_failure reason{};
+    const auto key = inForceKey(record.domain, record.revision);
+    const auto present = store.get(key, &reason);
+    if (!present)
+        return reason == platform_failure::not_found
+               && store.create(key, formatInForceRecord(record), &reason).has_value();
+    const auto old = parseInForceRecord(present->value);
+    const auto merged = old ? mergeInForceRecords(*old, record) : record;
+    const auto value = formatInForceRecord(merged);
+    return value == present->value || store.update(key, value, present->version, &reason).has_value();
+}
+
+} // namespace
+
+std::string rosterKey(const std::string &domain)
+{
+    return std::string(kRosterPrefix) + domain;
+}
+
+platform_worker::platform_worker(const host_address &platform)
+    : m_callStore({.address = platform, .callDeadline = kCallDeadline})
+    , m_watchStore({.address = platform, .callDeadline = kCallDeadline})
+    , m_callThread([this] { runCalls(); })
+    , m_watchThread([this] { runWatch(); })
+{}
+
+platform_worker::~platform_worker()
+{
+    m_requests.close();
+    m_replies.close();
+    {
+        const std::lock_guard lock(m_watchMutex);
+        m_stopping = true;
+    }
+    m_watchChanged.notify_all();
+    m_callStore.stop();
+    m_watchStore.stop();
+    m_callThread.join();
+    m_watchThread.join();
+}
+
+void platform_worker::request(platform_request call)
+{
+    m_requests.tryPush(std::move(call));
+}
+
+void platform_worker::reply(platform_reply answer)
+{
+    m_replies.push(std::move(answer));
+}
+
+struct platform_worker::call_handler
+{
+    platform_worker &worker;
+
+    void operator()(const read_platform &call) const
+    {
+        worker.m_calls += 2;
+        if (auto done = readHighest(worker.m_callStore, call.above))
+            worker.reply(config_spread_event(std::move(*done)));
+        else
+            worker.reply(config_spread_event(platform_read_failed{}));
+    }
+    void operator()(const write_in_force_record &call) const
+    {
+        worker.m_calls += 2;
+        if (writeRecord(worker.m_callStore, call.record))
+            worker.reply(config_spread_event(record_write_done{call.record.revision}));
+        else
+            worker.reply(config_spread_event(record_write_failed{call.record.revision}));
+    }
+    void operator()(const read_rosters &) const
+    {
+        platform_failure reason{};
+        ++worker.m_calls;
+        const auto listed = worker.m_callStore.list({.prefix = std::string(kRosterPrefix)}, &reason);
+        if (!listed) {
+            worker.reply(rosters_failed{reason});
+            return;
+        }
+        rosters_read rosters;
+        for (const auto &entry : listed->entries) {
+            ++worker.m_calls;
+            if (const auto object = worker.m_callStore.get(entry.key, &reason))
+                rosters.addresses[entry.key.substr(kRosterPrefix.size())] = parseRoster(object->value);
+        }
+        worker.reply(std::move(rosters));
+    }
+    // A lost update is repeated by the membership, which compares the object with its table.
+    void operator()(const write_roster &call) const
+    {
+        worker.m_calls += 2;
+        writeRosterObject(worker.m_callStore, call);
+    }
+};
+
+void platform_worker::runCalls()
+{
+    std::vector<platform_request> calls;
+    while (m_requests.drain(&calls, time_point::max())) {
+        for (const auto &call : calls)
+            std::visit(call_handler{*this}, call);
+        calls.clear();
+    }
+}
+
+void platform_worker::startWatch(std::uint64_t above)
+{
+    const std::lock_guard lock(m_watchMutex);
+    m_watchWanted = true;
+    m_watchAbove = above;
+    m_watchChanged.notify_all();
+}
+
+void platform_worker::stopWatch()
+{
+    const std::lock_guard lock(m_watchMutex);
+    m_watchWanted = false;
+}
+
+void platform_worker::runWatch()
+{
+    object_version from = 0;
+    for (;;) {
+        {
+            std::unique_lock lock(m_watchMutex);
+            m_watchChanged.wait(lock, [this] { return m_watchWanted || m_stopping; });
+            if (m_stopping)
+                return;
+        }
+        if (watchOnce(&from))
+            continue;
+        {
+            const std::lock_guard lock(m_watchMutex);
+            m_watchWanted = false;
+        }
+        reply(config_spread_event(watch_failed{}));
+    }
+}
+
+bool platform_worker::watchOnce(object_version *from)
+{
+    platform_failure reason{};
+    ++m_calls;
+    const auto result =
+        m_watchStore.watch({.prefix = std::string(kRevisionPrefix), .from = *from, .wait = kWatchWait}, &reason);
+    if (!result)
+        return false;
+    // A platform whose versions went back was rebuilt; the watch then starts over.
+    *from = result->version;
+    std::uint64_t above = 0;
+    {
+        const std::lock_guard lock(m_watchMutex);
+        above = m_watchAbove;
+    }
+    const object_change *highest = nullptr;
+    std::uint64_t number = above;
+    for (const auto &change : result->changes) {
+        const auto changed = revisionNumberOf(change.key);
+        if (changed && change.value && *changed > number) {
+            number = *changed;
+            highest = &change;
+        }
+    }
+    if (highest != nullptr)
+        reply(config_spread_event(watch_event{number, std::make_shared<const std::string>(*highest->value)}));
+    return true;
+}
+
+} // namespace citroncrank
