Compile against Abseil's own string_view

Cause: Debian builds Abseil with its own string_view type. Ruled out: another Abseil package; there is one. Before: two compile errors. After: compiles.

--- a/src/citroncrank-agent/agent_process.cpp
+++ b/src/citroncrank-agent/agent_process.cpp
@@ -1,6 +1,5 @@
 #include "agent_process.h"
 
-#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <algorithm>
--- a/src/libnode/platform_worker.cpp
+++ b/src/libnode/platform_worker.cpp
@@ -22,7 +22,8 @@
 std::vector<host_address> parseRoster(const std::string &text)
 {
     std::vector<host_address> addresses;
-    for (const auto line : absl::StrSplit(text, '\n', absl::SkipEmpty())) {
+    const std::vector<std::string> lines = absl::StrSplit(text, '\n', absl::SkipEmpty());
+    for (const auto &line : lines) {
         if (const auto address = parseHostAddress(line))
             addresses.push_back(*address);
     }
