Check the reason of an ended flow without Abseil's string_view

Ruled out: nothing further. Change: standard library search. Before: compile error. After: compiles.

--- a/src/citroncrank-agent/agent_process.cpp
+++ b/src/citroncrank-agent/agent_process.cpp
@@ -328,13 +328,12 @@
     boost::json::error_code error;
     const auto body = boost::json::parse(request.body, error);
     const auto *reason = !error && body.is_object() ? body.as_object().if_contains("reason") : nullptr;
-    const bool blank = reason == nullptr || !reason->is_string()
-                       || absl::StripAsciiWhitespace(std::string_view(reason->as_string())).empty();
-    if (blank || reason->as_string().size() > kMaxReasonBytes)
+    const std::string text = reason != nullptr && reason->is_string() ? std::string(reason->as_string()) : "";
+    const bool blank = text.find_first_not_of(" \t\r\n") == std::string::npos;
+    if (blank || text.size() > kMaxReasonBytes)
         return errorReply(400, "reason_missing", "ending a flow needs a written reason of at most 1,024 bytes");
     if (!m_core->endFlow(*flow, now))
         return errorReply(404, "not_found", "no bound flow has this id");
-    const std::string text(reason->as_string());
     m_log.warn(absl::StrCat("operator ended flow, flow=", parts[1], " reason=\"", text, "\""));
     note(*flow, "ended_by_operator", absl::StrCat("reason=", text));
     return jsonReply(boost::json::object{{"ended", parts[1]}});
