Add settings files checked as a whole against a table of keys

Cause: a process must refuse a wrong settings file at start and name all faults at once, with lines. Ruled out: the node tree of yaml-cpp; it expands aliases, which a small hostile file can blow up to gigabytes, and it hides the lines of duplicate keys. The event interface gives both. Change: settings_key table, parseSettings(), readSettings(), typed faults with the nearest known key, typed getters, describeSettings() for the reference page. Before: nothing.

--- /dev/null
+++ b/src/include/citroncrank/settings.h
@@ -0,0 +1,125 @@
+#pragma once
+
+/// @file
+/// Settings of a process: a YAML file checked as a whole against a table of keys.
+
+#include "citroncrank/ids.h"
+#include "citroncrank/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace citroncrank {
+
+/// Type of one value. Lists exist of texts and of addresses.
+enum class settings_type : std::uint8_t {
+    text,
+    integer,
+    boolean,  ///< true or false.
+    duration, ///< Whole number with a unit: us, ms, s, m or h.
+    address,  ///< IPv4 address and port, "127.0.0.1:9000".
+    secret,   ///< Text, or "hex:" followed by hexadecimal digits. Never shown in faults or in the reference page.
+};
+
+/// One row of the table of keys.
+struct settings_key
+{
+    std::string path; ///< Names of the enclosing sections and of the key, joined by dots: "listen.address".
+    settings_type type = settings_type::text;
+    std::string description;
+    bool required = false;
+    /// In the notation of the file; items of a list are separated by commas. An optional key without it may be absent.
+    std::optional<std::string> defaultValue = std::nullopt;
+    /// Inclusive bounds: the value of an integer, the microseconds of a duration, the port of an address, the bytes of a
+    /// text or secret, the number of items of a list.
+    std::optional<std::int64_t> minimum = std::nullopt;
+    std::optional<std::int64_t> maximum = std::nullopt;
+    std::string unit = {}; ///< Unit of an integer, for messages and the reference page.
+    bool isList = false;
+    std::vector<std::string> choices = {}; ///< Accepted texts. Empty accepts all.
+};
+using settings_table = std::vector<settings_key>;
+
+enum class settings_fault_kind : std::uint8_t {
+    unknown_key,
+    missing_key,
+    wrong_type,
+    out_of_range,
+    syntax,
+    duplicate_key
+};
+
+/// One fault of a settings file.
+struct settings_fault
+{
+    settings_fault_kind kind = settings_fault_kind::syntax;
+    std::string file;
+    int line = 0;       ///< From 1; 0 when the fault has no line.
+    std::string key;    ///< Empty for syntax faults.
+    std::string detail; ///< Nearest known key for unknown_key (may be empty), otherwise what was expected.
+    bool operator==(const settings_fault &) const = default;
+};
+
+/// Returns for example `agent.yaml:14: unknown key "lisen.address"; did you mean "listen.address"?`. One line.
+std::string toString(const settings_fault &fault);
+
+using settings_value = std::variant<std::string, std::int64_t, bool, duration, host_address, std::vector<std::string>,
+                                    std::vector<host_address>>;
+
+/// Checked values of one settings file, defaults included. The getters throw std::logic_error when the key is absent or
+/// of another type, since that is a mismatch between the program and its own table.
+class settings_values
+{
+public:
+    settings_values() = default;
+    explicit settings_values(std::map<std::string, settings_value, std::less<>> values)
+        : m_values(std::move(values))
+    {}
+
+    /// False only for optional keys without a default that the file does not set.
+    bool has(std::string_view path) const { return m_values.find(path) != m_values.end(); }
+
+    const std::string &getText(std::string_view path) const;
+    std::int64_t getInteger(std::string_view path) const;
+    bool getBoolean(std::string_view path) const;
+    duration getDuration(std::string_view path) const;
+    host_address getAddress(std::string_view path) const;
+    /// Decoded bytes.
+    const std::string &getSecret(std::string_view path) const;
+    const std::vector<std::string> &getTexts(std::string_view path) const;
+    const std::vector<host_address> &getAddresses(std::string_view path) const;
+
+    bool operator==(const settings_values &) const = default;
+
+private:
+    std::map<std::string, settings_value, std::less<>> m_values;
+};
+
+/// Largest accepted settings file.
+constexpr std::size_t kMaxSettingsBytes = 256 * 1024;
+
+/// Checks `text` against `table`. Nested sections and dotted keys mean the same. Returns nullopt and stores all faults
+/// in `faults` (must not be null) in the order of their lines if there is any; `fileName` is used in faults only.
+std::optional<settings_values> parseSettings(std::string_view text, const std::string &fileName,
+                                             const settings_table &table, std::vector<settings_fault> *faults);
+
+/// Reads the file `path` and checks it as parseSettings() does. An unreadable file is a syntax fault without a line.
+std::optional<settings_values> readSettings(const std::string &path, const settings_table &table,
+                                            std::vector<settings_fault> *faults);
+
+/// Returns the table of keys as a Markdown table, for a generated reference page.
+std::string describeSettings(const settings_table &table);
+
+/// Parses "250ms", "3s" or "2m". Nullopt for anything else, including negative and overflowing values.
+std::optional<duration> parseSettingsDuration(std::string_view text);
+/// Inverse of parseSettingsDuration(), in the largest unit that gives a whole number.
+std::string formatSettingsDuration(duration value);
+/// Parses "127.0.0.1:9000". Port 0 is accepted. Nullopt for anything else.
+std::optional<host_address> parseSettingsAddress(std::string_view text);
+
+} // namespace citroncrank
