--- a/src/libruntime/log.cpp
+++ b/src/libruntime/log.cpp
@@ -1,6 +1,7 @@
 #include "citroncrank/log.h"
 
 #include "log_layout_pvt.h"
+#include "utf8_pvt.h"
 
 #include <array>
 #include <cerrno>
--- a/src/libruntime/log_layout_pvt.h
+++ b/src/libruntime/log_layout_pvt.h
@@ -3,14 +3,9 @@
 #include "citroncrank/log.h"
 
 #include <log4cxx/layout.h>
-#include <string>
-#include <string_view>
 
 namespace citroncrank {
 
-/// Returns `text` with each byte that is not part of valid UTF-8 replaced by U+FFFD.
-std::string cleanUtf8(std::string_view text);
-
 /// Formats log entries as one line of text or JSON each. The logger's name is the component.
 class line_layout : public log4cxx::Layout
 {
--- a/src/libruntime/log_test.cpp
+++ b/src/libruntime/log_test.cpp
@@ -1,6 +1,6 @@
 #include "citroncrank/log.h"
 
-#include "log_layout_pvt.h"
+#include "utf8_pvt.h"
 
 #include <cerrno>
 #include <cstdio>
