Add the HTTP endpoint for metrics, readiness and operators' requests

Cause: monitors scrape metrics and readiness, and operators' requests need a bounded entry beside the data path. Ruled out: serving from the network thread, where a slow scrape would delay frames; closing right after a refusal, which resets the connection under a body that is still being sent. Change: http_endpoint on Boost.Beast in a thread of its own, handlers by method and path prefix, limits on header, body, connections and time, graceful stop.

--- /dev/null
+++ b/src/include/citroncrank/http_endpoint.h
@@ -0,0 +1,98 @@
+#pragma once
+
+/// @file
+/// HTTP server of a process for metrics, readiness and operators' requests.
+
+#include "citroncrank/ids.h"
+#include "citroncrank/metrics.h"
+#include "citroncrank/time.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace citroncrank {
+
+/// A received request. Path and query are as sent, without percent-decoding.
+struct http_request
+{
+    std::string method; ///< GET or POST. HEAD arrives as GET.
+    std::string path;   ///< Starts with '/'.
+    std::string query;  ///< Behind '?'. Empty if there is none.
+    std::string body;
+    bool operator==(const http_request &) const = default;
+};
+
+/// The answer to a request.
+struct http_reply
+{
+    int status = 200;
+    std::string contentType = "text/plain; charset=utf-8";
+    std::string body;
+    /// Further header fields. Fields with control characters are left out.
+    std::vector<std::pair<std::string, std::string>> headers;
+    bool operator==(const http_reply &) const = default;
+};
+
+/// Called in the endpoint's thread; while it runs, other requests wait. Must be safe beside the program's threads. An
+/// exception is answered with status 500.
+using http_handler = std::function<http_reply(const http_request &request)>;
+
+/// Returns why the process is not ready; empty means ready. Called in the endpoint's thread.
+using readiness_check = std::function<std::vector<std::string>()>;
+
+/// Limits of an endpoint.
+struct http_endpoint_settings
+{
+    host_address address;                        ///< Port 0 chooses a free port.
+    std::size_t maxHeaderBytes = 8 * 1024;       ///< More is answered with status 431.
+    std::size_t maxBodyBytes = 1024 * 1024;      ///< More is answered with status 413.
+    std::size_t maxConnections = 64;             ///< Further connections are closed at once and counted.
+    duration timeout = std::chrono::seconds(10); ///< For receiving a request, for sending an answer, and while idle.
+};
+
+/// Why the endpoint cannot listen.
+struct http_listen_failure
+{
+    host_address address;
+    int systemError = 0; ///< The errno of opening, binding or listening.
+    bool operator==(const http_listen_failure &) const = default;
+};
+
+class http_server;
+
+/// Serves `/metrics`, `/ready` (200, or 503 with the reasons, one per line), `/health` and further handlers in a thread
+/// of its own. Counts `citroncrank_http_requests_total{status}` and `citroncrank_http_refused_connections_total`.
+class http_endpoint
+{
+public:
+    /// `registry` is kept by reference.
+    http_endpoint(const http_endpoint_settings &settings, metrics_registry &registry, readiness_check notReadyReasons);
+    http_endpoint(const http_endpoint &) = delete;
+    http_endpoint &operator=(const http_endpoint &) = delete;
+    /// Calls stop().
+    ~http_endpoint();
+
+    /// Registers a handler for `method` (GET or POST) and every path that equals `prefix` or continues it with '/'. The
+    /// longest prefix wins. Must be called before start().
+    void handle(const std::string &method, const std::string &prefix, http_handler handler);
+
+    /// Listens and starts the thread. Returns the failure, or nullopt on success. Must be called at most once.
+    std::optional<http_listen_failure> start();
+
+    /// Address in use, with the chosen port. Valid after start().
+    host_address address() const;
+
+    /// Stops listening, closes idle connections, completes requests of which a part has arrived (at most three
+    /// times the timeout) and ends the thread. Must not be called by a handler.
+    void stop();
+
+private:
+    std::unique_ptr<http_server> m_server;
+};
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libruntime/http_endpoint.cpp
@@ -0,0 +1,189 @@
+#include "citroncrank/http_endpoint.h"
+
+#include "http_session_pvt.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <thread>
+#include <utility>
+
+namespace citroncrank {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = boost::asio::ip::tcp;
+
+// Accepting fails for lack of descriptors, among others; trying again at once would spin.
+constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
+
+// Signals are handled by the main thread, so the new thread is started with all of them blocked.
+class signals_blocked
+{
+public:
+    signals_blocked()
+    {
+        sigset_t all;
+        sigfillset(&all);
+        pthread_sigmask(SIG_SETMASK, &all, &m_previous);
+    }
+    signals_blocked(const signals_blocked &) = delete;
+    signals_blocked &operator=(const signals_blocked &) = delete;
+    ~signals_blocked() { pthread_sigmask(SIG_SETMASK, &m_previous, nullptr); }
+
+private:
+    sigset_t m_previous{};
+};
+
+} // namespace
+
+/// Sockets and thread of an endpoint.
+class http_server
+{
+public:
+    http_server(const http_endpoint_settings &settings, metrics_registry &registry)
+        : m_context{settings, {}, {}}
+        , m_registry(registry)
+    {
+        m_context.countRequest = [this](int status) {
+            m_registry
+                .counter("citroncrank_http_requests_total", "Requests answered by the HTTP endpoint.",
+                         {{"status", absl::StrCat(status)}})
+                .increment();
+        };
+    }
+
+    http_router &router() { return m_context.router; }
+    host_address address() const { return m_address; }
+
+    std::optional<http_listen_failure> start()
+    {
+        if (const auto error = listen())
+            return http_listen_failure{m_context.settings.address, error.value()};
+        accept();
+        const signals_blocked blocked;
+        m_thread = std::thread([this] { m_loop.run(); });
+        return std::nullopt;
+    }
+
+    void stop()
+    {
+        if (!m_thread.joinable())
+            return;
+        asio::post(m_loop, [this] { closeAll(); });
+        m_thread.join();
+    }
+
+private:
+    boost::system::error_code listen()
+    {
+        const auto &wanted = m_context.settings.address;
+        const tcp::endpoint endpoint(asio::ip::address_v4(wanted.ip), wanted.port);
+        boost::system::error_code error;
+        m_acceptor.open(endpoint.protocol(), error);
+        if (!error)
+            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            m_acceptor.bind(endpoint, error);
+        if (!error)
+            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        if (!error)
+            m_address = {wanted.ip, m_acceptor.local_endpoint(error).port()};
+        return error;
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+            if (!m_acceptor.is_open())
+                return;
+            if (error) {
+                retryLater();
+                return;
+            }
+            admit(std::move(socket));
+            accept();
+        });
+    }
+
+    void retryLater()
+    {
+        m_retry.expires_after(kAcceptRetryDelay);
+        m_retry.async_wait([this](const boost::system::error_code &error) {
+            if (!error && m_acceptor.is_open())
+                accept();
+        });
+    }
+
+    void admit(tcp::socket socket)
+    {
+        std::erase_if(m_sessions, [](const auto &session) { return session.expired(); });
+        if (m_sessions.size() >= m_context.settings.maxConnections) {
+            m_refused.increment();
+            return; // Destroying the socket closes the connection.
+        }
+        const auto session = std::make_shared<http_session>(std::move(socket), m_context);
+        m_sessions.push_back(session);
+        session->start();
+    }
+
+    void closeAll()
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        m_retry.cancel();
+        for (const auto &weak : m_sessions) {
+            if (const auto session = weak.lock())
+                session->stop();
+        }
+    }
+
+    http_context m_context;
+    metrics_registry &m_registry;
+    metric_counter &m_refused = m_registry.counter("citroncrank_http_refused_connections_total",
+                                                   "Connections closed because the HTTP endpoint held too many.");
+    host_address m_address;
+    asio::io_context m_loop{1};
+    tcp::acceptor m_acceptor{m_loop};
+    asio::steady_timer m_retry{m_loop};
+    std::vector<std::weak_ptr<http_session>> m_sessions;
+    std::thread m_thread;
+};
+
+http_endpoint::http_endpoint(const http_endpoint_settings &settings, metrics_registry &registry,
+                             readiness_check notReadyReasons)
+    : m_server(std::make_unique<http_server>(settings, registry))
+{
+    addStandardHandlers(registry, std::move(notReadyReasons), &m_server->router());
+}
+
+http_endpoint::~http_endpoint()
+{
+    stop();
+}
+
+void http_endpoint::handle(const std::string &method, const std::string &prefix, http_handler handler)
+{
+    m_server->router().add(method, prefix, std::move(handler));
+}
+
+std::optional<http_listen_failure> http_endpoint::start()
+{
+    return m_server->start();
+}
+
+host_address http_endpoint::address() const
+{
+    return m_server->address();
+}
+
+void http_endpoint::stop()
+{
+    m_server->stop();
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libruntime/http_session.cpp
@@ -0,0 +1,173 @@
+#include "http_session_pvt.h"
+
+#include <absl/strings/ascii.h>
+#include <algorithm>
+#include <boost/asio/error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+namespace citroncrank {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+// Closing a socket with unread input resets the connection, which may destroy a refusal on its way. So the input is
+// read and dropped until the timeout; a caller that sends more than this has stopped listening.
+constexpr std::size_t kMaxDiscardedBytes = 4 * 1024 * 1024;
+
+std::string textOf(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+bool hasControl(const std::string &text)
+{
+    return std::any_of(text.begin(), text.end(), absl::ascii_iscntrl);
+}
+
+// Splits the target at '?'.
+http_request toRequest(http::request<http::string_body> *message)
+{
+    const std::string target = textOf(message->target());
+    const auto mark = target.find('?');
+    return {.method = message->method() == http::verb::head ? "GET" : textOf(message->method_string()),
+            .path = target.substr(0, mark),
+            .query = mark == std::string::npos ? std::string() : target.substr(mark + 1),
+            .body = std::move(message->body())};
+}
+
+bool isDisconnect(const boost::system::error_code &error)
+{
+    return error == http::error::end_of_stream || error == http::error::partial_message
+           || error == boost::beast::error::timeout || error.category() == boost::asio::error::get_system_category();
+}
+
+} // namespace
+
+http_session::http_session(boost::asio::ip::tcp::socket socket, const http_context &context)
+    : m_stream(std::move(socket))
+    , m_context(context)
+{}
+
+void http_session::stop()
+{
+    m_stopping = true;
+    const bool idle = !m_sending && m_buffer.size() == 0 && m_parser && !m_parser->got_some();
+    if (idle)
+        m_stream.cancel();
+}
+
+void http_session::readRequest()
+{
+    m_parser.emplace();
+    m_parser->header_limit(std::uint32_t(m_context.settings.maxHeaderBytes));
+    m_parser->body_limit(m_context.settings.maxBodyBytes);
+    // One deadline for the whole request, so that a caller cannot hold a connection by sending byte by byte.
+    m_stream.expires_after(m_context.settings.timeout);
+    http::async_read(
+        m_stream, m_buffer, *m_parser,
+        [self = shared_from_this()](const boost::system::error_code &error, std::size_t) { self->onRead(error); });
+}
+
+void http_session::onRead(const boost::system::error_code &error)
+{
+    if (!error)
+        answer();
+    else if (isDisconnect(error))
+        close();
+    else if (error == http::error::header_limit)
+        refuse(431, "header too large\n");
+    else if (error == http::error::body_limit)
+        refuse(413, "body too large\n");
+    else
+        refuse(400, "malformed request\n");
+}
+
+void http_session::answer()
+{
+    auto message = m_parser->release();
+    const bool keepAlive = message.keep_alive();
+    const bool headersOnly = message.method() == http::verb::head;
+    const auto request = toRequest(&message);
+    if (!request.path.starts_with('/')) {
+        refuse(400, "malformed request\n");
+        return;
+    }
+    m_response.version(message.version());
+    send(m_context.router.route(request), keepAlive, headersOnly);
+}
+
+void http_session::refuse(unsigned status, const std::string &reason)
+{
+    m_refused = true; // The rest of the input cannot be told apart from a next request.
+    m_response.version(11);
+    send({.status = int(status), .body = reason}, false, false);
+}
+
+void http_session::send(http_reply reply, bool keepAlive, bool headersOnly)
+{
+    m_context.countRequest(reply.status);
+    m_response.clear();
+    m_response.body().clear();
+    m_response.result(unsigned(std::clamp(reply.status, 200, 599)));
+    m_response.set(http::field::content_type, hasControl(reply.contentType) ? "text/plain" : reply.contentType);
+    m_response.set(http::field::cache_control, "no-store");
+    for (const auto &[name, value] : reply.headers) {
+        if (!hasControl(name) && !hasControl(value))
+            m_response.set(name, value);
+    }
+    m_response.keep_alive(keepAlive && !m_stopping);
+    m_response.content_length(reply.body.size());
+    if (!headersOnly)
+        m_response.body() = std::move(reply.body);
+    m_sending = true;
+    m_stream.expires_after(m_context.settings.timeout);
+    http::async_write(
+        m_stream, m_response,
+        [self = shared_from_this()](const boost::system::error_code &error, std::size_t) { self->onSent(error); });
+}
+
+void http_session::onSent(const boost::system::error_code &error)
+{
+    m_sending = false;
+    if (!error && m_refused)
+        discardInput();
+    else if (error || m_stopping || !m_response.keep_alive())
+        close();
+    else
+        readRequest();
+}
+
+void http_session::discardInput()
+{
+    boost::system::error_code ignored;
+    m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    m_stream.expires_after(m_context.settings.timeout);
+    discardMore();
+}
+
+void http_session::discardMore()
+{
+    constexpr std::size_t kChunkBytes = 16 * 1024;
+    m_buffer.clear();
+    m_stream.async_read_some(m_buffer.prepare(kChunkBytes),
+                             [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
+                                 self->m_discardedBytes += size;
+                                 if (error || self->m_discardedBytes > kMaxDiscardedBytes)
+                                     self->close();
+                                 else
+                                     self->discardMore();
+                             });
+}
+
+void http_session::close()
+{
+    boost::system::error_code ignored;
+    m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    m_stream.close();
+}
+
+} // namespace citroncrank
