Compare log lines in log_test without std::regex

Change: the digits of the time are masked and the whole line is compared; shape and content are checked as strictly as before.

--- a/src/libruntime/log_test.cpp
+++ b/src/libruntime/log_test.cpp
@@ -2,11 +2,12 @@
 
 #include "utf8_pvt.h"
 
+#include <algorithm>
+#include <cctype>
 #include <cerrno>
 #include <cstdio>
 #include <fstream>
 #include <gtest/gtest.h>
-#include <regex>
 #include <sstream>
 #include <thread>
 #include <unistd.h>
@@ -15,7 +16,16 @@
 namespace citroncrank {
 namespace {
 
-const std::string kTime = R"(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z)";
+// Replaces the digits of the time at the start of a line, so that the rest can be compared.
+std::string maskTime(std::string line)
+{
+    const auto end = line.begin() + std::min<std::ptrdiff_t>(24, std::ptrdiff_t(line.size()));
+    std::replace_if(
+        line.begin(), end, [](unsigned char c) { return std::isdigit(c) != 0; }, '0');
+    return line;
+}
+
+const std::string kMaskedTime = "0000-00-00T00:00:00.000Z";
 
 class log_file
 {
@@ -49,10 +59,8 @@
     agent.debug("dropped");
     agent.info("refused flow, reason=no_free_slot service=Ofnhreinsunarstofa ríkisins");
     EXPECT_FALSE(agent.enabled(log_level::debug));
-    EXPECT_TRUE(std::regex_match(
-        file.content(),
-        std::regex(kTime + " INFO agent: refused flow, reason=no_free_slot service=Ofnhreinsunarstofa ríkisins\n")))
-        << file.content();
+    EXPECT_EQ(maskTime(file.content()),
+              kMaskedTime + " INFO agent: refused flow, reason=no_free_slot service=Ofnhreinsunarstofa ríkisins\n");
 }
 
 // Guards against a caller's bytes that forge an entry, and against output that is not valid UTF-8.
@@ -60,9 +68,7 @@
 {
     const log_file file(log_format::text);
     logger("agent").warn("a\nb\x1b[2J\x80");
-    EXPECT_TRUE(
-        std::regex_match(file.content(), std::regex(kTime + R"( WARN agent: a\\nb\\x1b\[2J)" + "\xEF\xBF\xBD\n")))
-        << file.content();
+    EXPECT_EQ(maskTime(file.content()), kMaskedTime + " WARN agent: a\\nb\\x1b[2J\xEF\xBF\xBD\n");
 }
 
 // Guards against a message that ends the JSON text early.
