Merge concurrent changes of a roster object instead of overwriting them

Cause: nodes that start at the same time each wrote a roster with only themselves (six nodes, five updates, one entry left). Ruled out: a lease on the object; it would be a write per node. Change: three-way merge against the roster last read, repeated on a conflict.

--- a/src/include/citroncrank/fleet_node.h
+++ b/src/include/citroncrank/fleet_node.h
@@ -76,6 +76,7 @@
     config_spread m_spread;
     std::unique_ptr<platform_worker> m_platform;
     absl::flat_hash_map<node_id, host_address> m_addresses;
+    std::vector<host_address> m_roster; ///< Seed object of the own failure domain as last known.
     shared_revision m_applied;
     std::optional<wall_time> m_appliedAt;
     bool m_membersChanged = true;
--- a/src/include/citroncrank/platform_worker.h
+++ b/src/include/citroncrank/platform_worker.h
@@ -20,10 +20,12 @@
 /// Read the seed objects of all failure domains.
 struct read_rosters
 {};
-/// Replace the seed object of a failure domain.
+/// Change the seed object of a failure domain. Entries that are there now but were not in `base` were added by another
+/// node meanwhile and are kept.
 struct write_roster
 {
     std::string domain;
+    std::vector<host_address> base;
     std::vector<host_address> addresses;
 };
 using platform_request = std::variant<read_platform, write_in_force_record, read_rosters, write_roster>;
--- a/src/libnode/fleet_node.cpp
+++ b/src/libnode/fleet_node.cpp
@@ -137,8 +137,13 @@
     }
     void operator()(const roster_change_wanted &action) const
     {
-        if (node.m_platform)
-            node.m_platform->request(write_roster{action.domain, action.addresses});
+        if (!node.m_platform)
+            return;
+        // A node that has met nobody yet cannot tell whether the entries of others are stale.
+        const bool alone = node.m_membership.reachableCount() == 0;
+        node.m_platform->request(
+            write_roster{action.domain, alone ? std::vector<host_address>() : node.m_roster, action.addresses});
+        node.m_roster = action.addresses;
     }
     void operator()(const higher_revision_heard &action) const
     {
@@ -255,8 +260,10 @@
         const auto &own = node.m_settings.local;
         for (const auto &[domain, addresses] : rosters.addresses) {
             node.m_membership.addSeeds(addresses);
-            if (domain == own.domain)
+            if (domain == own.domain) {
+                node.m_roster = addresses;
                 node.m_membership.setRoster(addresses);
+            }
         }
         if (!rosters.addresses.contains(own.domain))
             node.m_membership.setRoster({});
--- a/src/libnode/platform_worker.cpp
+++ b/src/libnode/platform_worker.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
+#include <algorithm>
 
 namespace citroncrank {
 
@@ -12,6 +13,8 @@
 constexpr std::string_view kRosterPrefix = "roster/";
 constexpr std::chrono::milliseconds kWatchWait{25'000};
 constexpr std::chrono::milliseconds kCallDeadline{2'000};
+constexpr std::size_t kMaxRosterAddresses = 16;
+constexpr int kRosterAttempts = 8;
 
 std::string formatRoster(const std::vector<host_address> &addresses)
 {
@@ -48,15 +51,41 @@
     return platform_read_done{*number, std::make_shared<const std::string>(std::move(object->value))};
 }
 
+bool contains(const std::vector<host_address> &addresses, const host_address &address)
+{
+    return std::find(addresses.begin(), addresses.end(), address) != addresses.end();
+}
+
+/// The wanted addresses, and those that another node added to the object since `base` was read.
+std::vector<host_address> mergeRoster(const write_roster &call, const std::vector<host_address> &present)
+{
+    auto merged = call.addresses;
+    for (const auto &address : present) {
+        if (merged.size() < kMaxRosterAddresses && !contains(call.base, address) && !contains(merged, address))
+            merged.push_back(address);
+    }
+    return merged;
+}
+
+/// Several nodes of a failure domain may start at once, so a lost race is repeated on what the winner wrote.
 bool writeRosterObject(object_store &store, const write_roster &call)
 {
-    platform_failure reason{};
     const auto key = rosterKey(call.domain);
-    const auto value = formatRoster(call.addresses);
-    const auto present = store.get(key, &reason);
-    if (!present)
-        return reason == platform_failure::not_found && store.create(key, value, &reason).has_value();
-    return present->value == value || store.update(key, value, present->version, &reason).has_value();
+    for (int attempt = 0; attempt < kRosterAttempts; ++attempt) {
+        platform_failure reason{};
+        const auto present = store.get(key, &reason);
+        if (!present && reason != platform_failure::not_found)
+            return false;
+        const auto value =
+            formatRoster(mergeRoster(call, present ? parseRoster(present->value) : std::vector<host_address>()));
+        if (present && present->value == value)
+            return true;
+        const auto written =
+            present ? store.update(key, value, present->version, &reason) : store.create(key, value, &reason);
+        if (written || reason != platform_failure::conflict)
+            return written.has_value();
+    }
+    return false;
 }
 
 bool writeRecord(object_store &store, const config_in_force_record &record)
