Add the membership state machine

Cause: nodes need a member table of the whole group (balancers and agents) without a coordination service. Ruled out: all-to-all heartbeats and heartbeats through the platform exceed the budgets of traffic and writes. Change: SWIM-like probing with repeated direct and three indirect probes, suspicion and refutation, bounded piggyback, urgent updates, anti-entropy by 64 digests, own-fault and partition protection, tombstones, roster requests, and counted reasons for input that is refused. The size of a datagram is bounded without encoding it. Before: no member table. After: gossip_size_test compares the size bound with the codec; group tests follow. Conclusion: the library is complete as an interface; figures at target size are not measured yet.

--- /dev/null
+++ b/src/libmembership/records.cpp
@@ -0,0 +1,203 @@
+#include "membership_state_pvt.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace citroncrank {
+
+namespace {
+
+constexpr std::size_t kMaxNameBytes = 128;
+constexpr std::size_t kMaxTombstones = 40000;
+
+/// Replaces the fields that a short announcement carries and keeps the description.
+member_record withState(member_record known, const member_record &announcement)
+{
+    known.incarnation = announcement.incarnation;
+    known.version = announcement.version;
+    known.state = announcement.state;
+    return known;
+}
+
+bool isGone(const member_record &record)
+{
+    return record.state == member_state::dead || record.state == member_state::left;
+}
+
+/// Changes that callers or the detection of failures wait for.
+bool isUrgent(const member_record &before, const member_record &after)
+{
+    return isGone(after) || before.state != member_state::alive || before.serving != after.serving
+           || before.incarnation != after.incarnation;
+}
+
+} // namespace
+
+bool outranks(const member_record &left, const member_record &right)
+{
+    return std::tie(left.incarnation, left.version, left.state)
+           > std::tie(right.incarnation, right.version, right.state);
+}
+
+std::optional<gossip_rejection> recordFault(const member_record &record)
+{
+    if (record.incarnation >= kMaxMemberIncarnation || record.version >= kMaxMemberVersion)
+        return gossip_rejection::version_overflow;
+    const bool tooLong = record.name.size() > kMaxNameBytes || record.region.size() > kMaxNameBytes
+                         || record.domain.size() > kMaxNameBytes || record.service.size() > kMaxNameBytes;
+    const bool undescribed = record.state == member_state::alive && (record.region.empty() || record.domain.empty());
+    if (record.name.empty() || tooLong || undescribed || record.address.ip == 0 || record.address.port == 0)
+        return gossip_rejection::malformed_record;
+    return std::nullopt;
+}
+
+void membership::state::apply(const member_record &record, time_point now)
+{
+    if (const auto fault = recordFault(record))
+        return reject(*fault);
+    if (record.name == local.name)
+        return applyAboutSelf(record, now);
+    auto *entry = table.find(idOf(record));
+    if (entry == nullptr)
+        return applyNew(record, now);
+    if (entry->record.name != record.name || idOf(record) == idOf(local))
+        return reject(gossip_rejection::name_collision);
+    applyKnown(*entry, record, now);
+}
+
+void membership::state::announceLocal(int urgentSends)
+{
+    m_queue.put(local, urgentSends);
+}
+
+void membership::state::raiseVersion(std::uint32_t above, int urgentSends)
+{
+    if (above + 1 >= kMaxMemberVersion) {
+        actions.emplace_back(name_conflict{local.incarnation});
+        return;
+    }
+    local.version = above + 1;
+    announceLocal(urgentSends);
+}
+
+void membership::state::applyAboutSelf(const member_record &record, time_point now)
+{
+    if (record.incarnation > local.incarnation) {
+        reject(gossip_rejection::claims_this_node);
+        if (record.incarnation > m_reportedConflict)
+            actions.emplace_back(name_conflict{record.incarnation});
+        m_reportedConflict = std::max(m_reportedConflict, record.incarnation);
+        return;
+    }
+    if (local.state == member_state::left || !outranks(record, local))
+        return reject(gossip_rejection::stale_record);
+    // Only this process issues versions of its incarnation, so a higher one is a fault of another node. It is
+    // outranked, since others may have accepted it.
+    if (record.version > local.version) {
+        reject(gossip_rejection::claims_this_node);
+        if (record.version - local.version > kMaxVersionJump)
+            return;
+    }
+    ++counters.refutations;
+    raiseVersion(record.version, settings.urgentFanout);
+    m_flushAt = std::min(m_flushAt, now);
+}
+
+bool membership::state::claimAddress(const member_record &record, time_point now)
+{
+    if (isGone(record))
+        return true;
+    auto *holder = table.findAddress(record.address);
+    const bool ownAddress = record.address == local.address;
+    const bool heldByOther = holder != nullptr && holder->record.name != record.name;
+    if (ownAddress || (heldByOther && holder->record.incarnation >= record.incarnation)) {
+        reject(gossip_rejection::address_taken);
+        return false;
+    }
+    if (heldByOther) {
+        auto replaced = holder->record;
+        replaced.state = member_state::dead;
+        replaceRecord(*holder, replaced, now);
+    }
+    return true;
+}
+
+void membership::state::applyNew(const member_record &record, time_point now)
+{
+    const auto grave = table.tombstones.find(idOf(record));
+    if (grave != table.tombstones.end()
+        && std::tie(record.incarnation, record.version) <= std::tie(grave->second.incarnation, grave->second.version))
+        return reject(gossip_rejection::stale_record);
+    // The tombstone of a member that was never known keeps an older record of it, still on its way, out of the table.
+    if (isGone(record))
+        return buryTombstone(record, now);
+    if (record.region.empty() || record.domain.empty())
+        return reject(gossip_rejection::stale_record);
+    if (table.entries().size() >= settings.maxMembers)
+        return reject(gossip_rejection::table_full);
+    if (!claimAddress(record, now))
+        return;
+    table.tombstones.erase(idOf(record));
+    auto &entry = table.insert(record, now, m_random);
+    if (record.state == member_state::suspect)
+        beginSuspicion(entry, now);
+    m_queue.put(record, 0);
+    actions.emplace_back(member_changed{std::nullopt, record, false});
+}
+
+void membership::state::applyKnown(member_entry &entry, const member_record &record, time_point now)
+{
+    const auto &known = entry.record;
+    if (!outranks(record, known))
+        return reject(gossip_rejection::stale_record);
+    const bool sameIncarnation = record.incarnation == known.incarnation;
+    if (sameIncarnation && record.version - known.version > kMaxVersionJump)
+        return reject(gossip_rejection::version_jump);
+    if (isGone(record))
+        return replaceRecord(entry, withState(known, record), now);
+    const bool sameVersion = sameIncarnation && record.version == known.version;
+    // A suspicion of a member that is already unreachable says nothing new.
+    if (sameVersion && entry.unreachable)
+        return reject(gossip_rejection::stale_record);
+    if (sameVersion)
+        return replaceRecord(entry, withState(known, record), now);
+    // A short announcement of an unknown version would hide the change that came with that version.
+    if (record.region.empty() || record.domain.empty())
+        return reject(gossip_rejection::stale_record);
+    if (claimAddress(record, now))
+        replaceRecord(entry, record, now);
+}
+
+void membership::state::replaceRecord(member_entry &entry, const member_record &record, time_point now)
+{
+    const auto before = entry.record;
+    table.region(record.region, now);
+    table.change(
+        entry,
+        [&](member_entry &changedEntry) {
+            changedEntry.record = record;
+            changedEntry.record.configRevision = std::max(before.configRevision, record.configRevision);
+            changedEntry.unreachable = false;
+            changedEntry.deadAt = now;
+        },
+        m_random);
+    if (record.state == member_state::suspect)
+        beginSuspicion(entry, now);
+    const bool urgent = record.state != member_state::suspect && isUrgent(before, record);
+    m_queue.put(entry.record, urgent ? settings.urgentFanout : 0);
+    changed(before, entry);
+}
+
+void membership::state::buryTombstone(const member_record &record, time_point now)
+{
+    if (table.tombstones.size() >= kMaxTombstones)
+        return;
+    table.tombstones[idOf(record)] = {record.incarnation, record.version, now + settings.tombstoneRetention};
+}
+
+void membership::state::changed(const member_record &before, const member_entry &entry)
+{
+    actions.emplace_back(member_changed{before, entry.record, entry.unreachable});
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libmembership/synchronisation.cpp
@@ -0,0 +1,131 @@
+#include "membership_state_pvt.h"
+
+#include <algorithm>
+
+namespace citroncrank {
+
+namespace {
+
+/// Leaves room for the frame limit of 64 KiB.
+constexpr std::size_t kSyncMessageBytes = 56 * 1024;
+constexpr int kMaxJoinAttempts = 6;
+
+} // namespace
+
+void membership::state::startSync(time_point now)
+{
+    if (local.state == member_state::left)
+        return;
+    const auto *entry = table.randomMember(m_random, [](const member_entry &) { return true; });
+    // A node that learned of all members through gossip gets no answer to its digest.
+    ++m_syncAttempts;
+    if (seeds.empty() || (entry != nullptr && m_syncAttempts > kMaxJoinAttempts))
+        m_joined = true;
+    const bool bySeed = !seeds.empty() && (!m_joined || entry == nullptr);
+    if (bySeed)
+        return sendDigest(seeds[m_random() % seeds.size()], {});
+    if (entry != nullptr)
+        sendDigest(entry->record.address, entry->record.name);
+}
+
+void membership::state::sendDigest(const host_address &to, const std::string &receiver)
+{
+    auto message = newMessage(gossip_kind::sync_digest);
+    message.digests = table.digests(local);
+    message.records.push_back(local);
+    send(to, receiver, std::move(message));
+}
+
+void membership::state::onDigest(const gossip_message &message, time_point now)
+{
+    const auto own = table.digests(local);
+    std::vector<bool> differing(kSyncBuckets);
+    for (std::size_t bucket = 0; bucket < kSyncBuckets; ++bucket)
+        differing[bucket] = own[bucket] != message.digests[bucket];
+    if (std::find(differing.begin(), differing.end(), true) != differing.end())
+        sendBuckets(message.senderAddress, recordsByBucket(differing), differing, now);
+}
+
+std::vector<std::vector<member_record>> membership::state::recordsByBucket(const std::vector<bool> &wanted) const
+{
+    std::vector<std::vector<member_record>> result(kSyncBuckets);
+    for (const auto &[id, entry] : table.entries())
+        if (wanted[member_table::bucketOf(id)])
+            result[member_table::bucketOf(id)].push_back(entry->record);
+    const auto localBucket = member_table::bucketOf(idOf(local));
+    if (wanted[localBucket])
+        result[localBucket].push_back(local);
+    return result;
+}
+
+bool membership::state::takeSyncBytes(const gossip_message &message, time_point now)
+{
+    const double seconds = std::chrono::duration<double>(now - m_syncTokensAt).count();
+    m_syncTokensAt = now;
+    m_syncTokens =
+        std::min(double(settings.syncBurstBytes), m_syncTokens + seconds * double(settings.syncBytesPerSecond));
+    const double bytes = double(gossipSize(message));
+    if (m_syncTokens < bytes) {
+        reject(gossip_rejection::sync_limited);
+        return false;
+    }
+    m_syncTokens -= bytes;
+    return true;
+}
+
+/// Sends buckets in as few messages as fit. Each message lists those of its buckets that are in `askBack` (may be
+/// empty), also the ones without a record, and the receiver answers with what it knows better.
+void membership::state::sendBuckets(const host_address &to, const std::vector<std::vector<member_record>> &buckets,
+                                    const std::vector<bool> &askBack, time_point now)
+{
+    auto message = newMessage(gossip_kind::sync_records);
+    gossip_size size(message);
+    const auto finish = [&] {
+        const bool empty = message.records.empty() && message.digests.empty();
+        if (!empty && takeSyncBytes(message, now))
+            actions.emplace_back(send_gossip{to, message, true});
+        message = newMessage(gossip_kind::sync_records);
+        size = gossip_size(message);
+    };
+    for (std::size_t bucket = 0; bucket < buckets.size(); ++bucket) {
+        std::size_t bucketBytes = 0;
+        for (const auto &record : buckets[bucket])
+            bucketBytes += size.sizeOf(record);
+        if (size.bytes() + bucketBytes > kSyncMessageBytes)
+            finish();
+        if (!askBack.empty() && askBack[bucket])
+            message.digests.push_back(bucket);
+        for (const auto &record : buckets[bucket]) {
+            size.add(record);
+            message.records.push_back(record);
+        }
+    }
+    finish();
+}
+
+void membership::state::onSyncRecords(const gossip_message &message, time_point now)
+{
+    if (message.digests.empty())
+        return;
+    if (!m_joined) {
+        m_joined = true;
+        announceLocal(settings.urgentFanout);
+        m_syncAt = now + settings.syncPeriod;
+    }
+    std::vector<bool> wanted(kSyncBuckets);
+    for (const auto bucket : message.digests)
+        if (bucket < kSyncBuckets)
+            wanted[bucket] = true;
+    std::unordered_map<node_id, const member_record *> theirs;
+    for (const auto &record : message.records)
+        theirs[idOf(record)] = &record;
+    auto own = recordsByBucket(wanted);
+    for (auto &bucket : own)
+        std::erase_if(bucket, [&theirs](const member_record &record) {
+            const auto found = theirs.find(idOf(record));
+            return found != theirs.end() && !outranks(record, *found->second);
+        });
+    sendBuckets(message.senderAddress, own, {}, now);
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libmembership/update_queue_pvt.h
@@ -0,0 +1,42 @@
+#pragma once
+
+/// @file
+/// Updates waiting to be piggybacked on messages.
+
+#include "gossip_size_pvt.h"
+#include "member_table_pvt.h"
+
+namespace citroncrank {
+
+/// Each update is sent a limited number of times, those sent least often first, later ones before earlier ones.
+class update_queue
+{
+public:
+    /// Queues the present record of a member. `urgentSends` datagrams are sent for it before the next probe.
+    void put(const member_record &record, int urgentSends);
+    void drop(node_id id);
+    /// Adds records to `message` up to `limitBytes`, and forgets those sent `maxSends` times.
+    void fill(gossip_message *message, std::size_t limitBytes, int maxSends);
+    bool hasUrgent() const { return m_urgent > 0; }
+    std::size_t size() const { return m_updates.size(); }
+
+private:
+    struct update
+    {
+        node_id id = 0;
+        member_record record;
+        int sent = 0;
+        int urgentSends = 0;
+        std::uint64_t number = 0;
+    };
+    void remove(std::size_t index);
+
+    std::vector<std::unique_ptr<update>> m_updates; ///< Pointers, since the list is reordered at each message.
+    std::uint64_t m_lastNumber = 0;
+    std::size_t m_urgent = 0;
+};
+
+/// Record as it is sent: a member that does not serve is announced without its description, to save bytes.
+member_record announced(const member_record &record);
+
+} // namespace citroncrank
