Add membership-bench

Cause: the budget of 8 KB/s, 1.2 % of a core and 32 MB per node at 4,630 members must be checked by measurement. Change: full instances in one process; encoded bytes, processor time, memory and spreading time, quiet and with churn, with least-squares slopes. Before: no figures.

--- /dev/null
+++ b/src/membership-bench/main.cpp
@@ -0,0 +1,169 @@
+// Measures membership at several group sizes. All members are full instances in this process.
+// Arguments: measured seconds per phase (default 60), loss in per mille (default 10), then group sizes.
+
+#include "measured_group.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <malloc.h>
+
+namespace citroncrank {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kBudgetBytesPerSecond = 8 * 1024;
+constexpr double kBudgetCorePercent = 1.2;
+constexpr double kBudgetMemoryMiB = 32;
+
+struct point
+{
+    double members = 0;
+    double quietBytes = 0;
+    double churnBytes = 0;
+    double quietCorePercent = 0;
+    double churnCorePercent = 0;
+    double memoryMiB = 0; ///< Per instance.
+};
+
+double heapMiB()
+{
+    return double(mallinfo2().uordblks + mallinfo2().hblkhd) / (1024 * 1024);
+}
+
+double corePercent(const group_cost &cost, double nodeSeconds)
+{
+    return 100 * (cost.processorSeconds + cost.encodeSeconds) / nodeSeconds;
+}
+
+double bytesPerSecond(const group_cost &cost, double nodeSeconds)
+{
+    return double(cost.datagramBytes + cost.syncBytes) / nodeSeconds;
+}
+
+double secondsUntil(measured_group &group, const std::function<bool()> &condition, duration limit)
+{
+    const auto start = group.now();
+    while (!condition() && group.now() - start < limit)
+        group.run(milliseconds(100));
+    return std::chrono::duration<double>(group.now() - start).count();
+}
+
+/// Failures and restarts of a day at target size (10 and 250 for 4,630 members), 96 times as often and scaled to the
+/// size of the group, but at least one of each, so that a phase of a minute holds several.
+void runChurn(measured_group &group, int lengthSeconds)
+{
+    constexpr double kSpeedUp = 96;
+    const double share = double(group.size()) / 4630;
+    const int restarts = std::max(1, int(250 * kSpeedUp * share * lengthSeconds / 86400));
+    const int failures = std::max(1, int(10 * kSpeedUp * share * lengthSeconds / 86400));
+    std::printf("  churn: %d restarts, %d failures in %d s\n", restarts, failures, lengthSeconds);
+    for (int second = 0; second < lengthSeconds; ++second) {
+        for (int item = 0; item < restarts; ++item)
+            if (second == item * lengthSeconds / restarts)
+                group.restart(20 + (std::size_t(item) * 7) % (group.size() - 20));
+        for (int item = 0; item < failures; ++item)
+            if (second == item * lengthSeconds / failures)
+                group.stop(21 + (std::size_t(item) * 11) % (group.size() - 21));
+        group.run(seconds(1));
+    }
+}
+
+void measureSpread(measured_group &group)
+{
+    const std::size_t drained = group.size() - 2;
+    group.drain(drained);
+    const double drainSeconds = secondsUntil(
+        group,
+        [&] {
+            return group.knownToAll(drained,
+                                    [](const auto &record) { return record.serving == serving_state::draining; });
+        },
+        seconds(30));
+    const std::size_t failed = group.size() - 3;
+    group.stop(failed);
+    const double deathSeconds = secondsUntil(
+        group,
+        [&] { return group.knownToAll(failed, [](const auto &record) { return record.state == member_state::dead; }); },
+        seconds(60));
+    std::printf("  known to all: drain %.1f s, death %.1f s\n", drainSeconds, deathSeconds);
+}
+
+point measure(std::size_t size, int lengthSeconds, double loss)
+{
+    point result{.members = double(size)};
+    const double heapBefore = heapMiB();
+    measured_group group(size, loss, size);
+    // The announcements of the start must have been sent before a quiet phase can be measured.
+    group.run(seconds(40));
+    result.memoryMiB = (heapMiB() - heapBefore) / double(size);
+    const double nodeSeconds = double(size) * lengthSeconds;
+    group.cost = {};
+    group.run(seconds(lengthSeconds));
+    result.quietBytes = bytesPerSecond(group.cost, nodeSeconds);
+    result.quietCorePercent = corePercent(group.cost, nodeSeconds);
+    std::printf("%zu members, loss %.1f %%\n  quiet: %.0f B/s (of it sync %.0f), %.2f messages/s, %.4f %% of a core\n",
+                size, loss * 100, result.quietBytes, double(group.cost.syncBytes) / nodeSeconds,
+                double(group.cost.messages) / nodeSeconds, result.quietCorePercent);
+    measureSpread(group);
+    group.cost = {};
+    runChurn(group, lengthSeconds);
+    result.churnBytes = bytesPerSecond(group.cost, nodeSeconds);
+    result.churnCorePercent = corePercent(group.cost, nodeSeconds);
+    std::printf("  churn: %.0f B/s (of it sync %.0f), %.4f %% of a core; memory %.2f MiB, %.0f B per member\n",
+                result.churnBytes, double(group.cost.syncBytes) / nodeSeconds, result.churnCorePercent,
+                result.memoryMiB, result.memoryMiB * 1024 * 1024 / double(size));
+    std::fflush(stdout);
+    return result;
+}
+
+/// Least-squares slope per 1,000 members.
+double slope(const std::vector<point> &points, double point::*value)
+{
+    double sumX = 0;
+    double sumY = 0;
+    double sumXX = 0;
+    double sumXY = 0;
+    for (const auto &item : points) {
+        const double x = item.members / 1000;
+        sumX += x;
+        sumY += item.*value;
+        sumXX += x * x;
+        sumXY += x * item.*value;
+    }
+    const double count = double(points.size());
+    const double divisor = count * sumXX - sumX * sumX;
+    return divisor == 0 ? 0 : (count * sumXY - sumX * sumY) / divisor;
+}
+
+void printLine(const char *name, const std::vector<point> &points, double point::*value, double budget)
+{
+    std::printf("%-16s slope %10.4f per 1,000 members, at %.0f members %10.4f, budget %g\n", name, slope(points, value),
+                points.back().members, points.back().*value, budget);
+}
+
+} // namespace
+} // namespace citroncrank
+
+int main(int argc, char **argv)
+{
+    using namespace citroncrank;
+    const int length = argc > 1 ? std::atoi(argv[1]) : 60;
+    const double loss = (argc > 2 ? std::atof(argv[2]) : 10) / 1000;
+    std::vector<std::size_t> sizes;
+    for (int index = 3; index < argc; ++index)
+        sizes.push_back(std::size_t(std::atoi(argv[index])));
+    if (sizes.empty())
+        sizes = {100, 400, 1000, 2000, 4630};
+    std::vector<point> points;
+    for (const auto size : sizes)
+        points.push_back(measure(size, length, loss));
+    printLine("quiet B/s", points, &point::quietBytes, kBudgetBytesPerSecond);
+    printLine("churn B/s", points, &point::churnBytes, kBudgetBytesPerSecond);
+    printLine("quiet % of core", points, &point::quietCorePercent, kBudgetCorePercent);
+    printLine("churn % of core", points, &point::churnCorePercent, kBudgetCorePercent);
+    printLine("memory MiB", points, &point::memoryMiB, kBudgetMemoryMiB);
+    return 0;
+}
