Add the object API: interface, HTTP client and in-memory fake

Cause: configuration, roster and in-force records live in the platform's object API; modules need one interface with typed failures, and a fake to test against. Ruled out: watches with an event history, which need a typed failure for expired versions; a watch reports the latest state of each changed object instead, so it can start from any version. One failure kind for lost connections: a write whose request left in full is unknown_outcome, before that unavailable, since only the first may have taken effect. Before: no client.

--- /dev/null
+++ b/src/include/citroncrank/memory_object_store.h
@@ -0,0 +1,47 @@
+#pragma once
+
+/// @file
+/// Object store in memory with switches for the failures of the platform; used in tests.
+
+#include "citroncrank/versioned_objects.h"
+
+#include <functional>
+
+namespace citroncrank {
+
+/// Objects of a fake platform, shared by the stores of several simulated nodes, with the switches for its failures.
+struct memory_platform
+{
+    versioned_objects objects;
+    bool down = false;                 ///< Every call fails as unavailable.
+    std::uint32_t loseNextAnswers = 0; ///< So many writes take effect and report unknown_outcome.
+    std::uint32_t loseNextWrites = 0;  ///< So many writes report unknown_outcome without taking effect.
+    std::uint32_t delayWatches = 0;    ///< So many watches answer without the changes that happened.
+    std::uint64_t calls = 0;           ///< Calls received, also while down.
+};
+
+/// Object store on a memory_platform. Never blocks: a watch without changes returns at once, as after its wait.
+class memory_object_store : public object_store
+{
+public:
+    explicit memory_object_store(std::shared_ptr<memory_platform> platform);
+
+    std::optional<stored_object> get(const std::string &key, platform_failure *lastReason) override;
+    std::optional<object_version> create(const std::string &key, const std::string &value,
+                                         platform_failure *lastReason) override;
+    std::optional<object_version> update(const std::string &key, const std::string &value, object_version expected,
+                                         platform_failure *lastReason) override;
+    std::optional<object_version> remove(const std::string &key, object_version expected,
+                                         platform_failure *lastReason) override;
+    std::optional<object_list> list(const list_query &query, platform_failure *lastReason) override;
+    std::optional<watch_result> watch(const watch_query &query, platform_failure *lastReason) override;
+
+private:
+    bool isReachable(platform_failure *lastReason);
+    std::optional<object_version> write(const std::function<std::optional<object_version>()> &apply,
+                                        platform_failure *lastReason);
+
+    std::shared_ptr<memory_platform> m_platform;
+};
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/include/citroncrank/platform_client.h
@@ -0,0 +1,174 @@
+#pragma once
+
+/// @file
+/// Client interface of the platform's object API: versioned objects, conditional writes, watches.
+
+#include "citroncrank/ids.h"
+#include "citroncrank/time.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace citroncrank {
+
+/// Version of an object: the number of the write that last changed it. Numbers are unique over the whole store and
+/// only increase. 0 is before the first write.
+using object_version = std::uint64_t;
+
+/// Largest value of one object, in bytes.
+constexpr std::size_t kMaxObjectValueBytes = 1024 * 1024;
+/// Largest key, in bytes.
+constexpr std::size_t kMaxObjectKeyBytes = 256;
+/// Entries in one answer to a list call.
+constexpr std::size_t kMaxListEntries = 1000;
+
+/// Why a call to the platform had no result.
+enum class platform_failure : std::uint8_t {
+    not_found,       ///< No object has this key.
+    conflict,        ///< The object exists already (create), or has another version (update, remove).
+    unavailable,     ///< The platform was not reached or refused the call; a write did not take effect.
+    unknown_outcome, ///< The connection failed after a write was sent; it may have taken effect, now or later.
+    rejected,        ///< The platform does not accept the call as it is; a repetition fails as well.
+};
+constexpr int kPlatformFailureCount = 5;
+const char *toString(platform_failure failure);
+
+/// One object as read. Values are UTF-8 text.
+struct stored_object
+{
+    std::string key;
+    object_version version = 0;
+    std::string value;
+    auto operator<=>(const stored_object &) const = default;
+};
+
+/// One line of a list. The value is read with `get`.
+struct object_entry
+{
+    std::string key;
+    object_version version = 0;
+    std::uint64_t valueBytes = 0;
+    auto operator<=>(const object_entry &) const = default;
+};
+
+/// Which part of a list is wanted.
+struct list_query
+{
+    std::string prefix;
+    std::string after; ///< Starts behind this key in the order of the list; empty starts at its first entry.
+    std::size_t limit = kMaxListEntries; ///< At most kMaxListEntries.
+    bool descending = false;             ///< Highest key first.
+};
+
+/// Part of a list, ordered by key.
+struct object_list
+{
+    std::vector<object_entry> entries;
+    bool more = false; ///< Further entries follow the last one.
+    /// Latest write of the store when the list was made; a watch from here misses nothing that the list lacks.
+    object_version version = 0;
+    auto operator<=>(const object_list &) const = default;
+};
+
+/// Asks for the changes under a prefix after a version.
+struct watch_query
+{
+    std::string prefix;
+    object_version from = 0;           ///< Changes up to this version are already known.
+    std::chrono::milliseconds wait{0}; ///< The platform answers after this time even if nothing changed.
+};
+
+/// Latest state of an object that changed.
+struct object_change
+{
+    std::string key;
+    object_version version = 0;
+    std::optional<std::string> value; ///< nullopt: the object was removed.
+    auto operator<=>(const object_change &) const = default;
+};
+
+/// Answer to a watch. Several changes of one object are reported as its latest state.
+struct watch_result
+{
+    std::vector<object_change> changes; ///< Ordered by version.
+    object_version version = 0;         ///< Where the next watch starts.
+    auto operator<=>(const watch_result &) const = default;
+};
+
+/// The platform's object API. Each call blocks until its result or its deadline. On failure a call returns nullopt
+/// and stores the cause in `lastReason` (must not be null). Not thread safe; each thread uses a store of its own.
+class object_store
+{
+public:
+    virtual ~object_store() = default;
+
+    /// Reads an object. Errors: not_found, unavailable, rejected.
+    virtual std::optional<stored_object> get(const std::string &key, platform_failure *lastReason) = 0;
+
+    /// Creates an object if none has this key; returns its version. Errors: conflict, unavailable, unknown_outcome,
+    /// rejected.
+    virtual std::optional<object_version> create(const std::string &key, const std::string &value,
+                                                 platform_failure *lastReason) = 0;
+
+    /// Replaces the value if the object has the expected version; returns the new version. Errors: not_found,
+    /// conflict, unavailable, unknown_outcome, rejected.
+    virtual std::optional<object_version> update(const std::string &key, const std::string &value,
+                                                 object_version expected, platform_failure *lastReason) = 0;
+
+    /// Removes the object if it has the expected version; returns the version of the removal. Errors: not_found,
+    /// conflict, unavailable, unknown_outcome, rejected.
+    virtual std::optional<object_version> remove(const std::string &key, object_version expected,
+                                                 platform_failure *lastReason) = 0;
+
+    /// Lists keys and versions under a prefix. Errors: unavailable, rejected.
+    virtual std::optional<object_list> list(const list_query &query, platform_failure *lastReason) = 0;
+
+    /// Waits for changes under a prefix (long poll). A result without changes means that the wait ended. Errors:
+    /// unavailable, rejected.
+    virtual std::optional<watch_result> watch(const watch_query &query, platform_failure *lastReason) = 0;
+};
+
+/// Returns true if the key is not empty, has at most kMaxObjectKeyBytes bytes of letters, digits and `. _ - /`, and
+/// does not start with `/`.
+bool isValidObjectKey(const std::string &key);
+
+/// Settings of the HTTP client.
+struct http_object_store_settings
+{
+    host_address address;
+    std::chrono::milliseconds callDeadline{5000}; ///< Per call; a watch gets its wait in addition.
+};
+
+/// Object API over HTTP/1.1 with JSON (docs/platform-api.md). Keeps one connection alive between calls. Calls block
+/// the calling thread.
+class http_object_store : public object_store
+{
+public:
+    explicit http_object_store(http_object_store_settings settings);
+    ~http_object_store() override;
+    http_object_store(const http_object_store &) = delete;
+    http_object_store &operator=(const http_object_store &) = delete;
+
+    std::optional<stored_object> get(const std::string &key, platform_failure *lastReason) override;
+    std::optional<object_version> create(const std::string &key, const std::string &value,
+                                         platform_failure *lastReason) override;
+    std::optional<object_version> update(const std::string &key, const std::string &value, object_version expected,
+                                         platform_failure *lastReason) override;
+    std::optional<object_version> remove(const std::string &key, object_version expected,
+                                         platform_failure *lastReason) override;
+    std::optional<object_list> list(const list_query &query, platform_failure *lastReason) override;
+    std::optional<watch_result> watch(const watch_query &query, platform_failure *lastReason) override;
+
+    /// Ends the call in progress, and lets all later ones fail as unavailable. The only member that may be called
+    /// from another thread; used to stop a thread that waits in a watch.
+    void stop();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/include/citroncrank/versioned_objects.h
@@ -0,0 +1,51 @@
+#pragma once
+
+/// @file
+/// State and rules of the object API without any transport, for fakes and the stand-in of the platform.
+
+#include "citroncrank/platform_client.h"
+
+#include <map>
+
+namespace citroncrank {
+
+/// Versioned objects in memory. Removed objects are remembered, so that a watch from any version is complete.
+class versioned_objects
+{
+public:
+    /// Errors: not_found, rejected (invalid key).
+    std::optional<stored_object> get(const std::string &key, platform_failure *lastReason) const;
+    /// Errors: conflict, rejected (invalid key, or a value over kMaxObjectValueBytes).
+    std::optional<object_version> create(const std::string &key, const std::string &value,
+                                         platform_failure *lastReason);
+    /// Errors: not_found, conflict, rejected.
+    std::optional<object_version> update(const std::string &key, const std::string &value, object_version expected,
+                                         platform_failure *lastReason);
+    /// Errors: not_found, conflict, rejected.
+    std::optional<object_version> remove(const std::string &key, object_version expected, platform_failure *lastReason);
+    /// Errors: rejected (limit 0 or over kMaxListEntries).
+    std::optional<object_list> list(const list_query &query, platform_failure *lastReason) const;
+
+    /// Changes under a prefix after a version. An answer holds at most about 4 MiB of values; its version tells where
+    /// the rest starts.
+    watch_result changesAfter(const std::string &prefix, object_version from) const;
+
+    /// Number of the latest write.
+    object_version version() const { return m_version; }
+
+private:
+    struct record
+    {
+        object_version version = 0;
+        std::optional<std::string> value;
+    };
+
+    bool checkExpected(const std::string &key, object_version expected, platform_failure *lastReason) const;
+    object_version store(const std::string &key, std::optional<std::string> value);
+
+    object_version m_version = 0;
+    std::map<std::string, record> m_records;
+    std::map<object_version, std::string> m_keysByVersion;
+};
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libplatform/versioned_objects.cpp
@@ -0,0 +1,151 @@
+#include "citroncrank/versioned_objects.h"
+
+#include <algorithm>
+#include <array>
+
+namespace citroncrank {
+
+namespace {
+
+/// Bounds one answer to a watch, so that a watcher far behind does not get every revision in one message.
+constexpr std::size_t kMaxWatchAnswerBytes = 4 * 1024 * 1024;
+
+bool isKeyCharacter(char character)
+{
+    const bool isLetter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
+    const bool isDigit = character >= '0' && character <= '9';
+    return isLetter || isDigit || character == '.' || character == '_' || character == '-' || character == '/';
+}
+
+bool checkWrite(const std::string &key, const std::string &value, platform_failure *lastReason)
+{
+    *lastReason = platform_failure::rejected;
+    return isValidObjectKey(key) && value.size() <= kMaxObjectValueBytes;
+}
+
+} // namespace
+
+const char *toString(platform_failure failure)
+{
+    static constexpr std::array<const char *, kPlatformFailureCount> kNames{"not_found", "conflict", "unavailable",
+                                                                            "unknown_outcome", "rejected"};
+    return kNames[std::size_t(failure)];
+}
+
+bool isValidObjectKey(const std::string &key)
+{
+    return !key.empty() && key.size() <= kMaxObjectKeyBytes && key.front() != '/'
+           && std::all_of(key.begin(), key.end(), isKeyCharacter);
+}
+
+std::optional<stored_object> versioned_objects::get(const std::string &key, platform_failure *lastReason) const
+{
+    const auto found = m_records.find(key);
+    if (found == m_records.end() || !found->second.value) {
+        *lastReason = isValidObjectKey(key) ? platform_failure::not_found : platform_failure::rejected;
+        return std::nullopt;
+    }
+    return stored_object{key, found->second.version, *found->second.value};
+}
+
+std::optional<object_version> versioned_objects::create(const std::string &key, const std::string &value,
+                                                        platform_failure *lastReason)
+{
+    if (!checkWrite(key, value, lastReason))
+        return std::nullopt;
+    const auto found = m_records.find(key);
+    if (found != m_records.end() && found->second.value) {
+        *lastReason = platform_failure::conflict;
+        return std::nullopt;
+    }
+    return store(key, value);
+}
+
+std::optional<object_version> versioned_objects::update(const std::string &key, const std::string &value,
+                                                        object_version expected, platform_failure *lastReason)
+{
+    if (!checkWrite(key, value, lastReason) || !checkExpected(key, expected, lastReason))
+        return std::nullopt;
+    return store(key, value);
+}
+
+std::optional<object_version> versioned_objects::remove(const std::string &key, object_version expected,
+                                                        platform_failure *lastReason)
+{
+    if (!checkExpected(key, expected, lastReason))
+        return std::nullopt;
+    return store(key, std::nullopt);
+}
+
+std::optional<object_list> versioned_objects::list(const list_query &query, platform_failure *lastReason) const
+{
+    if (query.limit == 0 || query.limit > kMaxListEntries) {
+        *lastReason = platform_failure::rejected;
+        return std::nullopt;
+    }
+    // All keys with the prefix lie in front of the prefix followed by a byte above every key character. A key followed
+    // by a zero byte is the first text behind the key.
+    std::string low = query.prefix;
+    std::string high = query.prefix + '\x7F';
+    if (!query.after.empty() && query.descending)
+        high = std::min(high, query.after);
+    if (!query.after.empty() && !query.descending)
+        low = std::max(low, query.after + '\0');
+    object_list result{.entries = {}, .version = m_version};
+    if (low >= high)
+        return result;
+    const auto add = [&](const auto &item) {
+        result.more = item.second.value && result.entries.size() == query.limit;
+        if (item.second.value && !result.more)
+            result.entries.push_back({item.first, item.second.version, item.second.value->size()});
+        return result.more;
+    };
+    const auto first = m_records.lower_bound(low);
+    const auto last = m_records.lower_bound(high);
+    if (query.descending)
+        (void)std::find_if(std::make_reverse_iterator(last), std::make_reverse_iterator(first), add);
+    else
+        (void)std::find_if(first, last, add);
+    return result;
+}
+
+watch_result versioned_objects::changesAfter(const std::string &prefix, object_version from) const
+{
+    // A watcher ahead of the store knew another store, which this one replaced; it gets everything.
+    if (from > m_version)
+        from = 0;
+    watch_result result{.changes = {}, .version = m_version};
+    std::size_t bytes = 0;
+    for (auto item = m_keysByVersion.upper_bound(from); item != m_keysByVersion.end(); ++item) {
+        if (!item->second.starts_with(prefix))
+            continue;
+        const record &current = m_records.at(item->second);
+        bytes += current.value ? current.value->size() : 0;
+        if (!result.changes.empty() && bytes > kMaxWatchAnswerBytes) {
+            result.version = result.changes.back().version;
+            break;
+        }
+        result.changes.push_back({item->second, current.version, current.value});
+    }
+    return result;
+}
+
+bool versioned_objects::checkExpected(const std::string &key, object_version expected,
+                                      platform_failure *lastReason) const
+{
+    const auto current = get(key, lastReason);
+    if (current && current->version != expected)
+        *lastReason = platform_failure::conflict;
+    return current && current->version == expected;
+}
+
+object_version versioned_objects::store(const std::string &key, std::optional<std::string> value)
+{
+    record &target = m_records[key];
+    m_keysByVersion.erase(target.version);
+    target = {++m_version, std::move(value)};
+    m_keysByVersion.emplace(m_version, key);
+    return m_version;
+}
+
+} // namespace citroncrank
