Add the stand-in platform and test the HTTP client against it

Cause: the client of the object API needs a server that follows the same rules and fails on demand. Change: libstandin with a small asynchronous HTTP server and the object API on it, the program standin-platform with its admin switches and counts, docs/platform-api.md. Idle kept-alive connections are checked before a request. Before: the HTTP client untested.

--- /dev/null
+++ b/src/include/citroncrank/standin_platform.h
@@ -0,0 +1,61 @@
+#pragma once
+
+/// @file
+/// Stand-in of the platform: object API over HTTP with JSON, with switches for its failures. Test use only.
+
+#include "citroncrank/standin_http_server.h"
+#include "citroncrank/versioned_objects.h"
+
+#include <list>
+
+namespace citroncrank {
+
+/// Failures that tests switch on and off.
+struct standin_platform_switches
+{
+    bool down = false;                         ///< Every call is answered with 503.
+    std::chrono::milliseconds slow{0};         ///< Each call is run after this time.
+    std::uint32_t loseAnswers = 0;             ///< So many writes are run, and their connections closed unanswered.
+    std::chrono::milliseconds delayWatches{0}; ///< Answers to watches are held back for this time.
+};
+
+/// Serves docs/platform-api.md. Single threaded: everything runs in the io_context.
+class standin_platform
+{
+public:
+    /// Starts to listen. Throws boost::system::system_error if the address cannot be bound.
+    standin_platform(boost::asio::io_context &context, const host_address &listen);
+
+    std::uint16_t port() const { return m_server.port(); }
+    void setSwitches(const standin_platform_switches &switches);
+
+private:
+    using exchange_pointer = std::shared_ptr<standin_exchange>;
+    struct waiting_watch;
+
+    void handle(const exchange_pointer &exchange);
+    void handleAdmin(const exchange_pointer &exchange);
+    void after(std::chrono::milliseconds delay, std::function<void()> action);
+    void run(const exchange_pointer &exchange);
+    void runOnObject(const exchange_pointer &exchange, const std::string &key);
+    void runList(const exchange_pointer &exchange);
+    void runWatch(const exchange_pointer &exchange);
+    void answerWrite(const exchange_pointer &exchange, const std::string &key,
+                     const std::optional<object_version> &version, platform_failure failure);
+    void answerWatches(const std::string &changedKey);
+    void endWatches();
+    void answerWatch(const std::shared_ptr<waiting_watch> &watch);
+    void countCall(const std::string &name);
+    std::string countsAsJson() const;
+    std::string switchesAsJson() const;
+    bool applySwitches(const std::string &text);
+
+    boost::asio::io_context &m_context;
+    versioned_objects m_objects;
+    standin_platform_switches m_switches;
+    std::map<std::string, std::uint64_t> m_counts;
+    std::list<std::shared_ptr<waiting_watch>> m_watches;
+    standin_http_server m_server;
+};
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libstandin/platform_test.cpp
@@ -0,0 +1,187 @@
+#include "citroncrank/standin_platform.h"
+
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+namespace citroncrank {
+namespace {
+
+using failure = platform_failure;
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kLoopback = 0x7F000001;
+/// Long enough never to pass in a test that expects an answer.
+constexpr milliseconds kLongWait{60'000};
+
+/// The stand-in on a thread of its own.
+class running_platform
+{
+public:
+    explicit running_platform(std::uint16_t port = 0)
+        : m_platform(std::make_unique<standin_platform>(m_context, host_address{kLoopback, port}))
+        , m_thread([this] { m_context.run(); })
+    {}
+    ~running_platform()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+    running_platform(const running_platform &) = delete;
+    running_platform &operator=(const running_platform &) = delete;
+
+    host_address address() const { return {kLoopback, m_platform->port()}; }
+    http_object_store store(milliseconds deadline = kLongWait) const
+    {
+        return http_object_store({.address = address(), .callDeadline = deadline});
+    }
+    void set(const standin_platform_switches &switches)
+    {
+        std::promise<void> done;
+        boost::asio::post(m_context, [&] {
+            m_platform->setSwitches(switches);
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+private:
+    boost::asio::io_context m_context{1};
+    std::unique_ptr<standin_platform> m_platform;
+    std::thread m_thread;
+};
+
+// Guards against a field of the API that the client and the platform encode differently.
+TEST(HttpObjectStore, CallsReachThePlatformAndBack)
+{
+    running_platform platform;
+    http_object_store store = platform.store();
+    failure reason{};
+    const std::string value = "line\n\"quoted\" \\ \x01 vi\xC3\xB0 " + std::string(kMaxObjectValueBytes - 64, '\n');
+    const auto created = store.create("config/1", value, &reason);
+    ASSERT_TRUE(created) << toString(reason);
+    EXPECT_EQ(store.get("config/1", &reason), (stored_object{"config/1", *created, value}));
+    const auto updated = store.update("config/1", "two", *created, &reason);
+    ASSERT_TRUE(updated);
+    ASSERT_TRUE(store.create("config/2", "", &reason));
+    const list_query query{.prefix = "config/", .limit = 1, .descending = true};
+    EXPECT_EQ(store.list(query, &reason), (object_list{{{"config/2", *updated + 1, 0}}, true, *updated + 1}));
+    ASSERT_TRUE(store.remove("config/2", *updated + 1, &reason));
+    const auto changes = store.watch({.prefix = "config/", .from = *created}, &reason);
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(changes->changes,
+              (std::vector<object_change>{{"config/1", *updated, "two"}, {"config/2", *updated + 2, std::nullopt}}));
+}
+
+// Guards against failures that are reported as another kind.
+TEST(HttpObjectStore, ConditionsFailWithTheirKind)
+{
+    running_platform platform;
+    http_object_store store = platform.store();
+    failure reason{};
+    EXPECT_FALSE(store.get("absent", &reason));
+    EXPECT_EQ(reason, failure::not_found);
+    ASSERT_TRUE(store.create("a", "1", &reason));
+    EXPECT_FALSE(store.create("a", "2", &reason));
+    EXPECT_EQ(reason, failure::conflict);
+    EXPECT_FALSE(store.update("a", "2", 99, &reason));
+    EXPECT_EQ(reason, failure::conflict);
+    EXPECT_FALSE(store.create("b", "\xFF\xFE", &reason));
+    EXPECT_EQ(reason, failure::rejected);
+    EXPECT_FALSE(store.list({.limit = 0}, &reason));
+    EXPECT_EQ(reason, failure::rejected);
+}
+
+// Guards against a write that took effect but is reported as not done.
+TEST(HttpObjectStore, LostAnswerIsAnUnknownOutcome)
+{
+    running_platform platform;
+    http_object_store store = platform.store();
+    failure reason{};
+    platform.set({.loseAnswers = 1});
+    EXPECT_FALSE(store.create("a", "1", &reason));
+    EXPECT_EQ(reason, failure::unknown_outcome);
+    EXPECT_EQ(store.get("a", &reason)->value, "1");
+    EXPECT_TRUE(store.create("b", "1", &reason));
+}
+
+// Guards against a refused write that is reported as an unknown outcome, which operators would have to resolve.
+TEST(HttpObjectStore, PlatformThatIsDownOrGoneIsUnavailable)
+{
+    auto platform = std::make_unique<running_platform>();
+    http_object_store store = platform->store();
+    failure reason{};
+    platform->set({.down = true});
+    EXPECT_FALSE(store.create("a", "1", &reason));
+    EXPECT_EQ(reason, failure::unavailable);
+    platform->set({});
+    EXPECT_FALSE(store.get("a", &reason));
+    EXPECT_EQ(reason, failure::not_found);
+    platform.reset();
+    EXPECT_FALSE(store.create("a", "1", &reason));
+    EXPECT_EQ(reason, failure::unavailable);
+}
+
+// Guards against a deadline that is not applied while the platform is slow.
+TEST(HttpObjectStore, DeadlineDistinguishesReadsAndWrites)
+{
+    running_platform platform;
+    http_object_store store = platform.store(milliseconds(20));
+    failure reason{};
+    platform.set({.slow = kLongWait});
+    EXPECT_FALSE(store.get("a", &reason));
+    EXPECT_EQ(reason, failure::unavailable);
+    EXPECT_FALSE(store.create("a", "1", &reason));
+    EXPECT_EQ(reason, failure::unknown_outcome);
+}
+
+// Guards against a restart of the platform that turns the first write over the old connection into an unknown outcome.
+TEST(HttpObjectStore, ClosedIdleConnectionIsReplacedBeforeAWrite)
+{
+    auto platform = std::make_unique<running_platform>();
+    const host_address address = platform->address();
+    http_object_store store = platform->store();
+    failure reason{};
+    ASSERT_TRUE(store.create("a", "1", &reason));
+    platform.reset();
+    running_platform restarted(address.port);
+    EXPECT_TRUE(store.create("a", "1", &reason)) << toString(reason);
+}
+
+// Guards against a change that a waiting watch does not report.
+TEST(HttpObjectStore, WaitingWatchIsAnsweredByAChangeUnderItsPrefix)
+{
+    running_platform platform;
+    auto watched = std::async(std::launch::async, [&] {
+        http_object_store watcher = platform.store();
+        failure reason{};
+        return watcher.watch({.prefix = "roster/", .from = 0, .wait = kLongWait}, &reason);
+    });
+    http_object_store store = platform.store();
+    failure reason{};
+    ASSERT_TRUE(store.create("config/1", "other prefix", &reason));
+    ASSERT_TRUE(store.create("roster/a", "member", &reason));
+    const auto result = watched.get();
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->changes, (std::vector<object_change>{{"roster/a", 2, "member"}}));
+    EXPECT_EQ(store.watch({.prefix = "", .from = 2, .wait = milliseconds(1)}, &reason), (watch_result{{}, 2}));
+}
+
+// Guards against a process whose shutdown has to wait for the end of a long poll.
+TEST(HttpObjectStore, StopEndsAWaitingWatch)
+{
+    running_platform platform;
+    http_object_store watcher = platform.store();
+    auto watched = std::async(std::launch::async, [&] {
+        failure reason{};
+        EXPECT_FALSE(watcher.watch({.prefix = "", .from = 0, .wait = kLongWait}, &reason));
+        return reason;
+    });
+    watcher.stop();
+    EXPECT_EQ(watched.get(), failure::unavailable);
+}
+
+} // namespace
+} // namespace citroncrank
