Add the acceptance of configuration changes

Cause: two operators may change the same thing, and the platform may lose the answer of a write that took effect. A change id names its base revision instead, so a change can only become revision base + 1 and a retry needs one read. Change: config_log.h: proposal state machine over create and read requests, bounded retries with jitter, conflict with the winner, unknown outcome with the change id, revision keys, revision in force at a time. Before: nothing.

--- /dev/null
+++ b/src/include/citroncrank/config_log.h
@@ -0,0 +1,167 @@
+#pragma once
+
+/// @file
+/// Acceptance of configuration changes over the platform's object store, and their history.
+
+#include "citroncrank/config_document.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace citroncrank {
+
+/// Common prefix of all revision objects.
+constexpr std::string_view kRevisionPrefix = "config/revisions/";
+
+/// Object key of a revision, for example "config/revisions/0000000042".
+std::string revisionKey(std::uint64_t number);
+/// Returns nullopt when the key is not that of a revision.
+std::optional<std::uint64_t> revisionNumberOf(std::string_view key);
+
+/// Change id for a change against revision `base`. It names its base, so that a change can only ever become revision
+/// base + 1: a retry finds an earlier success with one read, however many revisions followed.
+std::string makeChangeId(std::uint64_t base, std::uint64_t seed);
+/// Returns nullopt when the text is not a change id.
+std::optional<std::uint64_t> baseOfChangeId(std::string_view changeId);
+
+/// Why a request to the store gave no answer.
+enum class store_failure : std::uint8_t {
+    unavailable,     ///< The request was not executed.
+    unknown_outcome, ///< The request may have been executed, now or later.
+    rejected,        ///< The store refuses the request for good.
+};
+
+/// Requests to the store, answered by an event with the same request number.
+struct create_object
+{
+    std::uint64_t request = 0;
+    std::string key;
+    std::string value;
+    bool operator==(const create_object &) const = default;
+};
+struct read_object
+{
+    std::uint64_t request = 0;
+    std::string key;
+    bool operator==(const read_object &) const = default;
+};
+
+enum class change_outcome : std::uint8_t {
+    accepted,        ///< The change is revision `number`.
+    conflict,        ///< Another change became revision `number`; `winner` holds it when it is readable.
+    unavailable,     ///< The store was not reachable; this attempt wrote nothing.
+    unknown_outcome, ///< The change may have been or become accepted; propose it again with the same change id.
+    rejected,        ///< The store refused the object.
+    invalid,         ///< The change has faults.
+    busy,            ///< An earlier proposal is still in progress.
+};
+constexpr int kChangeOutcomeCount = 7;
+const char *toString(change_outcome outcome);
+
+/// End of a proposal.
+struct change_result
+{
+    change_outcome outcome = change_outcome::unavailable;
+    std::string changeId;
+    std::uint64_t number = 0;
+    std::optional<config_revision> winner;
+    std::vector<config_fault> faults;
+    bool operator==(const change_result &) const = default;
+};
+
+using config_log_action = std::variant<create_object, read_object, change_result>;
+
+struct object_created
+{
+    std::uint64_t request = 0;
+};
+struct object_exists
+{
+    std::uint64_t request = 0;
+};
+struct object_read
+{
+    std::uint64_t request = 0;
+    std::optional<std::string> value; ///< Absent when there is no such object.
+};
+struct store_failed
+{
+    std::uint64_t request = 0;
+    store_failure reason = store_failure::unavailable;
+};
+using config_log_event = std::variant<object_created, object_exists, object_read, store_failed>;
+
+struct config_log_settings
+{
+    int attempts = 6;                                     ///< Failed requests until the proposal ends.
+    duration firstRetry = std::chrono::milliseconds(100); ///< Doubled after each failure, with jitter.
+    duration longestRetry = std::chrono::seconds(2);
+    duration requestTimeout = std::chrono::seconds(3); ///< An unanswered request counts as unknown.
+};
+
+/// Proposes one change at a time. Not thread safe.
+class config_log
+{
+public:
+    explicit config_log(config_log_settings settings, std::uint64_t seed);
+
+    /// Starts to accept `draft`, made against revision `base`, whose change id must be one of makeChangeId(base, ...).
+    /// The number of the draft is ignored.
+    std::vector<config_log_action> propose(config_revision draft, std::uint64_t base, time_point now);
+    /// Handles an answer of the store. Answers to superseded requests are ignored.
+    std::vector<config_log_action> handle(const config_log_event &event, time_point now);
+    /// Repeats requests that failed or timed out. Call at `nextTimeout`.
+    std::vector<config_log_action> advance(time_point now);
+    /// When `advance` has something to do next.
+    std::optional<time_point> nextTimeout() const { return m_timeout; }
+
+private:
+    enum class phase : std::uint8_t { idle, check_base, create, read_back };
+
+    std::vector<config_log_action> request(time_point now);
+    std::vector<config_log_action> retry(time_point now);
+    std::vector<config_log_action> finish(change_result result);
+    std::vector<config_log_action> handleRead(const object_read &event, time_point now);
+    std::vector<config_log_action> judge(const std::string &stored);
+
+    config_log_settings m_settings;
+    std::uint64_t m_random;
+    phase m_phase = phase::idle;
+    config_revision m_draft;
+    std::string m_document;
+    std::uint64_t m_request = 0;
+    bool m_waiting = false; ///< A retry is due at m_timeout; otherwise a request is outstanding.
+    std::optional<time_point> m_timeout;
+    int m_failures = 0;
+    bool m_mayBeWritten = false; ///< A create may have taken effect.
+};
+
+/// Header of one revision, for the history.
+struct revision_summary
+{
+    std::uint64_t number = 0;
+    std::string changeId;
+    std::string author;
+    std::string reason;
+    wall_time acceptedAt;
+    auto operator<=>(const revision_summary &) const = default;
+};
+revision_summary summaryOf(const config_revision &revision);
+
+/// Revision numbers of the given object keys in ascending order; other keys are skipped.
+std::vector<std::uint64_t> revisionNumbers(const std::vector<std::string> &keys);
+
+struct in_force_answer
+{
+    std::uint64_t number = 0;
+    /// False when the clocks of the operators' hosts disagree with the order of acceptance around that time.
+    bool certain = true;
+    auto operator<=>(const in_force_answer &) const = default;
+};
+/// Revision in force at a time: the highest one accepted until then. Nullopt before the first revision.
+std::optional<in_force_answer> inForceAt(const std::vector<revision_summary> &history, wall_time when);
+
+} // namespace citroncrank
