Add the operators' client

Cause: operators need one program to show and change the configuration, see who lags, drain nodes and explain flows. Before: no client.

--- /dev/null
+++ b/src/citroncrank/client.cpp
@@ -0,0 +1,142 @@
+#include "client.h"
+
+#include "citroncrank/config_document.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+
+#include <fstream>
+#include <iostream>
+#include <numeric>
+#include <sstream>
+
+namespace citroncrank {
+
+namespace json = boost::json;
+
+namespace {
+
+std::size_t editDistance(const std::string &left, const std::string &right)
+{
+    std::vector<std::size_t> row(right.size() + 1);
+    std::iota(row.begin(), row.end(), 0);
+    for (std::size_t i = 1; i <= left.size(); ++i) {
+        std::size_t diagonal = std::exchange(row[0], i);
+        for (std::size_t j = 1; j <= right.size(); ++j) {
+            const std::size_t substitution = diagonal + (left[i - 1] == right[j - 1] ? 0 : 1);
+            diagonal = row[j];
+            row[j] = std::min({row[j] + 1, row[j - 1] + 1, substitution});
+        }
+    }
+    return row.back();
+}
+
+} // namespace
+
+const char *toString(exit_code code)
+{
+    switch (code) {
+    case exit_code::ok:
+        return "ok";
+    case exit_code::usage:
+        return "usage";
+    case exit_code::invalid_input:
+        return "invalid_input";
+    case exit_code::conflict:
+        return "conflict";
+    case exit_code::unreachable:
+        return "unreachable";
+    case exit_code::unknown_outcome:
+        return "unknown_outcome";
+    case exit_code::not_found:
+        return "not_found";
+    }
+    return "unknown";
+}
+
+exit_code succeed(const client &client, const json::value &result, const std::string &text)
+{
+    std::cout << (client.isJson() ? json::serialize(result) + "\n" : text) << std::flush;
+    return exit_code::ok;
+}
+
+exit_code fail(const client &client, const client_failure &failure)
+{
+    json::object result{{"error", toString(failure.code)}, {"message", failure.message}};
+    for (const auto &detail : failure.details)
+        result[detail.key()] = detail.value();
+    if (client.isJson())
+        std::cerr << json::serialize(result) << "\n";
+    else
+        std::cerr << "citroncrank: " << failure.message << "\n";
+    return failure.code;
+}
+
+std::optional<host_address> requiredAddress(const std::string &text, const std::string &option,
+                                            client_failure *lastReason)
+{
+    const auto address = parseHostAddress(text);
+    if (text.empty())
+        *lastReason = {exit_code::usage,
+                       absl::StrCat("this command needs --", option,
+                                    " IPv4:PORT or the environment variable CITRONCRANK_",
+                                    absl::AsciiStrToUpper(option)),
+                       {}};
+    else if (!address)
+        *lastReason = {exit_code::usage, absl::StrCat("--", option, " is not IPv4:PORT: ", text), {}};
+    return address;
+}
+
+std::unique_ptr<object_store> openPlatform(const client &client, client_failure *lastReason)
+{
+    const auto address = requiredAddress(client.platform, "platform", lastReason);
+    if (!address)
+        return nullptr;
+    return std::make_unique<http_object_store>(http_object_store_settings{*address, client.deadline()});
+}
+
+client_failure platformFailure(platform_failure reason, const std::string &what)
+{
+    switch (reason) {
+    case platform_failure::not_found:
+        return {exit_code::not_found, what + " does not exist", {}};
+    case platform_failure::conflict:
+        return {exit_code::conflict, what + " was changed by someone else", {}};
+    case platform_failure::rejected:
+        return {exit_code::invalid_input, "the platform does not accept the call for " + what, {}};
+    case platform_failure::unavailable:
+    case platform_failure::unknown_outcome:
+        break;
+    }
+    return {exit_code::unreachable, "the platform is not reachable, needed for " + what, {}};
+}
+
+std::optional<std::string> readFile(const std::string &path, client_failure *lastReason)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    if (file)
+        text << file.rdbuf();
+    if (!file) {
+        *lastReason = {exit_code::invalid_input, "cannot read the file " + path, {}};
+        return std::nullopt;
+    }
+    return text.str();
+}
+
+std::string nearestOption(const std::string &name, const std::vector<std::string> &known)
+{
+    // A name that differs in more than a third of its characters is no likely typing error.
+    std::size_t best = std::max<std::size_t>(2, name.size() / 3) + 1;
+    std::string nearest;
+    for (const auto &candidate : known) {
+        const std::size_t distance = editDistance(name, candidate);
+        if (distance < best) {
+            best = distance;
+            nearest = candidate;
+        }
+    }
+    return nearest;
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/citroncrank/client.h
@@ -0,0 +1,76 @@
+#pragma once
+
+/// @file
+/// What the commands of the operators' client share: options, exit codes, failures, output.
+
+#include "citroncrank/platform_client.h"
+
+#include <boost/json.hpp>
+
+#include <CLI/CLI.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace citroncrank {
+
+/// Exit codes of the client, one per kind of failure.
+enum class exit_code : std::uint8_t {
+    ok = 0,
+    usage = 2,
+    invalid_input = 3,
+    conflict = 4,
+    unreachable = 5,
+    unknown_outcome = 6,
+    not_found = 7,
+};
+const char *toString(exit_code code);
+
+/// Why a command failed.
+struct client_failure
+{
+    exit_code code = exit_code::unreachable;
+    std::string message;
+    boost::json::object details; ///< Further fields of the JSON form.
+};
+
+/// Options of all commands, and the command that was chosen.
+struct client
+{
+    std::string platform; ///< "IPv4:PORT" of the platform.
+    std::string node;     ///< "IPv4:PORT" of the HTTP endpoint of a node.
+    std::string author;
+    std::string output = "text";
+    std::int64_t deadlineMs = 5000; ///< Per call.
+    std::function<exit_code()> action;
+
+    bool isJson() const { return output == "json"; }
+    std::chrono::milliseconds deadline() const { return std::chrono::milliseconds(deadlineMs); }
+};
+
+/// Prints the result of a command in the chosen form.
+exit_code succeed(const client &client, const boost::json::value &result, const std::string &text);
+/// Prints the failure to the standard error output in the chosen form and returns its code.
+exit_code fail(const client &client, const client_failure &failure);
+
+/// Address from an option; the failure names the option and its environment variable.
+std::optional<host_address> requiredAddress(const std::string &text, const std::string &option,
+                                            client_failure *lastReason);
+/// Store for the address of --platform.
+std::unique_ptr<object_store> openPlatform(const client &client, client_failure *lastReason);
+/// Failure for a call to the platform, without unknown_outcome.
+client_failure platformFailure(platform_failure reason, const std::string &what);
+/// Reads a whole file; the failure is invalid_input.
+std::optional<std::string> readFile(const std::string &path, client_failure *lastReason);
+
+/// Each adds its subcommands. The chosen one sets `client->action`.
+void addConfigCommands(CLI::App *app, client *client);
+void addExceptionCommands(CLI::App *app, client *client);
+void addHistoryCommand(CLI::App *app, client *client);
+void addStatusCommand(CLI::App *app, client *client);
+void addFlowCommands(CLI::App *app, client *client);
+
+/// Known name nearest to a mistyped one, or an empty text if none is close.
+std::string nearestOption(const std::string &name, const std::vector<std::string> &known);
+
+} // namespace citroncrank
