--- /dev/null
+++ b/src/libproof/proof_parts_pvt.h
@@ -0,0 +1,194 @@
+#pragma once
+
+/// @file
+/// Event clock of a schedule, and the stacks of parts that schedules run against.
+
+#include "citroncrank/agent_core.h"
+#include "citroncrank/balancer_core.h"
+#include "citroncrank/edge_core.h"
+#include "proof_types_pvt.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+
+namespace citroncrank::proof {
+
+/// New work at an agent later than this after its drain began breaks P6.
+constexpr duration kDrainLimit{3'000'000};
+
+/// Runs events in the order of their times; events of the same time run in the order they were added.
+class event_clock
+{
+public:
+    time_point now() const { return m_now; }
+    bool empty() const { return m_events.empty(); }
+    void at(time_point when, std::function<void()> what)
+    {
+        m_events.push_back({std::max(when, m_now), ++m_sequence, std::move(what)});
+        std::push_heap(m_events.begin(), m_events.end(), later);
+    }
+    void step()
+    {
+        std::pop_heap(m_events.begin(), m_events.end(), later);
+        const auto event = std::move(m_events.back());
+        m_events.pop_back();
+        m_now = event.at;
+        event.what();
+    }
+
+private:
+    struct timed_event
+    {
+        time_point at;
+        std::uint64_t sequence = 0;
+        std::function<void()> what;
+    };
+    static bool later(const timed_event &left, const timed_event &right)
+    {
+        return std::tie(left.at, left.sequence) > std::tie(right.at, right.sequence);
+    }
+
+    time_point m_now;
+    std::uint64_t m_sequence = 0;
+    std::vector<timed_event> m_events;
+};
+
+/// A caller with a random request: one in three is a session, one in six speaks to an upstream that speaks first.
+caller_record makeCaller(random_source *random, std::size_t edges);
+
+/// An edge as a schedule drives it.
+class edge_part
+{
+public:
+    virtual ~edge_part() = default;
+    virtual flow_id openFlow(const caller_flow_settings &settings, time_point now) = 0;
+    virtual void onCallerBytes(const flow_id &flow, std::string_view bytes, time_point now) = 0;
+    virtual void onCallerEnd(const flow_id &flow, time_point now) = 0;
+    virtual void onCallerConsumed(const flow_id &flow, std::uint64_t bytes, time_point now) = 0;
+    virtual void onFrame(const frame &value, time_point now) = 0;
+    virtual void onTick(time_point now) = 0;
+    virtual std::vector<edge_action> takeActions() = 0;
+    virtual std::optional<time_point> nextDeadline() const = 0;
+};
+
+/// A balancer as a schedule drives it.
+class balancer_part
+{
+public:
+    virtual ~balancer_part() = default;
+    virtual void onFrame(const frame &value, hop_id from, time_point now) = 0;
+    virtual void setTable(upstream_table table) = 0;
+    virtual std::uint64_t tableRevision() const = 0;
+    virtual std::vector<balancer_action> takeActions() = 0;
+};
+
+/// An agent as a schedule drives it.
+class agent_part
+{
+public:
+    virtual ~agent_part() = default;
+    virtual void onFrame(const frame &value, hop_id from, time_point now) = 0;
+    virtual void onUpstreamConnected(const flow_id &flow, time_point now) = 0;
+    virtual void onUpstreamConnectFailed(const flow_id &flow, time_point now) = 0;
+    virtual void onUpstreamBytes(const flow_id &flow, std::string_view bytes, time_point now) = 0;
+    virtual void onUpstreamEnd(const flow_id &flow, time_point now) = 0;
+    virtual void onUpstreamConsumed(const flow_id &flow, std::uint64_t bytes, time_point now) = 0;
+    virtual void onTick(time_point now) = 0;
+    virtual void setServing(serving_state state, time_point now) = 0;
+    virtual std::vector<agent_action> takeActions() = 0;
+    virtual std::optional<time_point> nextDeadline() const = 0;
+    /// Whether a drained agent may stop.
+    virtual bool idle(time_point now) const = 0;
+    /// Frames dropped because they named another service or incarnation.
+    virtual std::uint64_t mismatches() const = 0;
+};
+
+/// Makes the parts of one kind: the product's, a test double's or the naive comparator's.
+struct part_factory
+{
+    std::function<std::unique_ptr<edge_part>(edge_id)> edge;
+    std::function<std::unique_ptr<balancer_part>()> balancer;
+    std::function<std::unique_ptr<agent_part>(const agent_settings &, const admission_settings &)> agent;
+};
+
+class product_edge : public edge_part
+{
+public:
+    explicit product_edge(edge_id edge)
+        : m_core(edge, nullptr)
+    {}
+    flow_id openFlow(const caller_flow_settings &settings, time_point now) override
+    {
+        return m_core.openFlow(settings, now);
+    }
+    void onCallerBytes(const flow_id &flow, std::string_view bytes, time_point now) override
+    {
+        m_core.onCallerBytes(flow, bytes, now);
+    }
+    void onCallerEnd(const flow_id &flow, time_point now) override { m_core.onCallerEnd(flow, now); }
+    void onCallerConsumed(const flow_id &flow, std::uint64_t bytes, time_point now) override
+    {
+        m_core.onCallerConsumed(flow, bytes, now);
+    }
+    void onFrame(const frame &value, time_point now) override { m_core.onFrame(value, now); }
+    void onTick(time_point now) override { m_core.onTick(now); }
+    std::vector<edge_action> takeActions() override { return m_core.takeActions(); }
+    std::optional<time_point> nextDeadline() const override { return m_core.nextDeadline(); }
+
+private:
+    edge_core m_core;
+};
+
+class product_balancer : public balancer_part
+{
+public:
+    void onFrame(const frame &value, hop_id from, time_point now) override { m_core.onFrame(value, from, now); }
+    void setTable(upstream_table table) override { m_core.setTable(std::move(table)); }
+    std::uint64_t tableRevision() const override { return m_core.table().revision(); }
+    std::vector<balancer_action> takeActions() override { return m_core.takeActions(); }
+
+private:
+    balancer_core m_core{balancer_settings{}};
+};
+
+class product_agent : public agent_part
+{
+public:
+    product_agent(const agent_settings &settings, const admission_settings &admission)
+        : m_core(settings, admission)
+    {}
+    void onFrame(const frame &value, hop_id from, time_point now) override { m_core.onFrame(value, from, now); }
+    void onUpstreamConnected(const flow_id &flow, time_point now) override { m_core.onUpstreamConnected(flow, now); }
+    void onUpstreamConnectFailed(const flow_id &flow, time_point now) override
+    {
+        m_core.onUpstreamConnectFailed(flow, now);
+    }
+    void onUpstreamBytes(const flow_id &flow, std::string_view bytes, time_point now) override
+    {
+        m_core.onUpstreamBytes(flow, bytes, now);
+    }
+    void onUpstreamEnd(const flow_id &flow, time_point now) override { m_core.onUpstreamEnd(flow, now); }
+    void onUpstreamConsumed(const flow_id &flow, std::uint64_t bytes, time_point now) override
+    {
+        m_core.onUpstreamConsumed(flow, bytes, now);
+    }
+    void onTick(time_point now) override { m_core.onTick(now); }
+    void setServing(serving_state state, time_point now) override { m_core.setServing(state, now); }
+    std::vector<agent_action> takeActions() override { return m_core.takeActions(); }
+    std::optional<time_point> nextDeadline() const override { return m_core.nextDeadline(); }
+    bool idle(time_point now) const override { return mayStop(m_core, now); }
+    std::uint64_t mismatches() const override
+    {
+        return m_core.counters().serviceMismatches + m_core.counters().incarnationMismatches;
+    }
+    /// The condition under which the agent's process stops after a drain.
+    static bool mayStop(const agent_core &core, time_point) { return core.boundFlows() == 0; }
+
+protected:
+    agent_core m_core;
+};
+
+part_factory productParts();
+
+} // namespace citroncrank::proof
--- /dev/null
+++ b/src/libproof/proof_types_pvt.h
@@ -0,0 +1,143 @@
+#pragma once
+
+/// @file
+/// Plans, journals and verdicts of the schedules that prove the flow promises.
+
+#include "citroncrank/frame.h"
+#include "citroncrank/time.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace citroncrank::proof {
+
+/// Seeded generator (SplitMix64); the same seed gives the same schedule on every platform.
+class random_source
+{
+public:
+    explicit random_source(std::uint64_t seed)
+        : m_state(seed * 0x9E3779B97F4A7C15ULL + 1)
+    {}
+
+    std::uint64_t next()
+    {
+        m_state += 0x9E3779B97F4A7C15ULL;
+        std::uint64_t mixed = m_state;
+        mixed = (mixed ^ (mixed >> 30U)) * 0xBF58476D1CE4E5B9ULL;
+        mixed = (mixed ^ (mixed >> 27U)) * 0x94D049BB133111EBULL;
+        return mixed ^ (mixed >> 31U);
+    }
+    bool chance(std::uint64_t perMille) { return next() % 1000 < perMille; }
+    std::uint64_t between(std::uint64_t low, std::uint64_t high) { return low + next() % (high - low + 1); }
+    duration milliseconds(std::uint64_t low, std::uint64_t high)
+    {
+        return duration(std::int64_t(between(low * 1000, high * 1000)));
+    }
+
+private:
+    std::uint64_t m_state;
+};
+
+/// What a schedule may do to the parts. Frames are always reordered by a jitter of a few milliseconds.
+enum class failure : std::uint8_t {
+    loss,
+    duplicate,
+    late,      ///< Up to 3 s late.
+    very_late, ///< 5 s to 70 s late.
+    agent_pause,
+    agent_kill,
+    agent_restart,
+    address_reuse, ///< An agent of the other service starts at the address of a killed one.
+    silent_path,   ///< A path between two processes stays silent for good.
+    stale_table,   ///< Half of the table updates never reach a balancer.
+    connect_failure,
+    corrupt,
+    drain,
+    balancer_replace,
+    upstream_added,
+};
+constexpr int kFailureCount = 15;
+
+constexpr std::uint32_t bitOf(failure kind)
+{
+    return 1U << std::uint32_t(kind);
+}
+constexpr std::uint32_t kPlannedChanges =
+    bitOf(failure::drain) | bitOf(failure::balancer_replace) | bitOf(failure::upstream_added);
+
+/// Each failure alone and each pair, in turn.
+std::uint32_t failuresOf(std::uint64_t seed);
+std::string describe(std::uint32_t failures);
+std::string describe(const frame &value);
+
+/// One schedule.
+struct schedule_plan
+{
+    std::uint64_t seed = 0;
+    std::uint32_t failures = 0;
+    bool stopWhenIdle = false; ///< A drained agent stops as soon as it is idle.
+    bool stopAtOnce = false;   ///< A drained agent stops without waiting, to show that P7 then fails.
+    bool pauseDrained = false; ///< A drained agent pauses within 20 ms.
+    bool trace = false;
+    bool has(failure kind) const { return (failures & bitOf(kind)) != 0; }
+};
+
+/// One connection to an upstream. It counts as an execution once caller bytes or their end reached the upstream.
+struct run_record
+{
+    flow_id flow;
+    int host = 0;
+    std::uint64_t incarnation = 0;
+    std::string received;
+    std::string response;
+    bool counted = false;
+    bool ended = false;
+};
+
+enum class caller_outcome : std::uint8_t { open, complete, refused, reset };
+
+/// One caller and what it sent and got.
+struct caller_record
+{
+    flow_id flow;
+    std::size_t edge = 0;
+    std::string service;
+    flow_kind kind = flow_kind::request;
+    bool serverFirst = false; ///< The upstream speaks first.
+    std::vector<std::string> pieces;
+    std::size_t sentPieces = 0;
+    bool pieceReady = true;
+    bool readPending = false;
+    bool endSent = false;
+    std::string received;
+    caller_outcome outcome = caller_outcome::open;
+    std::string request() const;
+};
+
+enum class promise : std::uint8_t { p1, p2, p3, p4, p5, p6, p7, liveness };
+constexpr int kPromiseCount = 8;
+
+/// Verdict of one schedule, or the sum of many.
+struct proof_result
+{
+    std::array<std::uint64_t, kPromiseCount> violations{};
+    std::uint64_t complete = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t reset = 0;
+    std::uint64_t runs = 0;
+    std::uint64_t mismatches = 0; ///< Frames that an agent dropped because of service or incarnation.
+    std::uint64_t corruptDropped = 0;
+    std::uint64_t lateOpens = 0; ///< Opens sent to an agent over 3 s after its drain began.
+    std::vector<std::string> trace;
+
+    std::uint64_t of(promise kind) const { return violations[std::size_t(kind)]; }
+    void add(const proof_result &other);
+};
+
+/// Checks P3, P4, P5 and the end of every flow against the journal.
+void judge(const std::vector<caller_record> &callers, const std::vector<run_record> &journal, const schedule_plan &plan,
+           proof_result *result);
+
+} // namespace citroncrank::proof
--- /dev/null
+++ b/src/libproof/proof_world_pvt.h
@@ -0,0 +1,160 @@
+#pragma once
+
+/// @file
+/// A few edges, balancers and agents with fake upstreams under one seeded schedule. The same schedules run against the
+/// product, against test doubles and against the naive comparator.
+
+#include "citroncrank/frame_codec.h"
+#include "proof_parts_pvt.h"
+
+#include <map>
+#include <memory>
+
+namespace citroncrank::proof {
+
+/// One run of one schedule.
+class proof_world
+{
+public:
+    proof_world(const schedule_plan &plan, part_factory factory)
+        : m_plan(plan)
+        , m_factory(std::move(factory))
+        , m_random(plan.seed)
+    {}
+
+    proof_result run();
+
+private:
+    static constexpr std::size_t kEdges = 2;
+    static constexpr std::size_t kBalancers = 2;
+    static constexpr std::size_t kHosts = 5;
+    static constexpr int kMainHosts = 3;
+    static constexpr time_point kCalmFrom = time_point(duration(5'000'000));
+    static constexpr time_point kHorizon = time_point(duration(100'000'000));
+    struct upstream_connection
+    {
+        std::size_t run = 0;
+        std::uint64_t generation = 0;
+        std::string unread;
+        bool ended = false;
+        std::uint64_t wanted = 0;
+    };
+    struct edge_node
+    {
+        std::unique_ptr<edge_part> core;
+        time_point tickAt = time_point::max();
+    };
+    struct balancer_node
+    {
+        std::unique_ptr<balancer_part> core;
+        std::uint64_t generation = 0;
+    };
+    struct host_node
+    {
+        std::unique_ptr<agent_part> agent;
+        member_record record;
+        std::uint64_t generation = 0;
+        bool paused = false;
+        std::vector<std::function<void()>> inbox;
+        time_point tickAt = time_point::max();
+        std::optional<time_point> drainAt;
+        std::map<flow_id, upstream_connection> connections;
+    };
+    using action = std::function<void()>;
+
+    // --- Setup ------------------------------------------------------------------------------------------------
+
+    void build();
+    void startAgent(std::size_t index, const std::string &service);
+    void startBalancer(std::size_t index);
+    void sayHello(std::size_t edge);
+
+    // --- Tables -----------------------------------------------------------------------------------------------
+
+    upstream_table currentTable();
+    void publish(std::size_t index);
+    void spreadTable();
+    void forgetAgent(const std::string &name, member_state state);
+
+    // --- Failures ---------------------------------------------------------------------------------------------
+
+    void planFailures();
+    void pause(std::size_t index);
+    void kill(std::size_t index);
+    bool isRunning(const std::string &name) const;
+    void restart(std::size_t index, const std::string &service);
+    void drain(std::size_t index);
+    void stopIfIdle(std::size_t index);
+    void replaceBalancer(std::size_t index);
+
+    // --- Transport --------------------------------------------------------------------------------------------
+
+    bool failing(failure kind, std::uint64_t perMille);
+
+    void carry(std::size_t path, frame value, const std::function<void(const frame &)> &deliver);
+    bool corrupt(frame *value);
+    static std::size_t edgePath(std::size_t balancer, std::size_t edge) { return balancer * (kEdges + kHosts) + edge; }
+    static std::size_t hostPath(std::size_t balancer, std::size_t host) { return edgePath(balancer, kEdges + host); }
+
+    void edgeToBalancer(std::size_t edge, const frame &value);
+    void agentToBalancer(std::size_t host, const agent_send &sent);
+    void settleBalancer(std::size_t index);
+    void balancerToEdge(std::size_t balancer, std::size_t edge, const frame &value);
+    void balancerToAgent(std::size_t balancer, const forward_to_agent &forward);
+
+    // --- Agents -----------------------------------------------------------------------------------------------
+
+    void atAgent(std::size_t index, action what);
+    void settleAgent(std::size_t index);
+    void onAgentAction(std::size_t index, const agent_send &sent) { agentToBalancer(index, sent); }
+    void onAgentAction(std::size_t, const flow_note &) {}
+
+    void onAgentAction(std::size_t index, const upstream_connect &connect);
+    void onAgentAction(std::size_t index, const upstream_read &read);
+    void onAgentAction(std::size_t index, const upstream_write &write);
+    void onAgentAction(std::size_t index, const upstream_finish &finish);
+    void onAgentAction(std::size_t index, const upstream_close &close) { m_hosts[index].connections.erase(close.flow); }
+
+    void respond(std::size_t index, const flow_id &flow, const std::string &bytes);
+    void feed(std::size_t index, const flow_id &flow);
+    void atConnection(std::size_t index, const flow_id &flow, duration delay, action what);
+
+    // --- Callers ----------------------------------------------------------------------------------------------
+
+    void startCaller();
+    void settleEdge(std::size_t index);
+    void onEdgeAction(std::size_t index, const flow_id &, const send_frame_action &sent);
+    void onEdgeAction(std::size_t index, const flow_id &flow, const read_caller_action &);
+    void onEdgeAction(std::size_t index, const flow_id &flow, const deliver_action &delivered);
+    void onEdgeAction(std::size_t, const flow_id &flow, const finish_action &) { end(flow, caller_outcome::complete); }
+    void onEdgeAction(std::size_t, const flow_id &flow, const refuse_action &refused);
+    void onEdgeAction(std::size_t, const flow_id &flow, const reset_caller_action &reset);
+    void end(const flow_id &flow, caller_outcome outcome);
+    void feedCaller(caller_record *caller);
+    caller_record *callerOf(const flow_id &flow);
+
+    // --- Verdict ----------------------------------------------------------------------------------------------
+
+    void violate(promise kind, const std::string &text);
+    void countMismatches(const host_node &host);
+    void trace(const std::string &text);
+    void trace(const std::string &text, const frame &value);
+    schedule_plan m_plan;
+    part_factory m_factory;
+    random_source m_random;
+    event_clock m_clock;
+    std::vector<edge_node> m_edges;
+    std::vector<balancer_node> m_balancers;
+    std::vector<host_node> m_hosts;
+    std::vector<caller_record> m_callers;
+    std::vector<run_record> m_journal;
+    std::map<std::string, member_record> m_known;
+    std::uint64_t m_lastIncarnation = 0;
+    std::uint64_t m_lastConnection = 0;
+    std::uint64_t m_tableRevision = 0;
+    std::size_t m_silentPath = SIZE_MAX;
+    time_point m_silentFrom;
+    proof_result m_result;
+};
+
+} // namespace citroncrank::proof
--- /dev/null
+++ b/src/libproof/world_agents.cpp
@@ -0,0 +1,150 @@
+#include "proof_world_pvt.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citroncrank::proof {
+
+// A paused agent handles what arrived meanwhile in order when it resumes, before its timers, as its process does.
+void proof_world::atAgent(std::size_t index, action what)
+{
+    auto &host = m_hosts[index];
+    if (!host.agent)
+        return;
+    if (host.paused) {
+        host.inbox.push_back(std::move(what));
+        return;
+    }
+    what();
+    settleAgent(index);
+}
+
+void proof_world::settleAgent(std::size_t index)
+{
+    auto &host = m_hosts[index];
+    for (auto &taken : host.agent->takeActions())
+        std::visit([&](const auto &each) { onAgentAction(index, each); }, taken);
+    const auto next = host.agent->nextDeadline();
+    if (!next || *next >= host.tickAt)
+        return;
+    host.tickAt = *next;
+    m_clock.at(*next, [this, index, generation = host.generation] {
+        if (m_hosts[index].generation != generation)
+            return;
+        m_hosts[index].tickAt = time_point::max();
+        if (!m_hosts[index].paused)
+            atAgent(index, [this, index] { m_hosts[index].agent->onTick(m_clock.now()); });
+    });
+}
+
+void proof_world::onAgentAction(std::size_t index, const upstream_connect &connect)
+{
+    auto &host = m_hosts[index];
+    const auto *caller = callerOf(connect.flow);
+    if (host.drainAt && m_clock.now() - *host.drainAt > kDrainLimit)
+        violate(promise::p6, "connect at draining host " + std::to_string(index));
+    m_journal.push_back({connect.flow, int(index), host.record.incarnation, {}, {}, false, false});
+    host.connections[connect.flow] = {m_journal.size() - 1, ++m_lastConnection, {}, false, 0};
+    const bool fails = failing(failure::connect_failure, 300);
+    atConnection(index, connect.flow, m_random.milliseconds(0, 3), [this, index, caller, fails, connect] {
+        auto &agent = *m_hosts[index].agent;
+        if (fails) {
+            m_hosts[index].connections.erase(connect.flow);
+            agent.onUpstreamConnectFailed(connect.flow, m_clock.now());
+            return;
+        }
+        agent.onUpstreamConnected(connect.flow, m_clock.now());
+        if (caller->serverFirst)
+            respond(index, connect.flow, "");
+    });
+}
+
+void proof_world::onAgentAction(std::size_t index, const upstream_read &read)
+{
+    const auto found = m_hosts[index].connections.find(read.flow);
+    if (found == m_hosts[index].connections.end())
+        return;
+    found->second.wanted = read.maxBytes;
+    feed(index, read.flow);
+}
+
+void proof_world::onAgentAction(std::size_t index, const upstream_write &write)
+{
+    const auto found = m_hosts[index].connections.find(write.flow);
+    if (found == m_hosts[index].connections.end())
+        return;
+    auto &run = m_journal[found->second.run];
+    run.counted = true;
+    run.received += write.bytes;
+    const auto *caller = callerOf(write.flow);
+    if (caller->service != m_hosts[index].record.service)
+        violate(promise::p2, "bytes at host " + std::to_string(index));
+    trace("run at host " + std::to_string(index) + " flow=" + std::to_string(write.flow.low));
+    atConnection(index, write.flow, duration(0), [this, index, write] {
+        m_hosts[index].agent->onUpstreamConsumed(write.flow, write.bytes.size(), m_clock.now());
+    });
+    if (caller->kind == flow_kind::session)
+        respond(index, write.flow, write.bytes);
+}
+
+void proof_world::onAgentAction(std::size_t index, const upstream_finish &finish)
+{
+    const auto found = m_hosts[index].connections.find(finish.flow);
+    if (found == m_hosts[index].connections.end())
+        return;
+    m_journal[found->second.run].counted = true;
+    const duration serviceTime = m_random.milliseconds(1, m_random.chance(100) ? 1500 : 60);
+    const std::size_t size = m_random.chance(50) ? m_random.between(17'000, 60'000) : m_random.between(0, 300);
+    atConnection(index, finish.flow, serviceTime, [this, index, finish, size] {
+        if (callerOf(finish.flow)->kind == flow_kind::request)
+            respond(index, finish.flow, std::string(size, char('a' + size % 26)));
+        auto &connection = m_hosts[index].connections.at(finish.flow);
+        connection.ended = true;
+        m_journal[connection.run].ended = true;
+        feed(index, finish.flow);
+    });
+}
+
+// Responses start with the number of the run, so that bytes of two runs can never look alike.
+void proof_world::respond(std::size_t index, const flow_id &flow, const std::string &bytes)
+{
+    const auto found = m_hosts[index].connections.find(flow);
+    if (found == m_hosts[index].connections.end() || found->second.ended)
+        return;
+    auto &run = m_journal[found->second.run];
+    const std::string text = run.response.empty() ? std::to_string(found->second.run) + ":" + bytes : bytes;
+    run.response += text;
+    found->second.unread += text;
+    feed(index, flow);
+}
+
+void proof_world::feed(std::size_t index, const flow_id &flow)
+{
+    auto &connection = m_hosts[index].connections.at(flow);
+    if (connection.wanted == 0 || (connection.unread.empty() && !connection.ended))
+        return;
+    const std::string part = connection.unread.substr(0, connection.wanted);
+    connection.unread.erase(0, part.size());
+    connection.wanted = 0;
+    atConnection(index, flow, duration(10), [this, index, flow, part] {
+        auto &agent = *m_hosts[index].agent;
+        if (part.empty())
+            agent.onUpstreamEnd(flow, m_clock.now());
+        else
+            agent.onUpstreamBytes(flow, part, m_clock.now());
+    });
+}
+
+// Runs an event of an upstream's connection unless that connection was closed meanwhile.
+void proof_world::atConnection(std::size_t index, const flow_id &flow, duration delay, action what)
+{
+    const auto generation = m_hosts[index].connections.at(flow).generation;
+    const auto guarded = [this, index, flow, generation, what = std::move(what)] {
+        const auto found = m_hosts[index].connections.find(flow);
+        if (found != m_hosts[index].connections.end() && found->second.generation == generation)
+            what();
+    };
+    m_clock.at(m_clock.now() + delay, [this, index, guarded] { atAgent(index, guarded); });
+}
+
+} // namespace citroncrank::proof
--- /dev/null
+++ b/src/libproof/world_transport.cpp
@@ -0,0 +1,112 @@
+#include "proof_world_pvt.h"
+
+#include <utility>
+
+namespace citroncrank::proof {
+
+bool proof_world::failing(failure kind, std::uint64_t perMille)
+{
+    return m_plan.has(kind) && m_clock.now() < kCalmFrom && m_random.chance(perMille);
+}
+
+void proof_world::carry(std::size_t path, frame value, const std::function<void(const frame &)> &deliver)
+{
+    if (path == m_silentPath && m_clock.now() >= m_silentFrom && m_clock.now() < kCalmFrom)
+        return;
+    if (failing(failure::loss, 120))
+        return;
+    if (failing(failure::corrupt, 150) && !corrupt(&value))
+        return;
+    const int copies = failing(failure::duplicate, 200) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        duration delay = m_random.milliseconds(1, 6);
+        if (failing(failure::late, 120))
+            delay += m_random.milliseconds(50, 3000);
+        if (failing(failure::very_late, 60))
+            delay += m_random.milliseconds(5000, 70'000);
+        m_clock.at(m_clock.now() + delay, [deliver, value] { deliver(value); });
+    }
+}
+
+// Returns false when the codec dropped the damaged frame, as it must for every damage.
+bool proof_world::corrupt(frame *value)
+{
+    static const frame_codec kCodec(frame_keys{{1, "0123456789abcdef"}, std::nullopt});
+    std::string bytes;
+    kCodec.encode(*value, &bytes);
+    const std::size_t damages = m_random.between(1, 3);
+    for (std::size_t count = 0; count < damages; ++count)
+        bytes[m_random.between(0, bytes.size() - 1)] ^= char(m_random.between(1, 255));
+    decode_error reason{};
+    const auto decoded = kCodec.decode(bytes, &reason);
+    if (!decoded) {
+        ++m_result.corruptDropped;
+        return false;
+    }
+    *value = decoded->value;
+    return true;
+}
+
+void proof_world::edgeToBalancer(std::size_t edge, const frame &value)
+{
+    const std::size_t index = m_random.between(0, kBalancers - 1);
+    const auto generation = m_balancers[index].generation;
+    carry(edgePath(index, edge), value, [this, index, edge, generation](const frame &arrived) {
+        if (m_balancers[index].generation != generation)
+            return;
+        m_balancers[index].core->onFrame(arrived, edge + 1, m_clock.now());
+        settleBalancer(index);
+    });
+}
+
+void proof_world::agentToBalancer(std::size_t host, const agent_send &sent)
+{
+    std::size_t index = sent.hop - 1;
+    if (sent.hop == 0 || sent.alternatePath)
+        index = m_random.between(0, kBalancers - 1);
+    const auto generation = m_balancers[index].generation;
+    carry(hostPath(index, host), sent.value, [this, index, generation](const frame &arrived) {
+        if (m_balancers[index].generation != generation)
+            return;
+        m_balancers[index].core->onFrame(arrived, 0, m_clock.now());
+        settleBalancer(index);
+    });
+}
+
+void proof_world::settleBalancer(std::size_t index)
+{
+    for (auto &taken : m_balancers[index].core->takeActions()) {
+        if (const auto *toAgent = std::get_if<forward_to_agent>(&taken))
+            balancerToAgent(index, *toAgent);
+        else if (const auto *toHop = std::get_if<forward_to_hop>(&taken))
+            balancerToEdge(index, toHop->hop - 1, toHop->value);
+    }
+}
+
+void proof_world::balancerToEdge(std::size_t balancer, std::size_t edge, const frame &value)
+{
+    carry(edgePath(balancer, edge), value, [this, edge](const frame &arrived) {
+        trace("to edge " + std::to_string(edge) + ": ", arrived);
+        m_edges[edge].core->onFrame(arrived, m_clock.now());
+        settleEdge(edge);
+    });
+}
+
+void proof_world::balancerToAgent(std::size_t balancer, const forward_to_agent &forward)
+{
+    const std::size_t index = forward.target.ip - 0x0A000001U;
+    if (index >= kHosts)
+        return;
+    carry(hostPath(balancer, index), forward.value, [this, index, balancer](const frame &arrived) {
+        atAgent(index, [this, index, balancer, arrived] {
+            auto &host = m_hosts[index];
+            trace("to host " + std::to_string(index) + ": ", arrived);
+            if (host.drainAt && m_clock.now() - *host.drainAt > kDrainLimit
+                && std::holds_alternative<open_body>(arrived.body))
+                ++m_result.lateOpens;
+            host.agent->onFrame(arrived, balancer + 1, m_clock.now());
+        });
+    });
+}
+
+} // namespace citroncrank::proof
