Move a bound flow on a refusal only after the owner confirmed the fence

Cause: Refused names no offer. A refusal of an earlier open or of an expired offer of the same agent, arriving after the bind, was taken as the refusal of the bind; the edge opened the flow again while the request ran (P5), or told the caller 'not run' (P4). Change: a refusal heard while bound sends Fence for the bound offer; only Fenced(delivered=false) moves the flow, and the refusal's reason is kept for the retry decision. caller_flow_test covers the edge's states. Cost: one round trip when a bind is refused. Conclusion: no refusal can move a flow whose owner may have delivered it.

--- a/src/include/citroncrank/caller_flow.h
+++ b/src/include/citroncrank/caller_flow.h
@@ -128,6 +128,7 @@
     void onOffer(const flow_owner &owner, offer_id offer, time_point now);
     void onQueued(const flow_owner &owner, time_point now);
     void onRefused(const flow_owner &owner, const refused_body &body, time_point now);
+    void onRefusedWhileBound(const refused_body &body);
     void onBoundRefused(const refused_body &body, time_point now);
     void retryElsewhere(const refused_body &body, time_point now);
     void onData(const data_body &body, time_point now);
@@ -161,6 +162,7 @@
     std::optional<time_point> m_openRetryAt;
     int m_attempts = 0;
     refused_body m_lastRefusal{refusal_reason::no_upstream, std::chrono::milliseconds(0)};
+    std::optional<refused_body> m_boundRefusal; // refusal heard since the bind, until a fence confirms it
     std::vector<reservation> m_reservations;
     flow_owner m_owner;
     offer_id m_offer = 0;
--- a/src/libflow/caller_flow.cpp
+++ b/src/libflow/caller_flow.cpp
@@ -159,7 +159,7 @@
 {
     if (m_state == state::bound) {
         if (owner == m_owner)
-            onBoundRefused(body, now);
+            onRefusedWhileBound(body);
         return;
     }
     m_openRetryAt.reset();
@@ -223,7 +223,15 @@
 
 // --- Bound -----------------------------------------------------------------------------------------------------
 
-// The owner refused the bind, so it delivered nothing and never will: the flow may be moved.
+// A refusal names no offer: a late one may answer an earlier open or offer of this agent while the bound offer runs.
+// Only the answer to a fence tells whether the bound offer was refused.
+void caller_flow::onRefusedWhileBound(const refused_body &body)
+{
+    m_boundRefusal = body;
+    send(fence_body{m_offer}, m_owner);
+}
+
+// The owner delivered nothing and never will: the flow may be moved.
 void caller_flow::onBoundRefused(const refused_body &body, time_point now)
 {
     if (!m_send.restart()) {
@@ -246,13 +254,15 @@
     m_waitingSince.reset();
     m_fenceAt.reset();
     m_probeAt.reset();
+    m_boundRefusal.reset();
 }
 
 void caller_flow::onFenced(const fenced_body &body, time_point now)
 {
     if (m_state != state::bound || body.offer != m_offer || body.delivered)
         return;
-    onBoundRefused({refusal_reason::offer_withdrawn, std::chrono::milliseconds(0)}, now);
+    onBoundRefused(m_boundRefusal.value_or(refused_body{refusal_reason::offer_withdrawn, std::chrono::milliseconds(0)}),
+                   now);
 }
 
 bool caller_flow::fromOwner(const flow_owner &owner) const
--- /dev/null
+++ b/src/libflow/caller_flow_test.cpp
@@ -0,0 +1,147 @@
+#include "citroncrank/caller_flow.h"
+
+#include <gtest/gtest.h>
+
+namespace citroncrank {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr flow_owner kFirst{11, 1, {1, 1}};
+constexpr flow_owner kSecond{12, 1, {2, 1}};
+
+time_point at(std::int64_t milliseconds)
+{
+    return time_point(duration(milliseconds * 1000));
+}
+
+template<typename wanted>
+std::vector<wanted> only(const std::vector<caller_action> &actions)
+{
+    std::vector<wanted> found;
+    for (const auto &action : actions) {
+        if (const auto *each = std::get_if<wanted>(&action))
+            found.push_back(*each);
+    }
+    return found;
+}
+
+template<typename body_type>
+std::vector<frame> sent(const std::vector<caller_action> &actions)
+{
+    std::vector<frame> found;
+    for (const auto &action : only<send_frame_action>(actions)) {
+        if (std::holds_alternative<body_type>(action.value.body))
+            found.push_back(action.value);
+    }
+    return found;
+}
+
+caller_flow_settings settings()
+{
+    caller_flow_settings result;
+    result.service = "main";
+    return result;
+}
+
+class CallerFlowTest : public testing::Test
+{
+protected:
+    void receive(const flow_owner &from, frame_body body, std::int64_t when)
+    {
+        frame value{.service = "main", .flow = {1, 1}, .edge = 1, .direction = frame_direction::to_caller};
+        value.owner = from;
+        value.body = std::move(body);
+        m_flow.onFrame(value, at(when));
+    }
+    // Sends "hello" and its end to the first owner under offer 2.
+    void bindFirst()
+    {
+        m_flow.onCallerBytes("hello", at(0));
+        m_flow.onCallerEnd(at(0));
+        receive(kFirst, offer_body{2}, 1);
+        m_flow.takeActions();
+    }
+
+    caller_flow m_flow{{1, 1}, 1, settings(), nullptr, at(0)};
+};
+
+// Guards against delivering bytes before exactly one owner is committed.
+TEST_F(CallerFlowTest, SendsNoBytesBeforeAnOfferAndCancelsOtherOffers)
+{
+    m_flow.onCallerBytes("hello", at(0));
+    EXPECT_TRUE(sent<data_body>(m_flow.takeActions()).empty());
+    receive(kFirst, offer_body{2}, 1);
+    const auto data = sent<data_body>(m_flow.takeActions());
+    ASSERT_EQ(data.size(), 1U);
+    EXPECT_EQ(data.front().owner, kFirst);
+    receive(kSecond, offer_body{5}, 2);
+    const auto cancels = sent<cancel_body>(m_flow.takeActions());
+    ASSERT_EQ(cancels.size(), 1U);
+    EXPECT_EQ(cancels.front().owner, kSecond);
+}
+
+// Guards against a second run: a refusal names no offer, so it may answer an earlier open of the same agent.
+TEST_F(CallerFlowTest, RefusalAfterTheBindMovesTheFlowOnlyAfterTheFence)
+{
+    bindFirst();
+    receive(kFirst, refused_body{refusal_reason::no_free_slot, milliseconds(0)}, 2);
+    const auto actions = m_flow.takeActions();
+    EXPECT_TRUE(sent<open_body>(actions).empty());
+    ASSERT_EQ(sent<fence_body>(actions).size(), 1U);
+    EXPECT_EQ(m_flow.currentState(), caller_flow::state::bound);
+    receive(kFirst, fenced_body{2, false}, 3);
+    EXPECT_EQ(sent<open_body>(m_flow.takeActions()).size(), 1U);
+    EXPECT_EQ(m_flow.currentState(), caller_flow::state::opening);
+}
+
+// Guards against moving a flow on the answer to a fence of another offer, or on "delivered".
+TEST_F(CallerFlowTest, StaysBoundOnForeignOrDeliveredFence)
+{
+    bindFirst();
+    receive(kFirst, fenced_body{1, false}, 2);
+    receive(kFirst, fenced_body{2, true}, 2);
+    receive(kSecond, fenced_body{2, false}, 2);
+    EXPECT_EQ(m_flow.currentState(), caller_flow::state::bound);
+    EXPECT_EQ(m_flow.owner(), kFirst);
+}
+
+// Guards against "not run" for a request that may have run: silence after the bind is an unknown outcome.
+TEST_F(CallerFlowTest, SilentOwnerEndsInAResetNotARefusal)
+{
+    bindFirst();
+    for (std::int64_t when = 100; when < 20'000; when += 100)
+        m_flow.onTick(at(when));
+    const auto actions = m_flow.takeActions();
+    EXPECT_TRUE(only<refuse_action>(actions).empty());
+    EXPECT_EQ(only<reset_caller_action>(actions).size(), 1U);
+    EXPECT_FALSE(sent<fence_body>(actions).empty());
+}
+
+// Guards against closing a truncated response as complete, and against bytes out of order.
+TEST_F(CallerFlowTest, FinishesOnlyAfterAllBytes)
+{
+    bindFirst();
+    receive(kFirst, data_body{2, 3, "def", true, 5, 70'000}, 2);
+    auto actions = m_flow.takeActions();
+    EXPECT_TRUE(only<finish_action>(actions).empty());
+    EXPECT_TRUE(only<deliver_action>(actions).empty());
+    receive(kFirst, data_body{2, 0, "abc", false, 5, 70'000}, 3);
+    actions = m_flow.takeActions();
+    ASSERT_EQ(only<deliver_action>(actions).size(), 1U);
+    EXPECT_EQ(only<deliver_action>(actions).front().bytes, "abcdef");
+    EXPECT_EQ(only<finish_action>(actions).size(), 1U);
+}
+
+// Guards against callers that wait for ever for an agent: the deadline refuses, since nothing was delivered.
+TEST_F(CallerFlowTest, RefusesAtTheDeadlineWhileUnbound)
+{
+    receive(kFirst, queued_body{3}, 1);
+    for (std::int64_t when = 100; when <= 10'000; when += 100)
+        m_flow.onTick(at(when));
+    EXPECT_EQ(only<refuse_action>(m_flow.takeActions()).size(), 1U);
+    EXPECT_EQ(m_flow.currentState(), caller_flow::state::done);
+}
+
+} // namespace
+} // namespace citroncrank
--- a/src/libproof/trace_replay.cpp
+++ b/src/libproof/trace_replay.cpp
@@ -166,19 +166,31 @@
         return true;
     }
 
+    // Sockets take bytes at once, which causes further actions.
     void settle()
     {
-        for (auto &taken : m_edge.takeActions())
-            std::visit([this](const auto &each) { onEdge(each); }, taken.action);
-        for (auto &[name, agent] : m_agents) {
-            for (auto &taken : agent->takeActions())
-                std::visit([&, this](const auto &each) { onAgent(name, each); }, taken);
+        for (bool acted = true; acted;) {
+            acted = false;
+            for (auto &taken : m_edge.takeActions()) {
+                acted = true;
+                std::visit([this](const auto &each) { onEdge(each); }, taken.action);
+            }
+            for (auto &[name, agent] : m_agents) {
+                for (auto &taken : agent->takeActions()) {
+                    acted = true;
+                    std::visit([&, this](const auto &each) { onAgent(name, each); }, taken);
+                }
+            }
         }
     }
 
     void onEdge(const send_frame_action &sent) { record("edge", sent.value); }
     void onEdge(const read_caller_action &) {}
-    void onEdge(const deliver_action &delivered) { m_received += delivered.bytes; }
+    void onEdge(const deliver_action &delivered)
+    {
+        m_received += delivered.bytes;
+        m_edge.onCallerConsumed(m_flow, delivered.bytes.size(), m_now);
+    }
     void onEdge(const finish_action &) { finish("complete"); }
     void onEdge(const refuse_action &) { finish("refused"); }
     void onEdge(const reset_caller_action &) { finish("reset"); }
@@ -190,7 +202,11 @@
     }
 
     void onAgent(const std::string &name, const agent_send &sent) { record(name, sent.value); }
-    void onAgent(const std::string &name, const upstream_write &) { m_runs[name] = true; }
+    void onAgent(const std::string &name, const upstream_write &write)
+    {
+        m_runs[name] = true;
+        m_agents[name]->onUpstreamConsumed(m_flow, write.bytes.size(), m_now);
+    }
     void onAgent(const std::string &name, const upstream_finish &) { m_runs[name] = true; }
     template<typename other_action>
     void onAgent(const std::string &, const other_action &)
