Do not reset a caller that already has the whole response

Ruled out: a lost end of stream (the trace shows finish before the reset). Change: silence is handled like a reset by the owner, which already ended such a flow quietly. Conclusion: after finish the edge never resets a caller for the owner's silence.

--- a/src/libflow/caller_flow.cpp
+++ b/src/libflow/caller_flow.cpp
@@ -345,7 +345,8 @@
 void caller_flow::onTickBound(time_point now)
 {
     if (m_waitingSince && now - *m_waitingSince >= m_settings.ownerSilence) {
-        reset(reset_reason::owner_silent, true);
+        send(reset_body{reset_reason::owner_silent, m_offer}, m_owner);
+        onOwnerReset(reset_reason::owner_silent);
         return;
     }
     const bool unheard = !m_ownerHeard && m_waitingSince;
@@ -461,8 +462,8 @@
         onTickBound(now);
 }
 
-// Once the whole response was delivered a reset by the owner takes nothing away from the caller. Resetting the
-// caller's connection then could discard response bytes that it has not read yet.
+// Once the whole response was delivered, a reset by the owner or its silence takes nothing away from the caller.
+// Resetting the caller's connection then could discard response bytes that it has not read yet.
 void caller_flow::onOwnerReset(reset_reason reason)
 {
     if (m_finishSent)
--- a/src/libflow/caller_flow_test.cpp
+++ b/src/libflow/caller_flow_test.cpp
@@ -133,6 +133,18 @@
     EXPECT_EQ(only<finish_action>(actions).size(), 1U);
 }
 
+// Guards against a reset that discards response bytes the caller has not read yet.
+TEST_F(CallerFlowTest, SilenceAfterTheWholeResponseEndsQuietly)
+{
+    bindFirst();
+    receive(kFirst, data_body{2, 0, "abc", true, 0, 70'000}, 2);
+    m_flow.takeActions();
+    for (std::int64_t when = 100; when < 40'000; when += 100)
+        m_flow.onTick(at(when));
+    EXPECT_TRUE(only<reset_caller_action>(m_flow.takeActions()).empty());
+    EXPECT_EQ(m_flow.currentState(), caller_flow::state::done);
+}
+
 // Guards against callers that wait for ever for an agent: the deadline refuses, since nothing was delivered.
 TEST_F(CallerFlowTest, RefusesAtTheDeadlineWhileUnbound)
 {
