Keep a flow whose upstream spoke first when a fence arrives

Cause: "delivered" covered only the caller's bytes. An agent whose upstream had sent a greeting answered a fence with "not delivered" and closed the session; the edge moved it, and the next owner's first frame ended it with protocol_error (trace fence_after_greeting: outcome reset). Ruled out: mixing of two greetings, because the edge acknowledges what it delivered and the next owner rejects that. Before: the open session is reset. After: it stays with its owner and goes on. Conclusion: a fence moves only flows of which neither side has seen a byte.

--- a/src/libagent/agent_core.cpp
+++ b/src/libagent/agent_core.cpp
@@ -227,7 +227,8 @@
             answer(value, from, reset_body{reset_reason::unknown_flow, body.offer}, now);
         return;
     }
-    if (flow->bound() && flow->streams->delivered) {
+    // Where the upstream speaks first, another upstream's bytes must not continue what the caller already has.
+    if (flow->bound() && (flow->streams->delivered || flow->streams->upstreamSpoke)) {
         send(*flow, fenced_body{body.offer, true}, now);
         return;
     }
--- a/src/libagent/agent_flow_pvt.h
+++ b/src/libagent/agent_flow_pvt.h
@@ -15,7 +15,8 @@
     send_stream toCaller;
     receive_stream fromCaller;
     bool connected = false;
-    bool delivered = false; ///< A byte or the end of the caller's stream was handed to the upstream.
+    bool delivered = false;     ///< A byte or the end of the caller's stream was handed to the upstream.
+    bool upstreamSpoke = false; ///< The upstream sent bytes or its end, which the caller may have.
     bool readPending = false;
     bool upstreamEnded = false;
     bool upstreamGone = false; ///< The upstream's connection is closed; caller bytes are dropped.
--- a/src/libagent/agent_streams.cpp
+++ b/src/libagent/agent_streams.cpp
@@ -130,6 +130,7 @@
     if (flow == nullptr || !flow->bound())
         return;
     flow->streams->readPending = false;
+    flow->streams->upstreamSpoke = true;
     flow->streams->toCaller.append(bytes);
     flush(flow, now);
 }
@@ -140,6 +141,7 @@
     if (flow == nullptr || !flow->bound())
         return;
     flow->streams->readPending = false;
+    flow->streams->upstreamSpoke = true;
     flow->streams->upstreamEnded = true;
     flow->streams->toCaller.finish();
     releaseSlot(flow, now);
--- a/src/libflow/caller_flow.cpp
+++ b/src/libflow/caller_flow.cpp
@@ -234,7 +234,8 @@
 // The owner delivered nothing and never will: the flow may be moved.
 void caller_flow::onBoundRefused(const refused_body &body, time_point now)
 {
-    if (!m_send.restart()) {
+    // An owner that sent bytes or acknowledged some has run the flow, whatever it says now.
+    if (m_receive.ack() > 0 || m_finishSent || !m_send.restart()) {
         reset(reset_reason::protocol_error, true);
         return;
     }
