Refuse the bind of an expired offer before its timer has run

Cause: an agent that resumes from a pause handles the frames in its sockets before its timers. Ruled out: new opens at the draining agent (all were refused). Change: a bind checks the offer's age itself. Conclusion: the offer timeout holds whatever the order in which a resumed process handles its events.

--- a/src/libagent/agent_core.cpp
+++ b/src/libagent/agent_core.cpp
@@ -190,6 +190,11 @@
 void agent_core::onData(const frame &value, const data_body &body, hop_id from, time_point now)
 {
     auto *flow = findFor(value, from);
+    // After a pause the bind of an expired offer can be handled before the timer that withdraws the offer.
+    if (flow != nullptr && flow->state == phase::offered && now - flow->since >= m_settings.offerTimeout) {
+        withdraw(flow, now);
+        flow = nullptr;
+    }
     if (flow != nullptr && flow->offer == body.offer && flow->state != phase::queued) {
         if (flow->state == phase::offered)
             bind(flow, now);
--- a/src/libagent/agent_core_test.cpp
+++ b/src/libagent/agent_core_test.cpp
@@ -121,6 +121,18 @@
     EXPECT_TRUE(answers.front().delivered);
 }
 
+// Guards against a bind that a paused agent finds in its sockets after the offer expired.
+TEST_F(AgentCoreTest, BindAfterTheOfferTimeoutIsRefusedEvenBeforeTheTimerRuns)
+{
+    open(0);
+    m_agent.takeActions();
+    receive(firstBytes(1), 5'000);
+    const auto actions = m_agent.takeActions();
+    EXPECT_EQ(countOf<upstream_connect>(actions), 0U);
+    ASSERT_FALSE(sent<refused_body>(actions).empty());
+    EXPECT_EQ(sent<refused_body>(actions).back().reason, refusal_reason::offer_withdrawn);
+}
+
 // Guards against bytes for another service or an earlier incarnation at a reused address.
 TEST_F(AgentCoreTest, DropsAndCountsForeignFrames)
 {
