Refuse an open that repeats the flow id of another edge

Cause: the agent reserved a slot for such an open, failed to insert the second flow under the same id, and went on with a flow that was freed at the end of the function; the slot was never given back. Found while writing agent_core_test. Ruled out: reach through honest edges (flow ids derive from the edge's id); a misconfigured edge id reaches it. Change: the open is refused before a reservation is made. Before: 0 refusals, one leaked slot. After: 1 refusal, the first edge's flow untouched. Conclusion: one edge cannot act on another edge's flow.

--- a/src/libagent/agent_core.cpp
+++ b/src/libagent/agent_core.cpp
@@ -94,6 +94,11 @@
         answerReservation(known, 0, now);
         return;
     }
+    // Flow ids derive from the edge's id, so another edge with this one is misconfigured; it must not touch the flow.
+    if (m_flows.contains(value.flow)) {
+        refuse(value, from, {refusal_reason::no_free_slot, std::chrono::milliseconds(0)}, now);
+        return;
+    }
     const reservation asked{.flow = value.flow,
                             .edge = value.edge,
                             .flowClass = value.flowClass,
--- a/src/libagent/agent_core_test.cpp
+++ b/src/libagent/agent_core_test.cpp
@@ -145,6 +145,17 @@
     EXPECT_EQ(m_agent.counters().incarnationMismatches, 2U);
 }
 
+// Guards against one edge acting on the flow of another edge with the same flow id.
+TEST_F(AgentCoreTest, SecondEdgeWithTheSameFlowIdIsRefused)
+{
+    open(0);
+    m_agent.takeActions();
+    receive(open_body{.kind = flow_kind::session}, 1, kFlow, kSelf, "main", 2);
+    EXPECT_EQ(sent<refused_body>(m_agent.takeActions()).size(), 1U);
+    EXPECT_EQ(m_agent.flows().size(), 1U);
+    EXPECT_EQ(m_agent.flows().front().edge, 1U);
+}
+
 // Guards against new work at a draining agent, and against cutting what runs there.
 TEST_F(AgentCoreTest, DrainRefusesNewAndQueuedFlowsAndKeepsBoundOnes)
 {
