Keep a drained agent until no edge can still need its answer

Cause: a drained agent counted as idle when no flow was bound. With an offer open it stopped while the edge was binding it, and after the last flow it could not answer the retransmission of a caller's end whose acknowledgement was still under way: sessions and requests ended in a reset on planned changes alone (P1, P7). Ruled out: loss (the plan has none); the balancers (every frame of a bound flow reached its owner's address). Change: agent_core::idle is true when no flow, reservation or offer is left and no flow frame was heard for 1 s; opens, which a drained agent refuses, do not prolong it. The agent's process must stop on it instead of boundFlows() == 0 (src/citroncrank-agent, not part of this change).

--- a/src/include/citroncrank/agent_core.h
+++ b/src/include/citroncrank/agent_core.h
@@ -22,11 +22,12 @@
 {
     std::string service;
     flow_owner self;
-    duration offerTimeout{1'000'000};     ///< An offer that is not bound by then is withdrawn.
-    duration offerResend{250'000};        ///< An unanswered offer is sent again after this time.
-    duration edgeSilence{20'000'000};     ///< Silence with bytes outstanding after which the edge counts as gone.
-    duration idleProbe{1'800'000'000};    ///< Idle time after which the edge is asked for a sign of life.
-    duration lingerTimeout{10'000'000};   ///< Wait for the caller's end after the response is complete.
+    duration offerTimeout{1'000'000};   ///< An offer that is not bound by then is withdrawn.
+    duration offerResend{250'000};      ///< An unanswered offer is sent again after this time.
+    duration edgeSilence{20'000'000};   ///< Silence with bytes outstanding after which the edge counts as gone.
+    duration idleProbe{1'800'000'000};  ///< Idle time after which the edge is asked for a sign of life.
+    duration lingerTimeout{10'000'000}; ///< Wait for the caller's end after the response is complete.
+    duration stopLinger{1'000'000};     ///< A drained agent stays this long after its last flow to answer late frames.
     duration withdrawnMemory{60'000'000}; ///< How long a withdrawn offer can be answered with certainty.
     std::size_t withdrawnLimit = 65'536;
     stream_limits stream;
@@ -145,6 +146,8 @@
     const agent_counters &counters() const { return m_counters; }
     const agent_settings &settings() const { return m_settings; }
     std::size_t boundFlows() const { return m_boundFlows; }
+    /// A draining agent may stop: it holds no flow, reservation or offer, and heard of none for `stopLinger`.
+    bool idle(time_point now) const;
     std::vector<flow_summary> flows() const;
 
 private:
@@ -180,7 +183,7 @@
     void withdraw(agent_flow *flow, time_point now);
     void giveUp(agent_flow *flow, reset_reason reason, bool tellEdge, time_point now);
     void finishIfComplete(agent_flow *flow, time_point now);
-    void erase(agent_flow *flow);
+    void erase(agent_flow *flow, time_point now);
     void rememberWithdrawn(offer_id offer, time_point now);
     void forgetWithdrawn(time_point now);
     void updateDeadline(const agent_flow &flow);
@@ -195,6 +198,7 @@
     admission_queue m_admission;
     offer_id m_lastOffer = 0;
     std::size_t m_boundFlows = 0;
+    time_point m_lastActivity;
     absl::flat_hash_map<flow_id, std::unique_ptr<agent_flow>> m_flows;
     absl::flat_hash_set<offer_id> m_withdrawn;
     std::deque<std::pair<time_point, offer_id>> m_withdrawnOrder;
--- a/src/libagent/agent_core.cpp
+++ b/src/libagent/agent_core.cpp
@@ -60,6 +60,8 @@
 {
     if (value.direction != frame_direction::to_upstream || !acceptsIdentity(value, from, now))
         return;
+    if (!std::holds_alternative<open_body>(value.body))
+        m_lastActivity = now;
     std::visit(frame_handler{*this, value, from, now}, value.body);
     runAdmission(now);
 }
@@ -164,7 +166,7 @@
         ++m_counters.refusals[std::size_t(reason.reason)];
         note(flow->id, flow_step::refused, reason.reason);
         send(*flow, refused_body{reason.reason, reason.retryAfter}, now);
-        erase(flow);
+        erase(flow, now);
     }
 }
 
@@ -179,7 +181,7 @@
         return;
     }
     m_admission.cancel(flow->key(), now);
-    erase(flow);
+    erase(flow, now);
 }
 
 void agent_core::withdraw(agent_flow *flow, time_point now)
@@ -189,7 +191,7 @@
     rememberWithdrawn(flow->offer, now);
     m_admission.cancel(flow->key(), now);
     flow->holdsSlot = false;
-    erase(flow);
+    erase(flow, now);
 }
 
 void agent_core::onData(const frame &value, const data_body &body, hop_id from, time_point now)
@@ -248,7 +250,7 @@
         m_actions.emplace_back(upstream_close{flow->id, true});
         rememberWithdrawn(flow->offer, now);
         releaseSlot(flow, now);
-        erase(flow);
+        erase(flow, now);
     } else {
         withdraw(flow, now);
     }
@@ -265,7 +267,7 @@
         return;
     }
     m_admission.cancel(flow->key(), now);
-    erase(flow);
+    erase(flow, now);
 }
 
 // --- Time ------------------------------------------------------------------------------------------------------
@@ -332,6 +334,13 @@
     return true;
 }
 
+// An offer may be bound by a frame that is on its way, and the last acknowledgement of a flow may have been lost: an
+// agent that is gone by then turns a refusal or a complete response into an unknown outcome.
+bool agent_core::idle(time_point now) const
+{
+    return m_flows.empty() && now - m_lastActivity >= m_settings.stopLinger;
+}
+
 std::vector<flow_summary> agent_core::flows() const
 {
     std::vector<flow_summary> summaries;
@@ -358,8 +367,9 @@
     return flow;
 }
 
-void agent_core::erase(agent_flow *flow)
+void agent_core::erase(agent_flow *flow, time_point now)
 {
+    m_lastActivity = now;
     if (flow->bound())
         --m_boundFlows;
     m_deadlines.set(flow->id, std::nullopt);
--- a/src/libagent/agent_core_test.cpp
+++ b/src/libagent/agent_core_test.cpp
@@ -172,5 +172,17 @@
     EXPECT_EQ(m_agent.boundFlows(), 1U);
 }
 
+// Guards against stopping while an edge is binding an offer, or may still need an answer.
+TEST_F(AgentCoreTest, IsIdleOnlyAfterTheLastOfferAndTheLinger)
+{
+    open(0);
+    m_agent.setServing(serving_state::draining, at(1));
+    EXPECT_FALSE(m_agent.idle(at(2)));
+    receive(cancel_body{1}, 10);
+    EXPECT_FALSE(m_agent.idle(at(500)));
+    open(900, {1, 2});
+    EXPECT_TRUE(m_agent.idle(at(1'010)));
+}
+
 } // namespace
 } // namespace citroncrank
--- a/src/libagent/agent_streams.cpp
+++ b/src/libagent/agent_streams.cpp
@@ -120,7 +120,7 @@
     send(*flow, refused_body{refusal_reason::upstream_unreachable, std::chrono::milliseconds(0)}, now);
     rememberWithdrawn(flow->offer, now);
     releaseSlot(flow, now);
-    erase(flow);
+    erase(flow, now);
     runAdmission(now);
 }
 
@@ -253,7 +253,7 @@
         send(*flow, reset_body{reason, flow->offer}, now);
     m_actions.emplace_back(upstream_close{flow->id, !clean});
     releaseSlot(flow, now);
-    erase(flow);
+    erase(flow, now);
 }
 
 void agent_core::finishIfComplete(agent_flow *flow, time_point now)
@@ -266,7 +266,7 @@
         note(flow->id, flow_step::completed);
         m_actions.emplace_back(upstream_close{flow->id, false});
         releaseSlot(flow, now);
-        erase(flow);
+        erase(flow, now);
         return;
     }
     if (!streams.completeSince) {
--- a/src/libproof/proof_parts_pvt.h
+++ b/src/libproof/proof_parts_pvt.h
@@ -183,7 +183,7 @@
         return m_core.counters().serviceMismatches + m_core.counters().incarnationMismatches;
     }
     /// The condition under which the agent's process stops after a drain.
-    static bool mayStop(const agent_core &core, time_point) { return core.boundFlows() == 0; }
+    static bool mayStop(const agent_core &core, time_point now) { return core.idle(now); }
 
 protected:
     agent_core m_core;
