Ask another balancer when a flow met only draining agents

Cause: on planned changes alone callers were refused although upstreams were free: one agent drained, and the balancer asked next had just been replaced and knew no candidate. The edge took its no_upstream as final once any agent had answered before. Ruled out: capacity (the other upstreams were idle in the traces). Change: after refusals that say nothing about load (draining, not ready, wrong service or incarnation, withdrawn) the edge waits openTimeout and asks again, within its attempts and deadline. After load refusals it still refuses at once.

--- a/src/libflow/caller_flow.cpp
+++ b/src/libflow/caller_flow.cpp
@@ -169,10 +169,11 @@
         retryElsewhere(body, now);
         return;
     }
-    // No candidate is left. Without any earlier answer the balancer may just have started, so another one is asked.
+    // The balancer that answered may just have started with an empty table, so another one is asked, unless the agents
+    // asked so far are short of capacity: then a quick refusal serves the caller better.
     if (queuedCount() > 0)
         return;
-    if (m_reservations.empty() && mayOpen())
+    if ((m_reservations.empty() || isDetour(m_lastRefusal.reason)) && mayOpen())
         m_openRetryAt = now + m_settings.openTimeout;
     else
         refuse(m_lastRefusal.reason, m_lastRefusal.retryAfter);
--- a/src/libflow/caller_flow_test.cpp
+++ b/src/libflow/caller_flow_test.cpp
@@ -145,6 +145,25 @@
     EXPECT_EQ(m_flow.currentState(), caller_flow::state::done);
 }
 
+// Guards against refusing a caller during planned changes: one agent drains, and the balancer asked next is new.
+TEST_F(CallerFlowTest, NewBalancerWithoutATableDoesNotEndAFlowThatMetADrainingAgent)
+{
+    receive(kFirst, refused_body{refusal_reason::draining, milliseconds(0)}, 1);
+    receive({}, refused_body{refusal_reason::no_upstream, milliseconds(500)}, 2);
+    auto actions = m_flow.takeActions();
+    EXPECT_TRUE(only<refuse_action>(actions).empty());
+    m_flow.onTick(at(300));
+    EXPECT_EQ(sent<open_body>(m_flow.takeActions()).size(), 1U);
+}
+
+// Guards against slow refusals under overload: without another candidate a busy agent's refusal is final.
+TEST_F(CallerFlowTest, BusyAgentsAndNoOtherCandidateRefuseAtOnce)
+{
+    receive(kFirst, refused_body{refusal_reason::no_free_slot, milliseconds(40)}, 1);
+    receive({}, refused_body{refusal_reason::no_upstream, milliseconds(500)}, 2);
+    EXPECT_EQ(only<refuse_action>(m_flow.takeActions()).size(), 1U);
+}
+
 // Guards against callers that wait for ever for an agent: the deadline refuses, since nothing was delivered.
 TEST_F(CallerFlowTest, RefusesAtTheDeadlineWhileUnbound)
 {
