--- a/src/libagent/agent_streams.cpp
+++ b/src/libagent/agent_streams.cpp
@@ -120,7 +120,7 @@
     send(*flow, refused_body{refusal_reason::upstream_unreachable, std::chrono::milliseconds(0)}, now);
     rememberWithdrawn(flow->offer, now);
     releaseSlot(flow, now);
-    erase(flow);
+    erase(flow, now);
     runAdmission(now);
 }
 
@@ -130,6 +130,7 @@
     if (flow == nullptr || !flow->bound())
         return;
     flow->streams->readPending = false;
+    flow->streams->upstreamSpoke = true;
     flow->streams->toCaller.append(bytes);
     flush(flow, now);
 }
@@ -140,6 +141,7 @@
     if (flow == nullptr || !flow->bound())
         return;
     flow->streams->readPending = false;
+    flow->streams->upstreamSpoke = true;
     flow->streams->upstreamEnded = true;
     flow->streams->toCaller.finish();
     releaseSlot(flow, now);
@@ -251,7 +253,7 @@
         send(*flow, reset_body{reason, flow->offer}, now);
     m_actions.emplace_back(upstream_close{flow->id, !clean});
     releaseSlot(flow, now);
-    erase(flow);
+    erase(flow, now);
 }
 
 void agent_core::finishIfComplete(agent_flow *flow, time_point now)
@@ -264,7 +266,7 @@
         note(flow->id, flow_step::completed);
         m_actions.emplace_back(upstream_close{flow->id, false});
         releaseSlot(flow, now);
-        erase(flow);
+        erase(flow, now);
         return;
     }
     if (!streams.completeSince) {
--- a/src/libflow/caller_flow.cpp
+++ b/src/libflow/caller_flow.cpp
@@ -159,7 +159,7 @@
 {
     if (m_state == state::bound) {
         if (owner == m_owner)
-            onBoundRefused(body, now);
+            onRefusedWhileBound(body);
         return;
     }
     m_openRetryAt.reset();
@@ -169,10 +169,11 @@
         retryElsewhere(body, now);
         return;
     }
-    // No candidate is left. Without any earlier answer the balancer may just have started, so another one is asked.
+    // The balancer that answered may just have started with an empty table, so another one is asked, unless the agents
+    // asked so far are short of capacity: then a quick refusal serves the caller better.
     if (queuedCount() > 0)
         return;
-    if (m_reservations.empty() && mayOpen())
+    if ((m_reservations.empty() || isDetour(m_lastRefusal.reason)) && mayOpen())
         m_openRetryAt = now + m_settings.openTimeout;
     else
         refuse(m_lastRefusal.reason, m_lastRefusal.retryAfter);
@@ -223,10 +224,19 @@
 
 // --- Bound -----------------------------------------------------------------------------------------------------
 
-// The owner refused the bind, so it delivered nothing and never will: the flow may be moved.
+// A refusal names no offer: a late one may answer an earlier open or offer of this agent while the bound offer runs.
+// Only the answer to a fence tells whether the bound offer was refused.
+void caller_flow::onRefusedWhileBound(const refused_body &body)
+{
+    m_boundRefusal = body;
+    send(fence_body{m_offer}, m_owner);
+}
+
+// The owner delivered nothing and never will: the flow may be moved.
 void caller_flow::onBoundRefused(const refused_body &body, time_point now)
 {
-    if (!m_send.restart()) {
+    // An owner that sent bytes or acknowledged some has run the flow, whatever it says now.
+    if (m_receive.ack() > 0 || m_finishSent || !m_send.restart()) {
         reset(reset_reason::protocol_error, true);
         return;
     }
@@ -246,13 +256,15 @@
     m_waitingSince.reset();
     m_fenceAt.reset();
     m_probeAt.reset();
+    m_boundRefusal.reset();
 }
 
 void caller_flow::onFenced(const fenced_body &body, time_point now)
 {
     if (m_state != state::bound || body.offer != m_offer || body.delivered)
         return;
-    onBoundRefused({refusal_reason::offer_withdrawn, std::chrono::milliseconds(0)}, now);
+    onBoundRefused(m_boundRefusal.value_or(refused_body{refusal_reason::offer_withdrawn, std::chrono::milliseconds(0)}),
+                   now);
 }
 
 bool caller_flow::fromOwner(const flow_owner &owner) const
@@ -335,7 +347,8 @@
 void caller_flow::onTickBound(time_point now)
 {
     if (m_waitingSince && now - *m_waitingSince >= m_settings.ownerSilence) {
-        reset(reset_reason::owner_silent, true);
+        send(reset_body{reset_reason::owner_silent, m_offer}, m_owner);
+        onOwnerReset(reset_reason::owner_silent);
         return;
     }
     const bool unheard = !m_ownerHeard && m_waitingSince;
@@ -451,8 +464,8 @@
         onTickBound(now);
 }
 
-// Once the whole response was delivered a reset by the owner takes nothing away from the caller. Resetting the
-// caller's connection then could discard response bytes that it has not read yet.
+// Once the whole response was delivered, a reset by the owner or its silence takes nothing away from the caller.
+// Resetting the caller's connection then could discard response bytes that it has not read yet.
 void caller_flow::onOwnerReset(reset_reason reason)
 {
     if (m_finishSent)
