Join as soon as a seed is known, and check the roster as soon as it is read

Cause: a node that started before any seed was known counted as joined and next synchronised after 15 s or more; the first roster check ran 10 s after the start. Ruled out: lost datagrams (none were sent), a wrong sender address. Change: addSeeds of a lonely node joins at the next tick; setRoster checks at the next tick; one parseHostAddress. Before: six nodes started together found each other after about 13 s.

--- a/src/include/citroncrank/config_document.h
+++ b/src/include/citroncrank/config_document.h
@@ -202,7 +202,5 @@
 std::string formatWallTime(wall_time when);
 /// Parses RFC 3339; nullopt outside the years 1970 to 9999.
 std::optional<wall_time> parseWallTime(std::string_view text);
-/// Parses "127.0.0.1:8080".
-std::optional<host_address> parseHostAddress(std::string_view text);
 
 } // namespace citroncrank
--- a/src/libconfig/config_value.cpp
+++ b/src/libconfig/config_value.cpp
@@ -122,23 +122,4 @@
     return wall_time(duration(micros));
 }
 
-std::optional<host_address> parseHostAddress(std::string_view text)
-{
-    const std::vector<absl::string_view> halves = absl::StrSplit(toAbsl(text), ':');
-    if (halves.size() != 2)
-        return std::nullopt;
-    const std::vector<absl::string_view> octets = absl::StrSplit(halves[0], '.');
-    std::uint32_t port = 0;
-    if (octets.size() != 4 || !absl::SimpleAtoi(halves[1], &port) || port == 0 || port > UINT16_MAX)
-        return std::nullopt;
-    host_address address{.port = std::uint16_t(port)};
-    for (const auto octet : octets) {
-        std::uint32_t value = 0;
-        if (octet.size() > 3 || !absl::SimpleAtoi(octet, &value) || value > 255)
-            return std::nullopt;
-        address.ip = (address.ip << 8U) | value;
-    }
-    return address;
-}
-
 } // namespace citroncrank
--- a/src/libmembership/membership.cpp
+++ b/src/libmembership/membership.cpp
@@ -43,15 +43,19 @@
 {
     constexpr std::size_t kMaxSeeds = 256;
     auto &seeds = m_state->seeds;
+    const std::size_t before = seeds.size();
     for (const auto &address : addresses)
         if (seeds.size() < kMaxSeeds && address != m_state->local.address
             && std::find(seeds.begin(), seeds.end(), address) == seeds.end())
             seeds.push_back(address);
+    if (seeds.size() > before && reachableCount() == 0)
+        m_state->joinSoon();
 }
 
 void membership::setRoster(std::vector<host_address> addresses)
 {
     m_state->roster = std::move(addresses);
+    m_state->checkRosterSoon();
 }
 
 void membership::leave(time_point now)
--- a/src/libmembership/membership_state_pvt.h
+++ b/src/libmembership/membership_state_pvt.h
@@ -27,6 +27,10 @@
     state(member_record local, membership_settings settings, std::uint64_t seed, time_point now);
 
     void receive(const gossip_message &message, const host_address &from, time_point now);
+    /// Contacts a seed at the next tick. A node may start before it knows any seed.
+    void joinSoon();
+    /// Compares the roster with the table at the next tick.
+    void checkRosterSoon() { m_upkeepAt = time_point(); }
     void tick(time_point now);
     void changeLocal(const local_change &change, time_point now);
     void leaveGroup(time_point now);
--- a/src/libmembership/membership_test.cpp
+++ b/src/libmembership/membership_test.cpp
@@ -167,6 +167,32 @@
 }
 
 // Guards against a crash, a table above its limit, or the loss of the own record by any sequence of broken records.
+// Guards against a node that starts before any seed is known and then waits for the next synchronisation: six nodes
+// started together needed 13 s to find each other.
+TEST(Membership, SeedsThatBecomeKnownLaterAreContactedAtOnce)
+{
+    auto member = newMember();
+    member.onTick(kStart);
+    EXPECT_TRUE(actionsOf<send_gossip>(member).empty());
+    member.addSeeds({kPeerAddress});
+    member.onTick(kStart + std::chrono::milliseconds(1));
+    const auto sent = actionsOf<send_gossip>(member);
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent.front().to, kPeerAddress);
+}
+
+// Guards against a first node that leaves the roster empty for many seconds, so that no other node can find it.
+TEST(Membership, RosterIsCheckedAsSoonAsItIsRead)
+{
+    auto member = newMember();
+    member.onTick(kStart);
+    member.setRoster({});
+    member.onTick(kStart + std::chrono::milliseconds(1));
+    const auto wanted = actionsOf<roster_change_wanted>(member);
+    ASSERT_EQ(wanted.size(), 1U);
+    EXPECT_EQ(wanted.front().addresses, std::vector<host_address>{kOwnAddress});
+}
+
 RC_GTEST_PROP(Membership, ArbitraryRecordsKeepTheTableSound, ())
 {
     membership_settings settings;
--- a/src/libmembership/state.cpp
+++ b/src/libmembership/state.cpp
@@ -77,6 +77,13 @@
         flushUrgent(now);
 }
 
+void membership::state::joinSoon()
+{
+    m_joined = false;
+    m_syncAttempts = 0;
+    m_syncAt = time_point();
+}
+
 time_point membership::state::nextDeadline() const
 {
     auto result = std::min({m_periodAt, m_nextSuspicionAt, m_syncAt, m_upkeepAt, m_unreachableProbeAt});
