--- a/src/libconfig/config_spread_test.cpp
+++ b/src/libconfig/config_spread_test.cpp
@@ -469,7 +469,7 @@
 }
 
 // Guards against a simulation so mild that a design without revision numbers would pass it too.
-TEST(ConfigSpread, TheSameSchedulesRevertANaiveDesign)
+TEST(ConfigSpread, ANaiveDesignRevertsUnderTheSameDelaysAndLosses)
 {
     constexpr int kSchedules = 100;
     int naive = 0;
