--- a/src/citroncrank-agent/agent_process.h
+++ b/src/citroncrank-agent/agent_process.h
@@ -3,6 +3,7 @@
 #include "citroncrank/agent_core.h"
 #include "citroncrank/daemon_main.h"
 #include "citroncrank/node_process.h"
+#include "upgrade.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <vector>
@@ -48,7 +49,7 @@
     host_address balancerOf(const flow_id &flow) const;
     bool resume(const std::string &descriptors, time_point now);
     void upgrade(time_point now);
-    std::string saveForUpgrade(time_point now);
+    upgrade_state saveForUpgrade(time_point now);
 
     agent_file m_file;
     daemon_options m_options;
--- a/src/citroncrank-agent/agent_upgrade.cpp
+++ b/src/citroncrank-agent/agent_upgrade.cpp
@@ -32,18 +32,22 @@
         runActions(now);
         m_network.runCommandsNow();
     }
+    const auto state = saveForUpgrade(now);
+    std::vector<int> streams;
+    for (const auto &item : state.streams)
+        streams.push_back(item.stream.descriptor);
     std::error_code reason;
-    const auto pipes = writeToPipes(saveForUpgrade(now), &reason);
+    const auto pipes = writeToPipes(encodeUpgradeState(state), &reason);
     if (pipes) {
         stopEndpoint();
-        reason = replaceProgram(m_options.program, m_options.settingsFile, *pipes);
+        reason = replaceProgram(m_options.program, m_options.settingsFile, *pipes, streams);
         restartEndpoint();
     }
     m_log.error(absl::StrCat("upgrade failed, going on with the present program: ", reason.message()));
     m_network.resume();
 }
 
-std::string agent_process::saveForUpgrade(time_point now)
+upgrade_state agent_process::saveForUpgrade(time_point now)
 {
     upgrade_state state{.core = m_core->saveState(now), .streams = {}, .draining = m_draining};
     runActions(now);
@@ -53,7 +57,7 @@
         if (flow != m_flowOf.end())
             state.streams.push_back({flow->second, std::move(saved), balancerOf(flow->second)});
     }
-    return encodeUpgradeState(state);
+    return state;
 }
 
 bool agent_process::resume(const std::string &descriptors, time_point now)
--- a/src/citroncrank-agent/upgrade.cpp
+++ b/src/citroncrank-agent/upgrade.cpp
@@ -133,17 +133,25 @@
     return bytes;
 }
 
+// Asio opens its sockets without close-on-exec; a listener that stays open would keep its address in use.
 std::error_code replaceProgram(const std::string &program, const std::string &settingsFile,
-                               const std::vector<int> &descriptors)
+                               const std::vector<int> &pipes, const std::vector<int> &streams)
 {
-    std::vector<std::string> words{program, "--settings", settingsFile, "--resume", absl::StrJoin(descriptors, ",")};
+    std::vector<std::string> words{program, "--settings", settingsFile, "--resume", absl::StrJoin(pipes, ",")};
     std::vector<char *> arguments;
     for (auto &word : words)
         arguments.push_back(word.data());
     arguments.push_back(nullptr);
-    ::execv(program.c_str(), arguments.data());
+    constexpr unsigned kFirstDescriptor = 3;
+    bool prepared = ::close_range(kFirstDescriptor, ~0U, CLOSE_RANGE_CLOEXEC) == 0;
+    for (const auto *kept : {&pipes, &streams}) {
+        for (const int descriptor : *kept)
+            prepared = prepared && ::fcntl(descriptor, F_SETFD, 0) == 0;
+    }
+    if (prepared)
+        ::execv(program.c_str(), arguments.data());
     const auto error = systemError();
-    closeAll(descriptors);
+    closeAll(pipes);
     return error;
 }
 
--- a/src/citroncrank-agent/upgrade.h
+++ b/src/citroncrank-agent/upgrade.h
@@ -35,10 +35,10 @@
 /// Reads the pipes to their ends and closes them. Returns nullopt on a read error.
 std::optional<std::string> readFromPipes(const std::vector<int> &descriptors);
 
-/// Replaces this program by the one installed at `program`, with the settings file and the pipes. Returns only on
-/// failure.
+/// Replaces this program by the one installed at `program`, with the settings file and the pipes. Of all open
+/// descriptors only the pipes and `streams` are kept. Returns only on failure.
 std::error_code replaceProgram(const std::string &program, const std::string &settingsFile,
-                               const std::vector<int> &descriptors);
+                               const std::vector<int> &pipes, const std::vector<int> &streams);
 
 /// Value of the option that names the pipes, for example "5,6,7". Nullopt when it is malformed.
 std::optional<std::vector<int>> parseDescriptors(const std::string &text);
--- a/src/include/citroncrank/net.h
+++ b/src/include/citroncrank/net.h
@@ -26,7 +26,7 @@
 struct saved_stream
 {
     stream_id stream = 0;
-    int descriptor = -1; ///< Survives execve.
+    int descriptor = -1;
     std::string unsent;  ///< Bytes that the socket has not taken yet.
     bool finishWanted = false;
     bool shutdownDone = false;
--- a/src/libnet/stream_socket.cpp
+++ b/src/libnet/stream_socket.cpp
@@ -1,7 +1,6 @@
 #include "stream_socket_pvt.h"
 
 #include <array>
-#include <fcntl.h>
 
 namespace citroncrank {
 
@@ -39,11 +38,8 @@
 {
     if (!m_connected || m_gone || m_closeWanted)
         return std::nullopt;
-    const int descriptor = m_socket.native_handle();
-    const int flags = ::fcntl(descriptor, F_GETFD);
-    if (flags < 0 || ::fcntl(descriptor, F_SETFD, flags & ~FD_CLOEXEC) < 0)
-        return std::nullopt;
-    return saved_stream{m_id, descriptor, m_pending.substr(m_pendingHead), m_finishWanted, m_shutdownDone, m_endSeen};
+    return saved_stream{m_id,           m_socket.native_handle(), m_pending.substr(m_pendingHead),
+                        m_finishWanted, m_shutdownDone,           m_endSeen};
 }
 
 void stream_socket::setOptions()
--- a/src/libnet/stream_socket_pvt.h
+++ b/src/libnet/stream_socket_pvt.h
@@ -28,7 +28,7 @@
     void startAccepted();
     /// Continues a stream of the program that this one replaced.
     void startAdopted(const saved_stream &saved);
-    /// Nullopt unless the stream is connected and in use. The descriptor survives execve.
+    /// Nullopt unless the stream is connected and in use.
     std::optional<saved_stream> save();
     void read(std::uint64_t maxBytes);
     void write(std::string bytes);
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -5,6 +5,7 @@
 bin=$1
 work=$(mktemp -d)
 pids=()
+declare -A pid_of
 failures=0
 
 cleanup() {
@@ -21,6 +22,7 @@
     "$@" >"$work/$name.log" 2>&1 &
     last_pid=$!
     pids+=("$last_pid")
+    pid_of[$name]=$last_pid
 }
 
 # wait_until SECONDS DESCRIPTION COMMAND...: repeats the command until it succeeds.
@@ -86,3 +88,38 @@
 connections: 2000
 YAML
 }
+
+# tell PROCESS_NAME SIGNAL: signals a process started by `start`.
+tell() { kill "-$2" "${pid_of[$1]}"; }
+
+# http PORT PATH: the body of a GET at the operators' endpoint.
+http() { curl -sf -m 3 "http://127.0.0.1:$1$2"; }
+
+# knows_members PORT COUNT: the node reaches that many other members.
+knows_members() { http "$1" /status | grep -q "\"membersReachable\":$2,"; }
+
+# start_fleet BASE: platform, 3 upstreams of service bokunarkerfi with agents, 3 balancers, fabric. Ports are
+# BASE (fabric), BASE+1 (platform), BASE+11.. (upstreams), +21.. (agents), +31.. (agents' HTTP), +41.. (balancers),
+# +51.. (balancers' HTTP).
+start_fleet() {
+    local base=$1 i
+    local domains=(rvk-a rvk-b hfj-c)
+    start platform "$bin/standin-platform" --listen "127.0.0.1:$((base + 1))"
+    for i in 1 2 3; do
+        start "up$i" "$bin/standin-upstream" --listen "127.0.0.1:$((base + 10 + i))" --service bokunarkerfi \
+            --slots 7 --connections 2000 --work-ms 0
+        write_agent "a$i" "${domains[$((i - 1))]}" $((base + 20 + i)) $((base + 30 + i)) $((base + 1)) bokunarkerfi \
+            $((base + 10 + i)) 7
+        start "a$i" "$bin/citroncrank-agent" --settings "$work/a$i.yaml"
+        write_balancer "b$i" "${domains[$((i - 1))]}" $((base + 40 + i)) $((base + 50 + i)) $((base + 1)) "${accept:-}"
+        start "b$i" "$bin/citroncrank-balancer" --settings "$work/b$i.yaml"
+    done
+    start fabric "$bin/standin-fabric" --listen "127.0.0.1:$base,service=bokunarkerfi,class=normal,kind=request" \
+        --balancer "127.0.0.1:$((base + 41))" --balancer "127.0.0.1:$((base + 42))" \
+        --balancer "127.0.0.1:$((base + 43))" --key "$secret"
+    for i in 1 2 3; do
+        wait_until 30 "balancer b$i to know all members" knows_members $((base + 50 + i)) 5
+        wait_until 30 "agent a$i to be ready" http $((base + 30 + i)) /ready
+    done
+    wait_until 10 "a first answer" curl -sf -m 5 -o /dev/null "http://127.0.0.1:$base/bytes/10?seed=1"
+}
