Make the fleet simulation independent of the allocator

Cause: the figures differed between a sanitizer build and a plain one (71344 and 71588 checks). A node's tick was tied to the address of its state, and a restarted node could get the same address and tick twice as often. Ruled out: a difference in the library. Change: the tick is tied to the node's incarnation.

--- a/src/libconfig/config_spread_test.cpp
+++ b/src/libconfig/config_spread_test.cpp
@@ -113,12 +113,12 @@
         for (const auto &other : m_nodes)
             all.members.push_back({other.name, other.domain, true, other.incarnation});
         deliver(index, all);
-        tick(index, node.spread.get());
+        tick(index, node.incarnation);
     }
 
-    void tick(std::size_t index, const config_spread *started)
+    void tick(std::size_t index, std::uint64_t started)
     {
-        if (m_nodes[index].spread.get() != started)
+        if (!m_nodes[index].spread || m_nodes[index].incarnation != started)
             return;
         deliver(index, spread_tick{});
         if (m_time.chance(20)) { // Membership messages once a second on average.
