Measure the loss of a failure domain in membership-bench

Cause: the design page says that members of a lost failure domain are dead in seconds; that was measured at 180 members. Change: a phase that stops a sixth of the members at once, with the time until they are no longer held for reachable.

--- a/src/membership-bench/main.cpp
+++ b/src/membership-bench/main.cpp
@@ -91,6 +91,37 @@
     std::printf("  known to all: drain %.1f s, death %.1f s\n", drainSeconds, deathSeconds);
 }
 
+/// Stops a sixth of the members at once: a failure domain at target size.
+void measureDomainLoss(measured_group &group)
+{
+    for (std::size_t index = 5; index < group.size(); index += 6)
+        group.stop(index);
+    std::size_t running = 0;
+    for (std::size_t index = 0; index < group.size(); ++index)
+        running += group.stopped(index) ? 0 : 1;
+    const auto share = [&] {
+        std::size_t held = 0;
+        for (std::size_t index = 0; index < group.size(); ++index)
+            if (!group.stopped(index))
+                held +=
+                    group.node(index).reachableCount() + 1 - std::min(running, group.node(index).reachableCount() + 1);
+        return double(held) / (double(running) * (double(group.size()) / 6));
+    };
+    group.cost = {};
+    const double half = secondsUntil(
+        group, [&] { return share() < 0.5; }, seconds(120));
+    const double most = half
+                        + secondsUntil(
+                            group, [&] { return share() < 0.01; }, seconds(120));
+    const double all = most
+                       + secondsUntil(
+                           group, [&] { return share() == 0; }, seconds(120));
+    std::printf(
+        "  domain lost: stopped members still held for reachable under 50 %% after %.1f s, under 1 %% after %.1f s, "
+        "none after %.1f s; %.0f B/s meanwhile\n",
+        half, most, all, bytesPerSecond(group.cost, double(running) * all));
+}
+
 point measure(std::size_t size, int lengthSeconds, double loss)
 {
     point result{.members = double(size)};
@@ -116,6 +147,8 @@
                 result.churnBytes, double(group.cost.syncBytes) / nodeSeconds, result.churnCorePercent,
                 result.memoryMiB, result.memoryMiB * 1024 * 1024 / double(size));
     std::fflush(stdout);
+    measureDomainLoss(group);
+    std::fflush(stdout);
     return result;
 }
 
@@ -158,6 +191,7 @@
     if (sizes.empty())
         sizes = {100, 400, 1000, 2000, 4630};
     std::vector<point> points;
+    points.reserve(sizes.size());
     for (const auto size : sizes)
         points.push_back(measure(size, length, loss));
     printLine("quiet B/s", points, &point::quietBytes, kBudgetBytesPerSecond);
