--- a/src/libmembership/membership_state_pvt.h
+++ b/src/libmembership/membership_state_pvt.h
@@ -139,7 +139,7 @@
     int m_outcomeCount = 0;
     bool m_joined = false;
     bool m_newsInMessage = false; ///< The message being received changed the table.
-    bool m_inTransfer = false; ///< The records being applied come from a table transfer.
+    bool m_inTransfer = false;    ///< The records being applied come from a table transfer.
     int m_syncAttempts = 0;
     double m_urgentTokens;
     double m_syncTokens;
