Ignore the reports of an agent that queues while it reports free slots

Cause: with ten of 28 agents reporting inverted load, their full agents passed the filter for free slots and drew all three opens of a flow; a short memory of queued answers did not help, since each balancer sees few of them. Change: a queued answer beside a report with free slots makes that balancer ignore the agent's reports for 10 s; an agent without a usable report counts as 0.75 loaded plus the opens sent. estimate() always gives a value.

--- a/src/include/citroncrank/routing.h
+++ b/src/include/citroncrank/routing.h
@@ -79,6 +79,10 @@
     duration maxAge = std::chrono::seconds(2); ///< A report read longer ago is ignored.
     /// How long an agent that queued an open counts as full, even if its reports say otherwise.
     duration queuedMemory = std::chrono::milliseconds(100);
+    /// How long the reports of an agent are ignored after it queued an open while its report showed free slots.
+    duration distrust = std::chrono::seconds(10);
+    /// Load of an agent without a usable report, before the opens sent to it. Below 1, so that a new agent gets work.
+    double assumedLoad = 0.75;
     auto operator<=>(const load_hint_settings &) const = default;
 };
 
@@ -95,12 +99,12 @@
     void reported(node_id agent, const load_report &report, time_point now);
     /// This balancer forwarded an open to the agent.
     void opened(node_id agent, time_point now);
-    /// The agent queued an open. Kept apart from the reports, which can be wrong or frozen.
+    /// The agent queued an open. Call `reported` first if the same frame has a report: a report with free slots
+    /// beside this answer is wrong.
     void queuedAt(node_id agent, std::uint16_t position, time_point now);
 
-    /// Estimate from what is fresh at `now`; nullopt if nothing is. `slots` and `connections` are the announced
-    /// capacity, used where the report has none.
-    std::optional<load_estimate> estimate(const upstream_record &upstream, time_point now) const;
+    /// Estimate from what is fresh at `now`. Capacities that the report lacks are taken from the record.
+    load_estimate estimate(const upstream_record &upstream, time_point now) const;
 
     /// Drops entries with nothing fresh. Call once per `maxAge` to bound the memory by the live agents.
     void removeStale(time_point now);
@@ -115,6 +119,7 @@
         std::optional<time_point> lastOpen;
         std::uint16_t queuePosition = 0;
         std::optional<time_point> queuedSeen;
+        std::optional<time_point> contradicted; ///< When a report was last found wrong.
     };
 
     bool isFresh(const std::optional<time_point> &since, duration age, time_point now) const
--- a/src/librouting/candidate.cpp
+++ b/src/librouting/candidate.cpp
@@ -14,20 +14,15 @@
     double load = 0;
 };
 
-// An agent that nothing is known of counts as lightly loaded, so that a new agent or a new balancer gets work.
-constexpr double kUnknownLoad = 0.5;
-
-bool isReady(const upstream_record &upstream, const std::optional<load_estimate> &estimate)
+bool isReady(const upstream_record &upstream, const load_estimate &estimate)
 {
     const bool alive = upstream.state == member_state::alive || upstream.state == member_state::suspect;
-    return alive && upstream.serving == serving_state::ready && !(estimate && estimate->draining);
+    return alive && upstream.serving == serving_state::ready && !estimate.draining;
 }
 
-double loadFor(flow_kind kind, const std::optional<load_estimate> &estimate)
+double loadFor(flow_kind kind, const load_estimate &estimate)
 {
-    if (!estimate)
-        return kUnknownLoad;
-    return kind == flow_kind::session ? estimate->connectionLoad : estimate->slotLoad;
+    return kind == flow_kind::session ? estimate.connectionLoad : estimate.slotLoad;
 }
 
 std::vector<ranked_candidate> eligible(const upstream_table &table, const load_hints &hints,
--- a/src/librouting/routing_test.cpp
+++ b/src/librouting/routing_test.cpp
@@ -134,8 +134,22 @@
     load_hints hints;
     hints.queuedAt(upstream->agent, 0, at(0));
     hints.reported(upstream->agent, busy(0), at(1));
-    EXPECT_GT(hints.estimate(*upstream, at(1))->slotLoad, 1);
-    EXPECT_EQ(hints.estimate(*upstream, at(200))->slotLoad, 0);
+    EXPECT_GT(hints.estimate(*upstream, at(1)).slotLoad, 1);
+    EXPECT_EQ(hints.estimate(*upstream, at(200)).slotLoad, 0);
+}
+
+// Guards against an agent that reports free slots while it queues, and draws the flows of all balancers.
+TEST(LoadHints, ContradictedReportsAreIgnored)
+{
+    const auto table = upstream_table::build(sixAgents(), 1);
+    const auto *upstream = table.find(nodeIdOf("a1"));
+    load_hints hints;
+    hints.reported(upstream->agent, busy(0), at(0));
+    hints.queuedAt(upstream->agent, 0, at(0));
+    hints.reported(upstream->agent, busy(0), at(1000));
+    EXPECT_EQ(hints.estimate(*upstream, at(1000)).slotLoad, load_hint_settings().assumedLoad);
+    hints.reported(upstream->agent, busy(0), at(10'001));
+    EXPECT_EQ(hints.estimate(*upstream, at(10'001)).slotLoad, 0);
 }
 
 // Guards against decisions from old reports, and against memory kept for agents that are gone.
@@ -145,8 +159,8 @@
     const auto *upstream = table.find(nodeIdOf("a1"));
     load_hints hints;
     hints.reported(upstream->agent, busy(2), at(0));
-    EXPECT_EQ(hints.estimate(*upstream, at(2000))->slotLoad, 1);
-    EXPECT_FALSE(hints.estimate(*upstream, at(2001)));
+    EXPECT_EQ(hints.estimate(*upstream, at(2000)).slotLoad, 1);
+    EXPECT_EQ(hints.estimate(*upstream, at(2001)).slotLoad, load_hint_settings().assumedLoad);
     hints.removeStale(at(2001));
     EXPECT_EQ(hints.size(), 0U);
 }
