--- a/src/libflow/caller_flow_test.cpp
+++ b/src/libflow/caller_flow_test.cpp
@@ -52,31 +52,31 @@
         frame value{.service = "main", .flow = {1, 1}, .edge = 1, .direction = frame_direction::to_caller};
         value.owner = from;
         value.body = std::move(body);
-        m_flow.onFrame(value, at(when));
+        caller.onFrame(value, at(when));
     }
     // Sends "hello" and its end to the first owner under offer 2.
     void bindFirst()
     {
-        m_flow.onCallerBytes("hello", at(0));
-        m_flow.onCallerEnd(at(0));
+        caller.onCallerBytes("hello", at(0));
+        caller.onCallerEnd(at(0));
         receive(kFirst, offer_body{2}, 1);
-        m_flow.takeActions();
+        caller.takeActions();
     }
 
-    caller_flow m_flow{{1, 1}, 1, settings(), nullptr, at(0)};
+    caller_flow caller{{1, 1}, 1, settings(), nullptr, at(0)};
 };
 
 // Guards against delivering bytes before exactly one owner is committed.
 TEST_F(CallerFlowTest, SendsNoBytesBeforeAnOfferAndCancelsOtherOffers)
 {
-    m_flow.onCallerBytes("hello", at(0));
-    EXPECT_TRUE(sent<data_body>(m_flow.takeActions()).empty());
+    caller.onCallerBytes("hello", at(0));
+    EXPECT_TRUE(sent<data_body>(caller.takeActions()).empty());
     receive(kFirst, offer_body{2}, 1);
-    const auto data = sent<data_body>(m_flow.takeActions());
+    const auto data = sent<data_body>(caller.takeActions());
     ASSERT_EQ(data.size(), 1U);
     EXPECT_EQ(data.front().owner, kFirst);
     receive(kSecond, offer_body{5}, 2);
-    const auto cancels = sent<cancel_body>(m_flow.takeActions());
+    const auto cancels = sent<cancel_body>(caller.takeActions());
     ASSERT_EQ(cancels.size(), 1U);
     EXPECT_EQ(cancels.front().owner, kSecond);
 }
@@ -86,13 +86,13 @@
 {
     bindFirst();
     receive(kFirst, refused_body{refusal_reason::no_free_slot, milliseconds(0)}, 2);
-    const auto actions = m_flow.takeActions();
+    const auto actions = caller.takeActions();
     EXPECT_TRUE(sent<open_body>(actions).empty());
     ASSERT_EQ(sent<fence_body>(actions).size(), 1U);
-    EXPECT_EQ(m_flow.currentState(), caller_flow::state::bound);
+    EXPECT_EQ(caller.currentState(), caller_flow::state::bound);
     receive(kFirst, fenced_body{2, false}, 3);
-    EXPECT_EQ(sent<open_body>(m_flow.takeActions()).size(), 1U);
-    EXPECT_EQ(m_flow.currentState(), caller_flow::state::opening);
+    EXPECT_EQ(sent<open_body>(caller.takeActions()).size(), 1U);
+    EXPECT_EQ(caller.currentState(), caller_flow::state::opening);
 }
 
 // Guards against moving a flow on the answer to a fence of another offer, or on "delivered".
@@ -102,8 +102,8 @@
     receive(kFirst, fenced_body{1, false}, 2);
     receive(kFirst, fenced_body{2, true}, 2);
     receive(kSecond, fenced_body{2, false}, 2);
-    EXPECT_EQ(m_flow.currentState(), caller_flow::state::bound);
-    EXPECT_EQ(m_flow.owner(), kFirst);
+    EXPECT_EQ(caller.currentState(), caller_flow::state::bound);
+    EXPECT_EQ(caller.owner(), kFirst);
 }
 
 // Guards against "not run" for a request that may have run: silence after the bind is an unknown outcome.
@@ -111,8 +111,8 @@
 {
     bindFirst();
     for (std::int64_t when = 100; when < 20'000; when += 100)
-        m_flow.onTick(at(when));
-    const auto actions = m_flow.takeActions();
+        caller.onTick(at(when));
+    const auto actions = caller.takeActions();
     EXPECT_TRUE(only<refuse_action>(actions).empty());
     EXPECT_EQ(only<reset_caller_action>(actions).size(), 1U);
     EXPECT_FALSE(sent<fence_body>(actions).empty());
@@ -123,11 +123,11 @@
 {
     bindFirst();
     receive(kFirst, data_body{2, 3, "def", true, 5, 70'000}, 2);
-    auto actions = m_flow.takeActions();
+    auto actions = caller.takeActions();
     EXPECT_TRUE(only<finish_action>(actions).empty());
     EXPECT_TRUE(only<deliver_action>(actions).empty());
     receive(kFirst, data_body{2, 0, "abc", false, 5, 70'000}, 3);
-    actions = m_flow.takeActions();
+    actions = caller.takeActions();
     ASSERT_EQ(only<deliver_action>(actions).size(), 1U);
     EXPECT_EQ(only<deliver_action>(actions).front().bytes, "abcdef");
     EXPECT_EQ(only<finish_action>(actions).size(), 1U);
@@ -138,11 +138,11 @@
 {
     bindFirst();
     receive(kFirst, data_body{2, 0, "abc", true, 0, 70'000}, 2);
-    m_flow.takeActions();
+    caller.takeActions();
     for (std::int64_t when = 100; when < 40'000; when += 100)
-        m_flow.onTick(at(when));
-    EXPECT_TRUE(only<reset_caller_action>(m_flow.takeActions()).empty());
-    EXPECT_EQ(m_flow.currentState(), caller_flow::state::done);
+        caller.onTick(at(when));
+    EXPECT_TRUE(only<reset_caller_action>(caller.takeActions()).empty());
+    EXPECT_EQ(caller.currentState(), caller_flow::state::done);
 }
 
 // Guards against refusing a caller during planned changes: one agent drains, and the balancer asked next is new.
@@ -150,10 +150,10 @@
 {
     receive(kFirst, refused_body{refusal_reason::draining, milliseconds(0)}, 1);
     receive({}, refused_body{refusal_reason::no_upstream, milliseconds(500)}, 2);
-    auto actions = m_flow.takeActions();
+    auto actions = caller.takeActions();
     EXPECT_TRUE(only<refuse_action>(actions).empty());
-    m_flow.onTick(at(300));
-    EXPECT_EQ(sent<open_body>(m_flow.takeActions()).size(), 1U);
+    caller.onTick(at(300));
+    EXPECT_EQ(sent<open_body>(caller.takeActions()).size(), 1U);
 }
 
 // Guards against slow refusals under overload: without another candidate a busy agent's refusal is final.
@@ -161,7 +161,7 @@
 {
     receive(kFirst, refused_body{refusal_reason::no_free_slot, milliseconds(40)}, 1);
     receive({}, refused_body{refusal_reason::no_upstream, milliseconds(500)}, 2);
-    EXPECT_EQ(only<refuse_action>(m_flow.takeActions()).size(), 1U);
+    EXPECT_EQ(only<refuse_action>(caller.takeActions()).size(), 1U);
 }
 
 // Guards against callers that wait for ever for an agent: the deadline refuses, since nothing was delivered.
@@ -169,9 +169,9 @@
 {
     receive(kFirst, queued_body{3}, 1);
     for (std::int64_t when = 100; when <= 10'000; when += 100)
-        m_flow.onTick(at(when));
-    EXPECT_EQ(only<refuse_action>(m_flow.takeActions()).size(), 1U);
-    EXPECT_EQ(m_flow.currentState(), caller_flow::state::done);
+        caller.onTick(at(when));
+    EXPECT_EQ(only<refuse_action>(caller.takeActions()).size(), 1U);
+    EXPECT_EQ(caller.currentState(), caller_flow::state::done);
 }
 
 } // namespace
--- a/src/libproof/trace_replay.cpp
+++ b/src/libproof/trace_replay.cpp
@@ -175,10 +175,10 @@
                 acted = true;
                 std::visit([this](const auto &each) { onEdge(each); }, taken.action);
             }
-            for (auto &[name, agent] : m_agents) {
-                for (auto &taken : agent->takeActions()) {
+            for (auto &item : m_agents) {
+                for (auto &taken : item.second->takeActions()) {
                     acted = true;
-                    std::visit([&, this](const auto &each) { onAgent(name, each); }, taken);
+                    std::visit([&, this](const auto &each) { onAgent(item.first, each); }, taken);
                 }
             }
         }
