Reject stream pieces that wrap around or lie behind the end

Cause: byte_stream_test showed two pieces that receive_stream took although they contradict the stream: an offset near 2^64 whose end wraps past the window check (held for ever), and an end before bytes that had arrived early (the end is then never reached). Only a faulty peer with a valid key sends either. Ruled out: a truncated response; the end was never reported as reached in either case. Change: insert rejects both, which resets the flow with protocol_error. The test also covers lossy paths (property), acknowledgements, restart and back-off. Before: both accepted. Conclusion: a contradictory stream ends in a reset at once.

--- a/src/include/citroncrank/byte_stream.h
+++ b/src/include/citroncrank/byte_stream.h
@@ -125,6 +125,7 @@
     std::uint64_t m_window;
     std::uint64_t m_received = 0;
     std::uint64_t m_consumed = 0;
+    std::uint64_t m_highest = 0; // end of the furthest piece seen
     std::optional<std::uint64_t> m_end;
     std::string m_ready;
     std::map<std::uint64_t, std::string> m_later;
--- a/src/libflow/byte_stream.cpp
+++ b/src/libflow/byte_stream.cpp
@@ -177,15 +177,17 @@
 bool receive_stream::insert(std::uint64_t offset, std::string_view bytes, bool fin)
 {
     const std::uint64_t end = offset + bytes.size();
-    if (end > windowEnd())
+    const bool wraps = end < offset;
+    if (wraps || end > windowEnd())
         return false;
     if (fin) {
-        if ((m_end && *m_end != end) || end < m_received)
+        if ((m_end && *m_end != end) || end < m_highest)
             return false;
         m_end = end;
     }
     if (m_end && end > *m_end)
         return false;
+    m_highest = std::max(m_highest, end);
     if (end <= m_received)
         return true;
     if (offset <= m_received) {
--- /dev/null
+++ b/src/libflow/byte_stream_test.cpp
@@ -0,0 +1,131 @@
+#include "citroncrank/byte_stream.h"
+
+#include <deque>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace citroncrank {
+namespace {
+
+time_point at(std::int64_t milliseconds)
+{
+    return time_point(duration(milliseconds * 1000));
+}
+
+stream_limits smallWindow()
+{
+    stream_limits limits;
+    limits.windowBytes = 100;
+    return limits;
+}
+
+// Guards against bytes that are lost, doubled or out of order, and against a fin before all bytes, on a path that
+// drops, duplicates, delays and reorders chunks and acknowledgements.
+RC_GTEST_PROP(ByteStreamProperty, DeliversEachByteOnceAndInOrder, (const std::string &text))
+{
+    send_stream sender(smallWindow());
+    receive_stream receiver(smallWindow().windowBytes);
+    std::deque<stream_chunk> path;
+    std::string received;
+    std::size_t written = 0;
+    const std::string whole = text + text + text + text;
+    for (std::int64_t now = 0; now < 100'000 && !sender.complete(); now += 10) {
+        const auto room = std::min<std::size_t>(sender.room(), whole.size() - written);
+        sender.append(std::string_view(whole).substr(written, room));
+        written += room;
+        if (written == whole.size() && !sender.finished())
+            sender.finish();
+        for (auto &chunk : sender.takeChunks(at(now)))
+            path.push_back(std::move(chunk));
+        const bool calm = now > 50'000;
+        if (path.empty())
+            continue;
+        const std::size_t pick = calm ? 0 : *rc::gen::inRange<std::size_t>(0, path.size());
+        const auto chunk = path[pick];
+        const int fate = calm ? 0 : *rc::gen::inRange(0, 4);
+        if (fate != 3) // 3 leaves the chunk on the path as a duplicate
+            path.erase(path.begin() + std::ptrdiff_t(pick));
+        if (fate == 2)
+            continue;
+        RC_ASSERT(receiver.insert(chunk.offset, chunk.bytes, chunk.fin));
+        const auto ready = receiver.takeReady();
+        received += ready;
+        receiver.consumed(ready.size());
+        RC_ASSERT(whole.compare(0, received.size(), received) == 0);
+        if (receiver.finReached())
+            RC_ASSERT(received == whole);
+        if (fate != 1) // 1 loses the acknowledgement
+            RC_ASSERT(sender.acknowledge(receiver.ack(), receiver.windowEnd(), receiver.finReached(), at(now)));
+    }
+    RC_ASSERT(sender.complete());
+    RC_ASSERT(received == whole);
+}
+
+// Guards against a peer that runs past the window, changes the end, or sends bytes behind it.
+TEST(ByteStream, ReceiverRejectsWhatContradictsTheStream)
+{
+    receive_stream receiver(10);
+    EXPECT_FALSE(receiver.insert(5, "abcdefgh", false));
+    EXPECT_TRUE(receiver.insert(0, "abcd", true));
+    EXPECT_FALSE(receiver.insert(0, "abcde", true));
+    EXPECT_FALSE(receiver.insert(4, "e", false));
+    EXPECT_TRUE(receiver.insert(2, "cd", true));
+    EXPECT_EQ(receiver.takeReady(), "abcd");
+}
+
+// Guards against an offset near the end of its range that wraps past the window check.
+TEST(ByteStream, ReceiverRejectsOffsetsThatWrap)
+{
+    receive_stream receiver(10);
+    EXPECT_FALSE(receiver.insert(UINT64_MAX - 1, "abcd", false));
+}
+
+// Guards against an end before bytes that were already received: they would be handed on behind the end.
+TEST(ByteStream, ReceiverRejectsAnEndBeforeBytesThatArrivedEarly)
+{
+    receive_stream receiver(10);
+    EXPECT_TRUE(receiver.insert(4, "efgh", false));
+    EXPECT_FALSE(receiver.insert(0, "ab", true));
+}
+
+// Guards against acknowledgements of bytes that were never sent.
+TEST(ByteStream, SenderRejectsAcknowledgementsAheadOfWhatWasSent)
+{
+    send_stream sender(smallWindow());
+    sender.append("abc");
+    sender.takeChunks(at(0));
+    EXPECT_FALSE(sender.acknowledge(4, 100, false, at(1)));
+    EXPECT_FALSE(sender.acknowledge(3, 100, true, at(1)));
+    EXPECT_TRUE(sender.acknowledge(3, 100, false, at(1)));
+}
+
+// Guards against moving a flow whose first owner acknowledged bytes: they are no longer there to send.
+TEST(ByteStream, RestartIsRefusedAfterAnAcknowledgement)
+{
+    send_stream sender(smallWindow());
+    sender.append("abc");
+    sender.finish();
+    EXPECT_EQ(sender.takeChunks(at(0)).size(), 1U);
+    EXPECT_TRUE(sender.restart());
+    const auto again = sender.takeChunks(at(1));
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again.front().bytes, "abc");
+    EXPECT_TRUE(again.front().fin);
+    EXPECT_TRUE(sender.acknowledge(1, 100, false, at(2)));
+    EXPECT_FALSE(sender.restart());
+}
+
+// Guards against a retransmission storm: each timeout in a row doubles the wait and sends one chunk.
+TEST(ByteStream, TimeoutsBackOffAndSendOneChunk)
+{
+    send_stream sender(stream_limits{});
+    sender.append(std::string(3 * kMaxDataBytes, 'x'));
+    EXPECT_EQ(sender.takeChunks(at(0)).size(), 3U);
+    EXPECT_TRUE(sender.takeChunks(at(199)).empty());
+    EXPECT_EQ(sender.takeChunks(at(200)).size(), 1U);
+    EXPECT_TRUE(sender.takeChunks(at(599)).empty());
+    EXPECT_EQ(sender.takeChunks(at(600)).size(), 1U);
+}
+
+} // namespace
+} // namespace citroncrank
