--- a/src/include/citroncrank/byte_stream.h
+++ b/src/include/citroncrank/byte_stream.h
@@ -117,6 +117,7 @@
 {
     std::uint64_t received = 0;
     std::uint64_t consumed = 0;
+    std::uint64_t highest = 0; ///< End of the furthest piece seen.
     std::optional<std::uint64_t> end;
     std::string ready;
     std::map<std::uint64_t, std::string> later; ///< Pieces beyond a gap, by offset.
--- a/src/libagent/agent_state.cpp
+++ b/src/libagent/agent_state.cpp
@@ -63,13 +63,18 @@
 
 receive_stream_state readReceive(const wire::ReceiveState &source)
 {
-    receive_stream_state state{source.received(), source.consumed(), std::nullopt, readBytes(source.ready()), {}};
+    receive_stream_state state{.received = source.received(),
+                               .consumed = source.consumed(),
+                               .highest = source.received(),
+                               .ready = readBytes(source.ready())};
     if (source.has_end())
         state.end = source.end();
     if (source.later() != nullptr) {
         for (const auto *piece : *source.later())
             state.later[piece->offset()] = readBytes(piece->bytes());
     }
+    if (!state.later.empty())
+        state.highest = std::max(state.highest, state.later.rbegin()->first + state.later.rbegin()->second.size());
     return state;
 }
 
--- a/src/libflow/byte_stream.cpp
+++ b/src/libflow/byte_stream.cpp
@@ -195,15 +195,17 @@
 bool receive_stream::insert(std::uint64_t offset, std::string_view bytes, bool fin)
 {
     const std::uint64_t end = offset + bytes.size();
-    if (end > windowEnd())
+    const bool wraps = end < offset;
+    if (wraps || end > windowEnd())
         return false;
     if (fin) {
-        if ((m_state.end && *m_state.end != end) || end < m_state.received)
+        if ((m_state.end && *m_state.end != end) || end < m_state.highest)
             return false;
         m_state.end = end;
     }
     if (m_state.end && end > *m_state.end)
         return false;
+    m_state.highest = std::max(m_state.highest, end);
     if (end <= m_state.received)
         return true;
     if (offset <= m_state.received) {
--- a/src/libnode/fleet_node.cpp
+++ b/src/libnode/fleet_node.cpp
@@ -18,7 +18,7 @@
 config_member toConfigMember(const member_record &record, bool reachable)
 {
     const bool alive = record.state == member_state::alive || record.state == member_state::suspect;
-    return {record.name, record.domain, alive && reachable};
+    return {record.name, record.domain, alive && reachable, record.incarnation};
 }
 
 spread_time spreadNow(time_point now)
--- a/src/libproof/proof_parts_pvt.h
+++ b/src/libproof/proof_parts_pvt.h
@@ -65,6 +65,7 @@
     virtual flow_id openFlow(const caller_flow_settings &settings, time_point now) = 0;
     virtual void onCallerBytes(const flow_id &flow, std::string_view bytes, time_point now) = 0;
     virtual void onCallerEnd(const flow_id &flow, time_point now) = 0;
+    virtual void onCallerReset(const flow_id &flow, time_point now) = 0;
     virtual void onCallerConsumed(const flow_id &flow, std::uint64_t bytes, time_point now) = 0;
     virtual void onFrame(const frame &value, time_point now) = 0;
     virtual void onTick(time_point now) = 0;
@@ -100,6 +101,8 @@
     virtual std::optional<time_point> nextDeadline() const = 0;
     /// Whether a drained agent may stop.
     virtual bool idle(time_point now) const = 0;
+    /// Flows, slots and connections in use.
+    virtual std::size_t heldWork(time_point now) const = 0;
     /// Frames dropped because they named another service or incarnation.
     virtual std::uint64_t mismatches() const = 0;
 };
@@ -127,6 +130,7 @@
         m_core.onCallerBytes(flow, bytes, now);
     }
     void onCallerEnd(const flow_id &flow, time_point now) override { m_core.onCallerEnd(flow, now); }
+    void onCallerReset(const flow_id &flow, time_point now) override { m_core.onCallerReset(flow, now); }
     void onCallerConsumed(const flow_id &flow, std::uint64_t bytes, time_point now) override
     {
         m_core.onCallerConsumed(flow, bytes, now);
@@ -156,37 +160,41 @@
 {
 public:
     product_agent(const agent_settings &settings, const admission_settings &admission)
-        : m_core(settings, admission)
+        : core(settings, admission)
     {}
-    void onFrame(const frame &value, hop_id from, time_point now) override { m_core.onFrame(value, from, now); }
-    void onUpstreamConnected(const flow_id &flow, time_point now) override { m_core.onUpstreamConnected(flow, now); }
+    void onFrame(const frame &value, hop_id from, time_point now) override { core.onFrame(value, from, now); }
+    void onUpstreamConnected(const flow_id &flow, time_point now) override { core.onUpstreamConnected(flow, now); }
     void onUpstreamConnectFailed(const flow_id &flow, time_point now) override
     {
-        m_core.onUpstreamConnectFailed(flow, now);
+        core.onUpstreamConnectFailed(flow, now);
     }
     void onUpstreamBytes(const flow_id &flow, std::string_view bytes, time_point now) override
     {
-        m_core.onUpstreamBytes(flow, bytes, now);
+        core.onUpstreamBytes(flow, bytes, now);
     }
-    void onUpstreamEnd(const flow_id &flow, time_point now) override { m_core.onUpstreamEnd(flow, now); }
+    void onUpstreamEnd(const flow_id &flow, time_point now) override { core.onUpstreamEnd(flow, now); }
     void onUpstreamConsumed(const flow_id &flow, std::uint64_t bytes, time_point now) override
     {
-        m_core.onUpstreamConsumed(flow, bytes, now);
+        core.onUpstreamConsumed(flow, bytes, now);
+    }
+    void onTick(time_point now) override { core.onTick(now); }
+    void setServing(serving_state state, time_point now) override { core.setServing(state, now); }
+    std::vector<agent_action> takeActions() override { return core.takeActions(); }
+    std::optional<time_point> nextDeadline() const override { return core.nextDeadline(); }
+    bool idle(time_point now) const override { return mayStop(core, now); }
+    std::size_t heldWork(time_point now) const override
+    {
+        return core.flows().size() + core.load(now).busySlots + core.load(now).sessions;
     }
-    void onTick(time_point now) override { m_core.onTick(now); }
-    void setServing(serving_state state, time_point now) override { m_core.setServing(state, now); }
-    std::vector<agent_action> takeActions() override { return m_core.takeActions(); }
-    std::optional<time_point> nextDeadline() const override { return m_core.nextDeadline(); }
-    bool idle(time_point now) const override { return mayStop(m_core, now); }
     std::uint64_t mismatches() const override
     {
-        return m_core.counters().serviceMismatches + m_core.counters().incarnationMismatches;
+        return core.counters().serviceMismatches + core.counters().incarnationMismatches;
     }
     /// The condition under which the agent's process stops after a drain.
     static bool mayStop(const agent_core &core, time_point now) { return core.idle(now); }
 
 protected:
-    agent_core m_core;
+    agent_core core;
 };
 
 part_factory productParts();
