--- a/src/citroncrank-agent/agent_process.cpp
+++ b/src/citroncrank-agent/agent_process.cpp
@@ -25,6 +25,20 @@
 /// Longest reason that an operator may give for ending a flow, in bytes.
 constexpr std::size_t kMaxReasonBytes = 1024;
 
+/// The reason in the body {"reason": "..."}; nullopt when it is absent, blank or too long.
+std::optional<std::string> reasonOf(const operator_request &request)
+{
+    boost::json::error_code error;
+    const auto body = boost::json::parse(request.body, error);
+    const auto *reason = !error && body.is_object() ? body.as_object().if_contains("reason") : nullptr;
+    if (reason == nullptr || !reason->is_string() || reason->as_string().size() > kMaxReasonBytes)
+        return std::nullopt;
+    const std::string text(reason->as_string());
+    if (text.find_first_not_of(" \t\r\n") == std::string::npos)
+        return std::nullopt;
+    return text;
+}
+
 } // namespace
 
 agent_process::agent_process(agent_file file, const daemon_options &options)
@@ -147,15 +161,15 @@
     {
         if (!process.m_core->holds(action.flow))
             process.m_balancerOf.erase(action.flow);
-        std::string detail;
+        std::string reason;
         if (const auto *refused = std::get_if<refusal_reason>(&action.reason))
-            detail = absl::StrCat("reason=", toString(*refused));
+            reason = toString(*refused);
         else if (const auto *reset = std::get_if<reset_reason>(&action.reason))
-            detail = absl::StrCat("reason=", toString(*reset));
+            reason = toString(*reset);
         if (action.step == flow_step::refused)
-            process.m_log.info(absl::StrCat("refused flow, ", detail, " service=", process.m_file.service,
+            process.m_log.info(absl::StrCat("refused flow, reason=", reason, " service=", process.m_file.service,
                                             " flow=", toString(action.flow)));
-        process.note(action.flow, toString(action.step), std::move(detail));
+        process.note(action.flow, {.event = toString(action.step), .reason = std::move(reason)});
     }
 };
 
@@ -288,8 +302,12 @@
     if (request.method == "GET" && request.path == "/flows")
         return listFlows();
     if (request.method == "POST" && request.path == "/drain") {
+        const auto reason = reasonOf(request);
+        if (!reason)
+            return errorReply(400, "rejected", "a drain needs a written reason of at most 1,024 bytes");
+        m_log.info(absl::StrCat("operator drains this node, reason=\"", *reason, "\""));
         drain(now);
-        return jsonReply(boost::json::object{{"serving", "draining"}, {"openFlows", m_core->boundFlows()}});
+        return jsonReply(boost::json::object{{"state", "draining"}, {"open_flows", m_core->boundFlows()}});
     }
     if (request.method == "POST" && request.path == "/upgrade") {
         m_upgradeWanted = true;
@@ -310,7 +328,7 @@
             {"service", m_file.service},
             {"class", toString(flow.flowClass)},
             {"kind", toString(flow.kind)},
-            {"ageSeconds", double((now - flow.since).count()) / 1e6},
+            {"age_ms", (now - flow.since).count() / 1000},
             {"bound", flow.bound},
             {"edge", absl::StrCat(absl::Hex(flow.edge, absl::kZeroPad16))},
         });
@@ -324,25 +342,21 @@
     const std::vector<std::string> parts = absl::StrSplit(request.path, '/', absl::SkipEmpty());
     const auto flow = parts.size() == 3 && parts[2] == "end" ? parseFlowId(parts[1]) : std::nullopt;
     if (!flow)
-        return errorReply(400, "bad_request", "the path must be /flows/ID/end with 32 hexadecimal digits as ID");
-    boost::json::error_code error;
-    const auto body = boost::json::parse(request.body, error);
-    const auto *reason = !error && body.is_object() ? body.as_object().if_contains("reason") : nullptr;
-    const std::string text = reason != nullptr && reason->is_string() ? std::string(reason->as_string()) : "";
-    const bool blank = text.find_first_not_of(" \t\r\n") == std::string::npos;
-    if (blank || text.size() > kMaxReasonBytes)
-        return errorReply(400, "reason_missing", "ending a flow needs a written reason of at most 1,024 bytes");
+        return errorReply(400, "rejected", "the path must be /flows/ID/end with 32 hexadecimal digits as ID");
+    const auto reason = reasonOf(request);
+    if (!reason)
+        return errorReply(400, "rejected", "ending a flow needs a written reason of at most 1,024 bytes");
     if (!m_core->endFlow(*flow, now))
         return errorReply(404, "not_found", "no bound flow has this id");
-    m_log.warn(absl::StrCat("operator ended flow, flow=", parts[1], " reason=\"", text, "\""));
-    note(*flow, "ended_by_operator", absl::StrCat("reason=", text));
-    return jsonReply(boost::json::object{{"ended", parts[1]}});
+    m_log.warn(absl::StrCat("operator ended flow, flow=", parts[1], " reason=\"", *reason, "\""));
+    note(*flow, {.event = "ended_by_operator", .reason = *reason});
+    return jsonReply(boost::json::object{{"id", parts[1]}});
 }
 
 void agent_process::addStatus(boost::json::object *status) const
 {
     const auto load = m_core->load(monotonicNow());
-    (*status)["load"] = boost::json::object{{"busySlots", load.busySlots},
+    (*status)["load"] = boost::json::object{{"busy_slots", load.busySlots},
                                             {"slots", load.slots},
                                             {"queued", load.queued},
                                             {"sessions", load.sessions},
--- a/src/citroncrank-balancer/balancer_process.cpp
+++ b/src/citroncrank-balancer/balancer_process.cpp
@@ -82,15 +82,15 @@
     void operator()(const deliver_to_own_edge &action) const { process.m_edge.onFrame(action.value, now); }
     void operator()(const candidate_note &action) const
     {
-        std::string detail = absl::StrCat("service=", action.service, " attempt=", action.attempt);
         if (const auto *reason = std::get_if<no_candidate_reason>(&action.choice)) {
-            process.note(action.flow, "no_candidate", absl::StrCat(detail, " reason=", toString(*reason)));
+            process.note(action.flow,
+                         {.event = "no_candidate", .reason = toString(*reason), .attempt = action.attempt});
             return;
         }
         const auto *chosen = process.m_core.table().find(std::get<node_id>(action.choice));
-        if (chosen != nullptr)
-            absl::StrAppend(&detail, " agent=", toString(chosen->address), " domain=", chosen->domain);
-        process.note(action.flow, "candidate", std::move(detail));
+        process.note(action.flow, {.event = "candidate",
+                                   .peer = chosen != nullptr ? toString(chosen->address) : "",
+                                   .attempt = action.attempt});
     }
 };
 
@@ -125,15 +125,15 @@
                 .observe(ended.timeToBind);
         if (ended.outcome == flow_outcome::completed)
             m_retries.onSuccess();
-        std::string detail = absl::StrCat("service=", ended.service);
-        if (const auto *reason = std::get_if<refusal_reason>(&ended.reason)) {
-            absl::StrAppend(&detail, " reason=", toString(*reason));
-            m_log.info(absl::StrCat("refused flow, reason=", toString(*reason), " service=", ended.service,
+        std::string reason;
+        if (const auto *refused = std::get_if<refusal_reason>(&ended.reason)) {
+            reason = toString(*refused);
+            m_log.info(absl::StrCat("refused flow, reason=", reason, " service=", ended.service,
                                     " flow=", toString(ended.flow)));
         } else if (const auto *reset = std::get_if<reset_reason>(&ended.reason)) {
-            absl::StrAppend(&detail, " reason=", toString(*reset));
+            reason = toString(*reset);
         }
-        note(ended.flow, toString(ended.outcome), std::move(detail));
+        note(ended.flow, {.event = toString(ended.outcome), .reason = std::move(reason)});
     }
 }
 
@@ -203,7 +203,7 @@
             {"service", flow.settings().service},
             {"class", toString(flow.settings().flowClass)},
             {"kind", toString(flow.settings().kind)},
-            {"ageSeconds", double((now - flow.openedAt()).count()) / 1e6},
+            {"age_ms", (now - flow.openedAt()).count() / 1000},
             {"bound", flow.currentState() == caller_flow::state::bound},
             {"owner", toString(flow.owner().address)},
         });
--- a/src/citroncrank/history_command.cpp
+++ b/src/citroncrank/history_command.cpp
@@ -1,3 +1,5 @@
+#include "citroncrank/config_spread.h"
+#include "node_client.h"
 #include "revision_store.h"
 
 #include <absl/strings/str_cat.h>
@@ -75,10 +77,18 @@
     json::array records;
     for (const auto &entry : list->entries) {
         const auto object = platform->get(entry.key, &reason);
-        boost::system::error_code error;
-        json::value record = object ? json::parse(object->value, error) : json::value();
-        if (object && !error && record.is_object())
-            records.push_back(std::move(record));
+        const auto record = object ? parseInForceRecord(object->value) : std::nullopt;
+        if (!record)
+            continue;
+        json::array lagging;
+        for (const auto &name : record->lagging)
+            lagging.emplace_back(name);
+        records.push_back(json::object{{"domain", record->domain},
+                                       {"revision", record->revision},
+                                       {"first_applied", formatWallTime(record->firstApplied)},
+                                       {"last_applied", formatWallTime(record->lastApplied)},
+                                       {"lagging_count", record->laggingCount},
+                                       {"lagging", std::move(lagging)}});
     }
     return records;
 }
@@ -89,8 +99,7 @@
         const auto *value = record.if_contains(name);
         return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string("unknown");
     };
-    const auto *lagging = record.if_contains("lagging");
-    const std::size_t count = lagging != nullptr && lagging->is_array() ? lagging->get_array().size() : 0;
+    const std::uint64_t count = numberField(record, "lagging_count");
     return absl::StrCat("    ", text("domain"), ": first applied ", text("first_applied"), ", last applied ",
                         text("last_applied"), ", lagging ", count, "\n");
 }
--- a/src/include/citroncrank/config_spread.h
+++ b/src/include/citroncrank/config_spread.h
@@ -58,7 +58,7 @@
     std::vector<std::string> lagging; ///< The first kMaxLaggingNames of them, in order.
     auto operator<=>(const config_in_force_record &) const = default;
 };
-/// Object key of a record, for example "config/in-force/rvk-a/0000000042".
+/// Object key of a record, for example "config/in-force/0000000042/rvk-a".
 std::string inForceKey(const std::string &domain, std::uint64_t revision);
 /// Writes the record as YAML.
 std::string formatInForceRecord(const config_in_force_record &record);
--- a/src/include/citroncrank/decision_trail.h
+++ b/src/include/citroncrank/decision_trail.h
@@ -17,8 +17,10 @@
 struct trail_entry
 {
     wall_time when;
-    std::string step;   ///< For example "offered".
-    std::string detail; ///< For example "reason=draining".
+    std::string event;  ///< For example "offered".
+    std::string peer;   ///< Name or address of the other node; empty when there is none.
+    std::string reason; ///< Empty when there is none.
+    int attempt = -1;   ///< Number of the open, from 0; -1 when it does not apply.
 };
 
 /// Keeps the most recent decisions of a node, bounded in number. Not thread safe.
--- a/src/include/citroncrank/member.h
+++ b/src/include/citroncrank/member.h
@@ -27,6 +27,7 @@
     std::uint64_t incarnation = 0; ///< Set at process start; higher at each restart.
     std::uint32_t version = 0;     ///< Raised by the node itself on each change and to refute a suspicion.
     host_address address;
+    std::uint16_t httpPort = 0; ///< Port of the operators' endpoint on the same IP; 0: unknown.
     std::string region;
     std::string domain; ///< Failure domain.
     member_state state = member_state::alive;
--- a/src/include/citroncrank/net.h
+++ b/src/include/citroncrank/net.h
@@ -27,7 +27,7 @@
 {
     stream_id stream = 0;
     int descriptor = -1;
-    std::string unsent;  ///< Bytes that the socket has not taken yet.
+    std::string unsent; ///< Bytes that the socket has not taken yet.
     bool finishWanted = false;
     bool shutdownDone = false;
     bool ended = false; ///< The peer's end was seen.
--- a/src/include/citroncrank/node_process.h
+++ b/src/include/citroncrank/node_process.h
@@ -55,7 +55,8 @@
     /// True once the graceful shutdown has begun.
     bool stopping() const { return m_stopBegun; }
     config_place place() const { return {m_settings.domain, m_settings.name, wallNow()}; }
-    void note(const flow_id &flow, std::string step, std::string detail);
+    /// Remembers a decision for `explain`; fills in the time.
+    void note(const flow_id &flow, trail_entry entry);
     /// Handles the events that wait in the ring, without waiting for more.
     void dispatchPendingEvents(time_point now);
     void stopEndpoint() { m_endpoint.reset(); }
--- a/src/include/citroncrank/operator_api.h
+++ b/src/include/citroncrank/operator_api.h
@@ -51,9 +51,7 @@
 
 /// Parts of /status that both daemons share.
 boost::json::object describeNode(const fleet_node &node, std::size_t openFlows, bool ready);
-/// Answer of /members.
-boost::json::value describeMembers(const fleet_node &node);
 /// Answer of /explain/ID.
-operator_reply explainFlow(const decision_trail &trail, const std::string &flowText);
+operator_reply explainFlow(const decision_trail &trail, const member_record &local, const std::string &flowText);
 
 } // namespace citroncrank
--- a/src/libconfig/in_force_record.cpp
+++ b/src/libconfig/in_force_record.cpp
@@ -11,7 +11,7 @@
 
 std::string inForceKey(const std::string &domain, std::uint64_t revision)
 {
-    return absl::StrFormat("config/in-force/%s/%010d", domain, revision);
+    return absl::StrFormat("config/in-force/%010d/%s", revision, domain);
 }
 
 std::string formatInForceRecord(const config_in_force_record &record)
--- a/src/libmembership/gossip_size.cpp
+++ b/src/libmembership/gossip_size.cpp
@@ -26,7 +26,8 @@
                            record.connections != 0,
                            record.configRevision != 0,
                            record.version != 0,
-                           record.incarnation != 0};
+                           record.incarnation != 0,
+                           record.httpPort != 0};
     unsigned layout = 0;
     for (const bool field : fields)
         layout = layout * 2 + (field ? 1 : 0);
@@ -52,7 +53,8 @@
     // Offset in the list, offset to the layout, offsets of four texts, address, three bytes, and the numbers.
     std::size_t result = 4 + 4 + 16 + 8 + 4 + kAlignmentBytes + textBytes(record.name);
     result += (record.incarnation != 0 ? 8 : 0) + (record.version != 0 ? 4 : 0) + (record.slots != 0 ? 2 : 0)
-              + (record.connections != 0 ? 4 : 0) + (record.configRevision != 0 ? 8 : 0);
+              + (record.connections != 0 ? 4 : 0) + (record.configRevision != 0 ? 8 : 0)
+              + (record.httpPort != 0 ? 2 : 0);
     for (const auto *text : {&record.region, &record.domain, &record.service})
         result += known(*text) ? 0 : textBytes(*text);
     if (std::find(m_layouts.begin(), m_layouts.end(), layoutOf(record)) == m_layouts.end())
--- a/src/libnode/node_process.cpp
+++ b/src/libnode/node_process.cpp
@@ -52,6 +52,7 @@
     m_local.name = m_settings.name;
     m_local.region = m_settings.region;
     m_local.domain = m_settings.domain;
+    m_local.httpPort = m_settings.http.port;
     m_local.incarnation = std::uint64_t(wallNow().time_since_epoch().count());
 }
 
@@ -81,7 +82,7 @@
         auto reply = m_operators.ask(request.method, request.path, request.body);
         return http_reply{reply.status, "application/json", std::move(reply.body), {}};
     };
-    for (const char *path : {"/status", "/members", "/explain", "/flows"})
+    for (const char *path : {"/status", "/explain", "/flows"})
         m_endpoint->handle("GET", path, ask);
     for (const char *path : {"/drain", "/flows", "/upgrade"})
         m_endpoint->handle("POST", path, ask);
@@ -202,9 +203,10 @@
     }
 }
 
-void node_process::note(const flow_id &flow, std::string step, std::string detail)
+void node_process::note(const flow_id &flow, trail_entry entry)
 {
-    m_trail.add(flow, {wallNow(), std::move(step), std::move(detail)});
+    entry.when = wallNow();
+    m_trail.add(flow, std::move(entry));
 }
 
 operator_reply node_process::answerOperator(const operator_request &request, time_point now)
@@ -215,10 +217,8 @@
         addStatus(&status);
         return jsonReply(status);
     }
-    if (request.path == "/members")
-        return jsonReply(describeMembers(*m_fleet));
     if (request.path.starts_with(kExplain))
-        return explainFlow(m_trail, request.path.substr(kExplain.size()));
+        return explainFlow(m_trail, m_local, request.path.substr(kExplain.size()));
     return onOperator(request, now);
 }
 
--- a/src/libnode/operator_api.cpp
+++ b/src/libnode/operator_api.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::chrono::seconds kAnswerTimeout{2};
+constexpr const char *kVersion = "0.1.0";
 
 const char *name(node_role role)
 {
@@ -32,23 +33,30 @@
 
 json::object describeMember(const member_record &record, bool unreachable)
 {
-    json::object out;
-    out["name"] = record.name;
-    out["role"] = name(record.role);
-    out["address"] = toString(record.address);
-    out["region"] = record.region;
-    out["domain"] = record.domain;
-    out["state"] = unreachable ? "unreachable" : name(record.state);
-    out["configRevision"] = record.configRevision;
+    json::object out{{"name", record.name},
+                     {"role", name(record.role)},
+                     {"region", record.region},
+                     {"domain", record.domain},
+                     {"liveness", name(record.state)},
+                     {"reachable", !unreachable},
+                     {"config_revision", record.configRevision}};
+    if (record.httpPort != 0)
+        out["http_address"] = toString(host_address{record.address.ip, record.httpPort});
     if (record.role == node_role::agent) {
         out["service"] = record.service;
-        out["serving"] = name(record.serving);
-        out["slots"] = record.slots;
-        out["connections"] = record.connections;
+        out["state"] = name(record.serving);
     }
     return out;
 }
 
+json::array describeMembers(const fleet_node &node)
+{
+    json::array members{describeMember(node.members().local(), false)};
+    for (const auto &view : node.members().members())
+        members.emplace_back(describeMember(view.record, view.unreachable));
+    return members;
+}
+
 } // namespace
 
 operator_requests::operator_requests(std::function<void()> wake)
@@ -61,9 +69,9 @@
     auto promise = std::make_shared<std::promise<operator_reply>>();
     auto answer = promise->get_future();
     if (!m_ring.tryPush({std::move(method), std::move(path), std::move(body), promise}))
-        return errorReply(503, "busy", "too many operator requests at once");
+        return errorReply(503, "unavailable", "too many operator requests at once");
     if (answer.wait_for(kAnswerTimeout) != std::future_status::ready)
-        return errorReply(503, "timeout", "the decision thread did not answer in time");
+        return errorReply(503, "unavailable", "the decision thread did not answer in time");
     return answer.get();
 }
 
@@ -89,42 +97,46 @@
 {
     const auto &local = node.members().local();
     json::object out = describeMember(local, false);
-    out["incarnation"] = local.incarnation;
+    out["version"] = kVersion;
+    out["state"] = local.role == node_role::agent ? name(local.serving) : ready ? "ready" : "starting";
     out["ready"] = ready;
-    out["configRevision"] = node.config().currentNumber();
-    out["configAppliedAt"] = node.appliedAt() ? json::value(formatWallTime(*node.appliedAt())) : json::value(nullptr);
-    out["openFlows"] = openFlows;
-    out["membersReachable"] = node.members().reachableCount();
-    out["membershipDegraded"] = node.members().degraded();
-    out["configWatcher"] = node.config().isWatcher();
-    out["configRecorder"] = node.config().isRecorder();
-    out["platformReachable"] = node.platformReachable();
-    out["platformCalls"] = node.platformCalls();
+    out["config_revision"] = node.config().currentNumber();
+    out["config_applied_at"] = node.appliedAt() ? json::value(formatWallTime(*node.appliedAt())) : json::value(nullptr);
+    out["open_flows"] = openFlows;
+    out["load"] = json::object();
+    out["members_reachable"] = node.members().reachableCount();
+    out["membership_degraded"] = node.members().degraded();
+    out["config_watcher"] = node.config().isWatcher();
+    out["config_recorder"] = node.config().isRecorder();
+    out["platform_reachable"] = node.platformReachable();
+    out["platform_calls"] = node.platformCalls();
+    out["members"] = describeMembers(node);
     return out;
 }
 
-json::value describeMembers(const fleet_node &node)
-{
-    json::array members;
-    members.emplace_back(describeMember(node.members().local(), false));
-    for (const auto &view : node.members().members())
-        members.emplace_back(describeMember(view.record, view.unreachable));
-    return json::object{{"members", std::move(members)}};
-}
-
-operator_reply explainFlow(const decision_trail &trail, const std::string &flowText)
+operator_reply explainFlow(const decision_trail &trail, const member_record &local, const std::string &flowText)
 {
     const auto flow = parseFlowId(flowText);
     if (!flow)
-        return errorReply(400, "bad_flow_id", "a flow id has 32 hexadecimal digits");
+        return errorReply(400, "rejected", "a flow id has 32 hexadecimal digits");
     const auto entries = trail.find(*flow);
     if (entries.empty())
         return errorReply(404, "not_found", "this node remembers no decision about the flow");
-    json::array steps;
-    for (const auto &entry : entries)
-        steps.emplace_back(
-            json::object{{"at", formatWallTime(entry.when)}, {"step", entry.step}, {"detail", entry.detail}});
-    return jsonReply(json::object{{"flow", flowText}, {"steps", std::move(steps)}});
+    json::array events;
+    for (const auto &entry : entries) {
+        json::object event{{"at", formatWallTime(entry.when)},
+                           {"node", local.name},
+                           {"role", name(local.role)},
+                           {"event", entry.event}};
+        if (!entry.peer.empty())
+            event["peer"] = entry.peer;
+        if (!entry.reason.empty())
+            event["reason"] = entry.reason;
+        if (entry.attempt >= 0)
+            event["attempt"] = entry.attempt;
+        events.emplace_back(std::move(event));
+    }
+    return jsonReply(json::object{{"id", flowText}, {"events", std::move(events)}});
 }
 
 } // namespace citroncrank
--- a/src/libprotocol/decode_body.cpp
+++ b/src/libprotocol/decode_body.cpp
@@ -42,6 +42,7 @@
                          .incarnation = source.incarnation(),
                          .version = source.version(),
                          .address = address(source.address()),
+                         .httpPort = source.http_port(),
                          .region = text(source.region()),
                          .domain = text(source.domain()),
                          .state = *state,
@@ -116,6 +117,9 @@
 
 std::optional<frame_body> decodeBody(const wire::Frame &source)
 {
+    // The verifier accepts a body type without a body.
+    if (source.body() == nullptr)
+        return std::nullopt;
     switch (source.body_type()) {
     case wire::Body::Hello:
         return hello_body{text(source.body_as_Hello()->name())};
--- a/src/libprotocol/encode_body.cpp
+++ b/src/libprotocol/encode_body.cpp
@@ -20,7 +20,7 @@
     const auto address = wireAddress(record.address);
     return wire::CreateMember(builder, name, std::uint8_t(record.role), record.incarnation, record.version, &address,
                               region, domain, std::uint8_t(record.state), service, std::uint8_t(record.serving),
-                              record.slots, record.connections, record.configRevision);
+                              record.slots, record.connections, record.configRevision, record.httpPort);
 }
 
 struct body_encoder
--- a/src/libprotocol/frame_codec_test.cpp
+++ b/src/libprotocol/frame_codec_test.cpp
@@ -1,7 +1,10 @@
 #include "citroncrank/frame_codec.h"
 
+#include "generated/frame_generated.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <sodium.h>
 
 namespace citroncrank {
 namespace {
@@ -55,7 +58,7 @@
                        {3, 4},
                        9,
                        {5, 6},
-                       {member_record{.name = "m", .incarnation = 3, .domain = "rvk-a", .slots = 7}}},
+                       {member_record{.name = "m", .incarnation = 3, .httpPort = 4, .domain = "rvk-a", .slots = 7}}},
         config_fetch_body{4},
         config_revision_body{5, "defaults: {}"},
         applied_body{"n", 6, wall_time(duration(77))}};
@@ -98,6 +101,23 @@
     EXPECT_EQ(decodeFailure(std::string("\xFF\xFF\xFF\x7F", 4)), decode_error::oversized);
 }
 
+// Guards against a crash on a signed frame that names a body type but has no body; the fuzzer found it.
+TEST(FrameCodec, BodyTypeWithoutBodyIsRefused)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(wire::CreateFrame(builder, builder.CreateString("receipts"), 1, 2, 3, 0, 0, nullptr, nullptr,
+                                     wire::Body::Data, 0));
+    const std::string_view payload(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
+    const std::string secret = testKeys().current.secret;
+    std::string tag(16, '\0');
+    crypto_generichash(reinterpret_cast<unsigned char *>(tag.data()), tag.size(), builder.GetBufferPointer(),
+                       builder.GetSize(), reinterpret_cast<const unsigned char *>(secret.data()), secret.size());
+    const std::size_t length = 1 + tag.size() + payload.size();
+    std::string bytes{char(length & 0xFFU), char(length >> 8U), '\0', '\0', '\1'};
+    bytes.append(tag).append(payload);
+    EXPECT_EQ(decodeFailure(bytes), decode_error::out_of_range);
+}
+
 // Guards against a gap in service while keys are rolled over one host at a time.
 TEST(FrameCodec, PreviousKeyIsAcceptedDuringRollover)
 {
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -96,7 +96,7 @@
 http() { curl -sf -m 3 "http://127.0.0.1:$1$2"; }
 
 # knows_members PORT COUNT: the node reaches that many other members.
-knows_members() { http "$1" /status | grep -q "\"membersReachable\":$2,"; }
+knows_members() { http "$1" /status | grep -q "\"members_reachable\":$2,"; }
 
 # start_fleet BASE: platform, 3 upstreams of service bokunarkerfi with agents, 3 balancers, fabric. Ports are
 # BASE (fabric), BASE+1 (platform), BASE+11.. (upstreams), +21.. (agents), +31.. (agents' HTTP), +41.. (balancers),
