--- a/src/policy-bench/session_changes.cpp
+++ b/src/policy-bench/session_changes.cpp
@@ -8,7 +8,7 @@
 
 using std::chrono::seconds;
 
-constexpr duration kOpenTime = seconds(30);
+constexpr duration kOpenTime = seconds(110); // spans two changes, so that opens meet draining upstreams
 constexpr duration kRunTime = seconds(200);
 constexpr duration kPacketGap = seconds(15);
 constexpr duration kChangeGap = seconds(60);
