Wake up for every slot that comes into use during the warm-up

Cause: nextDeadline stepped through the warm-up in equal parts and left out its end, so a reservation could wait for other traffic although the last slot was usable. Ruled out: finer steps (still late, and more of them). Change: the time of the next usable slot is computed; a property test over slots and fractions. Before: TimerFindsEverySlotOfTheWarmUp fails.

--- a/src/libadmission/admission.cpp
+++ b/src/libadmission/admission.cpp
@@ -71,6 +71,7 @@
     duration waitAt(double ahead, time_point now) const;
     std::chrono::milliseconds retryHint(flow_class flowClass, time_point now) const;
     std::uint16_t positionOf(const waiting &entry) const;
+    std::optional<time_point> nextSlotUsable() const;
     class_queues::shares sharesInForce() const;
     bool hasFreeSlot(time_point now) const { return m_busySlots < usableSlots(now); }
 
@@ -278,14 +279,21 @@
         next = m_expiry.begin()->first + duration(1);
     if (m_waiting.empty() || m_serving != serving_state::ready)
         return next;
-    const auto warmUntil = m_readySince + m_settings.warmUp;
-    const double perSlot = double(m_settings.warmUp.count()) / std::max<double>(m_settings.slots, 1);
-    // Slots become usable during the warm-up without any other event; one step per slot is fine enough.
-    for (auto at = m_readySince; at < warmUntil; at += duration(std::max<std::int64_t>(std::int64_t(perSlot), 1))) {
-        if (usableSlots(at) > m_busySlots)
-            return next ? std::min(*next, at) : at;
-    }
-    return next;
+    const auto usable = nextSlotUsable();
+    return usable && (!next || *usable < *next) ? usable : next;
+}
+
+// Slots become usable during the warm-up without any other event.
+std::optional<time_point> admission_queue::implementation::nextSlotUsable() const
+{
+    if (m_busySlots >= m_settings.slots)
+        return std::nullopt;
+    const double first = std::clamp(m_settings.warmUpFraction, 0.0, 1.0);
+    const double needed = double(m_busySlots + 1) / m_settings.slots;
+    if (needed <= first)
+        return m_readySince;
+    const double part = (needed - first) / (1 - first);
+    return m_readySince + duration(std::int64_t(std::ceil(part * double(m_settings.warmUp.count()))));
 }
 
 void admission_queue::implementation::setServing(serving_state state, time_point now)
@@ -331,7 +339,8 @@
         return m_settings.slots;
     const double first = std::clamp(m_settings.warmUpFraction, 0.0, 1.0);
     const double part = first + (1 - first) * double(elapsed.count()) / double(m_settings.warmUp.count());
-    const double usable = std::floor(part * m_settings.slots);
+    constexpr double kRoundingError = 1e-6; // keeps nextSlotUsable from naming a time just before the slot is usable
+    const double usable = std::floor(part * m_settings.slots + kRoundingError);
     return std::uint16_t(std::clamp<double>(usable, std::min<int>(1, m_settings.slots), m_settings.slots));
 }
 
--- a/src/libadmission/admission_test.cpp
+++ b/src/libadmission/admission_test.cpp
@@ -184,6 +184,24 @@
     EXPECT_EQ(queue.advance(*queue.nextDeadline()).size(), 1U);
 }
 
+// Guards against a reservation that waits although the last slot came into use at the end of the warm-up.
+RC_GTEST_PROP(Admission, TimerFindsEverySlotOfTheWarmUp, ())
+{
+    const auto slots = *rc::gen::inRange<std::uint16_t>(1, 40);
+    const double fraction = *rc::gen::inRange(0, 101) / 100.0;
+    admission_queue queue({.slots = slots, .warmUp = std::chrono::seconds(7), .warmUpFraction = fraction});
+    queue.setServing(serving_state::ready, at(1000));
+    std::size_t grants = 0;
+    for (std::uint64_t number = 1; number <= slots; ++number)
+        grants += std::holds_alternative<granted>(queue.request(flow(number), at(1000))) ? 1 : 0;
+    while (const auto next = queue.nextDeadline()) {
+        const auto events = queue.advance(*next);
+        RC_ASSERT(!events.empty());
+        grants += events.size();
+    }
+    RC_ASSERT(grants == slots);
+}
+
 // Guards against new work on a draining upstream, and against a drain that disturbs granted flows.
 TEST(Admission, DrainRefusesNewAndQueuedOnly)
 {
