--- a/src/citroncrank/config_commands.cpp
+++ b/src/citroncrank/config_commands.cpp
@@ -223,6 +223,27 @@
     command->callback([path, client] { client->action = [path, client] { return validateFile(*client, *path); }; });
 }
 
+exit_code showKeys(const client &client)
+{
+    json::array keys;
+    for (const auto &spec : configKeys()) {
+        keys.push_back({{"key", spec.name},
+                        {"type", toString(spec.type)},
+                        {"unit", spec.unit},
+                        {"default", formatValue(spec.fallback)},
+                        {"lowest", formatValue(spec.lowest)},
+                        {"highest", formatValue(spec.highest)},
+                        {"description", spec.description}});
+    }
+    return succeed(client, keys, describeKeys());
+}
+
+void addKeys(CLI::App *config, client *client)
+{
+    auto *command = config->add_subcommand("keys", "Print the table of all keys as Markdown");
+    command->callback([client] { client->action = [client] { return showKeys(*client); }; });
+}
+
 } // namespace
 
 void addConfigCommands(CLI::App *app, client *client)
@@ -233,6 +254,7 @@
     addSet(config, client);
     addDiff(config, client);
     addValidate(config, client);
+    addKeys(config, client);
 }
 
 } // namespace citroncrank
