--- a/src/libproof/proof_types.cpp
+++ b/src/libproof/proof_types.cpp
@@ -137,7 +137,8 @@
             violate(promise::p5);
         if (caller.outcome == caller_outcome::open)
             violate(promise::liveness);
-        const bool planned = (plan.failures & ~kPlannedChanges) == 0;
+        // A pause of the drained agent is a failure, not a planned change.
+        const bool planned = (plan.failures & ~kPlannedChanges) == 0 && !plan.pauseDrained;
         if (planned && !caller.givesUp && caller.outcome != caller_outcome::complete)
             violate(plan.stopWhenIdle || plan.stopAtOnce ? promise::p7 : promise::p1);
     }
