Announce a resumed agent as ready, stop an agent only when no edge needs it, fail silent health checks

Ruled out: a warm-up after the upgrade (the core was ready, only the member record was not). Change: the record takes the restored state, mayStop asks agent_core::idle, a pending check counts as failed at the next one, listen_failed reaches the log and readiness, greetings are not counted as mismatches.

--- a/src/citroncrank-agent/agent_process.cpp
+++ b/src/citroncrank-agent/agent_process.cpp
@@ -63,6 +63,7 @@
     m_core = std::make_unique<agent_core>(m_coreSettings, initial);
     if (!m_options.resume.empty() && !resume(m_options.resume, monotonicNow()))
         m_log.error("cannot read the flows of the replaced program; they are lost");
+    m_local.serving = m_core->serving();
     return true;
 }
 
@@ -74,8 +75,10 @@
     void operator()(const frame_received &event) const
     {
         const auto hop = process.m_hops.try_emplace(event.hop).first;
-        if (std::holds_alternative<hello_body>(event.value.body))
+        if (std::holds_alternative<hello_body>(event.value.body)) {
             hop->second = event.value.owner.address;
+            return;
+        }
         process.m_core->onFrame(event.value, event.hop, now);
         if (hop->second.port != 0 && process.m_core->holds(event.value.flow))
             process.m_balancerOf[event.value.flow] = hop->second;
@@ -236,6 +239,11 @@
     if (now < m_nextCheck)
         return;
     m_nextCheck = now + m_check.period;
+    // An upstream that neither accepts nor refuses the connection within a period failed the check.
+    if (m_checkStream != 0) {
+        m_network.post(stream_close{m_checkStream, true});
+        onCheckResult(false, now);
+    }
     m_checkStream = m_network.nextStreamId();
     m_network.post(stream_connect{m_checkStream, m_file.upstream});
 }
@@ -243,6 +251,7 @@
 // One refused connection may come from a full accept queue; several in a row mean that the upstream is down.
 void agent_process::onCheckResult(bool reachable, time_point now)
 {
+    m_checkStream = 0;
     m_failedChecks = reachable ? 0 : m_failedChecks + 1;
     if (m_draining)
         return;
@@ -269,6 +278,12 @@
     setServing(serving_state::draining, now);
 }
 
+// An edge may still need an answer shortly after the last flow ended, for example to a retransmitted end.
+bool agent_process::mayStop(time_point now) const
+{
+    return m_core->idle(now);
+}
+
 void agent_process::beginStop(time_point now)
 {
     drain(now);
--- a/src/citroncrank-agent/agent_process.h
+++ b/src/citroncrank-agent/agent_process.h
@@ -26,6 +26,7 @@
     void onMembersChanged() override;
     void afterEvents(time_point now) override;
     void beginStop(time_point now) override;
+    bool mayStop(time_point now) const override;
     std::size_t openFlows() const override { return m_core->boundFlows(); }
     std::vector<std::string> notReadyReasons() const override;
     std::optional<time_point> nextDeadline() const override { return m_core->nextDeadline(); }
--- a/src/citroncrank-balancer/balancer_process.cpp
+++ b/src/citroncrank-balancer/balancer_process.cpp
@@ -58,6 +58,19 @@
         m_core.onFrame(received->value, received->hop, now);
     else if (const auto *closed = std::get_if<hop_closed>(&event))
         m_core.onHopClosed(closed->hop);
+    else if (const auto *failed = std::get_if<listen_failed>(&event))
+        onListenFailed(*failed);
+}
+
+// The address is tried again with the next application of the configuration, at most a second later.
+void balancer_process::onListenFailed(const listen_failed &event)
+{
+    if (m_listeners.erase(event.address) == 0)
+        return;
+    m_edge.removeListener(event.address);
+    m_failedListeners.insert(event.address);
+    m_log.error(
+        absl::StrCat("cannot accept plain TCP, address=", toString(event.address), " reason=", event.reason.message()));
 }
 
 void balancer_process::onTick(time_point now)
@@ -163,6 +176,7 @@
         m_edge.setListener(address, found->second);
         m_listeners[address] = found->second;
         if (!open && !stopping()) {
+            m_failedListeners.erase(address);
             m_network.post(listen_streams{address, true});
             m_log.info(absl::StrCat("accepting plain TCP, address=", toString(address),
                                     " service=", found->second.flow.service));
@@ -183,7 +197,10 @@
 
 std::vector<std::string> balancer_process::notReadyReasons() const
 {
-    return {};
+    std::vector<std::string> reasons;
+    for (const auto &address : m_failedListeners)
+        reasons.push_back("cannot accept plain TCP on " + toString(address));
+    return reasons;
 }
 
 operator_reply balancer_process::onOperator(const operator_request &request, time_point)
--- a/src/citroncrank-balancer/balancer_process.h
+++ b/src/citroncrank-balancer/balancer_process.h
@@ -48,10 +48,12 @@
     struct action_handler;
 
     void applyListeners(const std::map<host_address, listener_settings> &configured);
+    void onListenFailed(const listen_failed &event);
     void countEnded();
     operator_reply listFlows() const;
 
     std::set<host_address> m_accept;
+    std::set<host_address> m_failedListeners;
     std::map<host_address, listener_settings> m_listeners; ///< In force on the addresses in m_accept.
     balancer_settings m_coreSettings;
     balancer_core m_core;
--- a/src/include/citroncrank/net.h
+++ b/src/include/citroncrank/net.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <system_error>
 #include <thread>
 #include <variant>
 #include <vector>
@@ -116,13 +117,19 @@
     std::uint64_t bytes = 0;
 };
 
+/// The address of a listen_streams command could not be bound.
+struct listen_failed
+{
+    host_address address;
+    std::error_code reason;
+};
 /// Another ring of the decision thread has something to read.
 struct wake_up
 {};
 
-using net_event =
-    std::variant<frame_received, datagram_received, hop_connected, hop_closed, stream_accepted, stream_connected,
-                 stream_connect_failed, stream_bytes, stream_ended, stream_reset, stream_consumed, wake_up>;
+using net_event = std::variant<frame_received, datagram_received, hop_connected, hop_closed, stream_accepted,
+                               stream_connected, stream_connect_failed, stream_bytes, stream_ended, stream_reset,
+                               stream_consumed, listen_failed, wake_up>;
 
 /// Sends on an existing hop. Dropped and counted when the hop is gone.
 struct send_on_hop
--- a/src/include/citroncrank/node_process.h
+++ b/src/include/citroncrank/node_process.h
@@ -44,6 +44,8 @@
     virtual void afterEvents(time_point) {}
     /// Starts the graceful shutdown: accept nothing new.
     virtual void beginStop(time_point now) = 0;
+    /// True once the graceful shutdown is complete.
+    virtual bool mayStop(time_point) const { return openFlows() == 0; }
     virtual std::size_t openFlows() const = 0;
     /// Why the decision library is not ready; empty means ready.
     virtual std::vector<std::string> notReadyReasons() const = 0;
--- a/src/libnet/network.cpp
+++ b/src/libnet/network.cpp
@@ -247,9 +247,9 @@
             m_streamAcceptors.erase(command.address);
             return;
         }
-        std::error_code ignored;
-        if (!m_streamAcceptors.contains(command.address))
-            listenForStreams(command.address, &ignored);
+        std::error_code reason;
+        if (!m_streamAcceptors.contains(command.address) && !listenForStreams(command.address, &reason))
+            pushEvent(listen_failed{command.address, reason});
     }
 
     void runCommands()
--- a/src/libnode/node_process.cpp
+++ b/src/libnode/node_process.cpp
@@ -118,7 +118,7 @@
             m_log.info(absl::StrCat("graceful shutdown begins, open_flows=", openFlows()));
             beginStop(now);
         }
-        if (m_stopBegun && !leaveUntil && openFlows() == 0) {
+        if (m_stopBegun && !leaveUntil && mayStop(now)) {
             m_fleet->leave(now);
             leaveUntil = now + kLeaveTime;
         }
