--- a/src/libnet/hop.cpp
+++ b/src/libnet/hop.cpp
@@ -2,6 +2,7 @@
 
 #include "citroncrank/timer_service.h"
 
+#include <array>
 #include <boost/asio/write.hpp>
 
 namespace citroncrank {
@@ -61,6 +62,7 @@
     m_connected = true;
     boost::system::error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
     readMore();
 }
 
@@ -78,6 +80,7 @@
         }
         boost::system::error_code ignored;
         self->m_socket.set_option(tcp::no_delay(true), ignored);
+        self->m_socket.non_blocking(true, ignored);
         self->m_connected = true;
         self->m_owner.onHopConnected(self->m_id);
         self->readMore();
@@ -116,32 +119,46 @@
                       });
 }
 
+// All hops of the network thread read into one buffer; a hop keeps only the part of a frame that has not arrived whole,
+// so that thousands of open hops hold no memory while they are idle.
 void hop::readMore()
 {
-    if (m_input.size() < m_inputUsed + kReadBytes)
-        m_input.resize(m_inputUsed + kReadBytes);
-    m_socket.async_read_some(asio::buffer(m_input.data() + m_inputUsed, m_input.size() - m_inputUsed),
-                             [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
-                                 if (self->m_closed)
-                                     return;
-                                 if (error) {
-                                     self->close(hop_close_reason::peer_closed);
-                                     return;
-                                 }
-                                 self->m_inputUsed += bytes;
-                                 self->m_counters.bytesIn += bytes;
-                                 self->parseFrames();
-                                 if (!self->m_closed)
-                                     self->readMore();
-                             });
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code &error) {
+        if (!self->m_closed)
+            self->onReadable(error);
+    });
+}
+
+void hop::onReadable(boost::system::error_code error)
+{
+    thread_local std::array<char, kReadBytes> buffer;
+    std::size_t bytes = 0;
+    if (!error)
+        bytes = m_socket.read_some(asio::buffer(buffer), error);
+    if (error && error != asio::error::would_block && error != asio::error::try_again) {
+        close(hop_close_reason::peer_closed);
+        return;
+    }
+    m_counters.bytesIn += bytes;
+    if (m_input.empty()) {
+        m_input.assign(buffer.data() + parseFrames({buffer.data(), bytes}), buffer.data() + bytes);
+    } else {
+        m_input.append(buffer.data(), bytes);
+        m_input.erase(0, parseFrames(m_input));
+    }
+    if (m_input.empty())
+        m_input.shrink_to_fit();
+    if (!m_closed)
+        readMore();
 }
 
-void hop::parseFrames()
+/// Handles all whole frames and returns the bytes they took.
+std::size_t hop::parseFrames(std::string_view input)
 {
     std::size_t used = 0;
     while (!m_closed) {
         decode_error reason{};
-        auto decoded = m_codec.decode(std::string_view(m_input).substr(used, m_inputUsed - used), &reason);
+        auto decoded = m_codec.decode(input.substr(used), &reason);
         if (!decoded) {
             if (reason != decode_error::incomplete) {
                 ++m_counters.decodeErrors[std::size_t(reason)];
@@ -152,8 +169,7 @@
         used += decoded->consumedBytes;
         onFrame(std::move(decoded->value));
     }
-    m_input.erase(0, used);
-    m_inputUsed -= used;
+    return used;
 }
 
 void hop::onFrame(frame value)
--- a/src/libnet/hop_pvt.h
+++ b/src/libnet/hop_pvt.h
@@ -67,7 +67,8 @@
 
 private:
     void readMore();
-    void parseFrames();
+    void onReadable(boost::system::error_code error);
+    std::size_t parseFrames(std::string_view input);
     void onFrame(frame value);
     void writeMore();
 
@@ -80,8 +81,7 @@
     std::optional<host_address> m_target;
     lane_queue m_queue;
     std::string m_writing;
-    std::string m_input;
-    std::size_t m_inputUsed = 0;
+    std::string m_input; ///< Start of a frame that has not arrived whole.
     bool m_connected = false;
     bool m_authenticated = false;
     bool m_closed = false;
