--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -6,7 +6,7 @@
     libabsl-dev libboost1.81-dev libyaml-cpp-dev libcli11-dev liblog4cxx-dev
     libflatbuffers-dev libxxhash-dev libsodium-dev
     libgtest-dev libgmock-dev librapidcheck-dev libbenchmark-dev
-    curl python3 gnuplot-nox
+    curl python3 gnuplot-nox pkg-config
 )
 missing=()
 for package in "${packages[@]}"; do
