Measure waiting and duration of flows per class at the agent

Cause: histograms per tenant and class existed only at balancers that accept plain TCP. Ruled out: timing in the core; it needs no wall time. Change: citroncrank_flow_wait_seconds and citroncrank_flow_seconds, labels service and class. Before: none. After: both appear in /metrics.

--- a/src/citroncrank-agent/agent_process.cpp
+++ b/src/citroncrank-agent/agent_process.cpp
@@ -48,6 +48,7 @@
 {
     m_announced.slots = m_file.slots;
     m_announced.connections = m_file.connections;
+    resolveHistograms();
 }
 
 bool agent_process::listen(std::error_code *lastReason)
@@ -80,8 +81,13 @@
             return;
         }
         process.m_core->onFrame(event.value, event.hop, now);
-        if (hop->second.port != 0 && process.m_core->holds(event.value.flow))
-            process.m_balancerOf[event.value.flow] = hop->second;
+        if (!process.m_core->holds(event.value.flow))
+            return;
+        auto &info =
+            process.m_flowInfo.try_emplace(event.value.flow, flow_info{{}, event.value.flowClass, now, std::nullopt})
+                .first->second;
+        if (hop->second.port != 0)
+            info.balancer = hop->second;
     }
     void operator()(const hop_closed &event) const { process.m_hops.erase(event.hop); }
     void operator()(const stream_connected &event) const
@@ -135,6 +141,7 @@
 struct agent_process::action_handler
 {
     agent_process &process;
+    time_point now;
 
     void operator()(const agent_send &action) const { process.sendFrame(action); }
     void operator()(const upstream_connect &action) const
@@ -160,22 +167,50 @@
             process.m_network.post(stream_finish{stream->second});
     }
     void operator()(const upstream_close &action) const { process.closeStream(action.flow, action.abort); }
-    void operator()(const flow_note &action) const
-    {
-        if (!process.m_core->holds(action.flow))
-            process.m_balancerOf.erase(action.flow);
-        std::string reason;
-        if (const auto *refused = std::get_if<refusal_reason>(&action.reason))
-            reason = toString(*refused);
-        else if (const auto *reset = std::get_if<reset_reason>(&action.reason))
-            reason = toString(*reset);
-        if (action.step == flow_step::refused)
-            process.m_log.info(absl::StrCat("refused flow, reason=", reason, " service=", process.m_file.service,
-                                            " flow=", toString(action.flow)));
-        process.note(action.flow, {.event = toString(action.step), .reason = std::move(reason)});
-    }
+    void operator()(const flow_note &action) const { process.onNote(action, now); }
 };
 
+void agent_process::onNote(const flow_note &action, time_point now)
+{
+    measure(action, now);
+    if (!m_core->holds(action.flow))
+        m_flowInfo.erase(action.flow);
+    std::string reason;
+    if (const auto *refused = std::get_if<refusal_reason>(&action.reason))
+        reason = toString(*refused);
+    else if (const auto *reset = std::get_if<reset_reason>(&action.reason))
+        reason = toString(*reset);
+    if (action.step == flow_step::refused)
+        m_log.info(absl::StrCat("refused flow, reason=", reason, " service=", m_file.service,
+                                " flow=", toString(action.flow)));
+    note(action.flow, {.event = toString(action.step), .reason = std::move(reason)});
+}
+
+void agent_process::measure(const flow_note &action, time_point now)
+{
+    const auto found = m_flowInfo.find(action.flow);
+    if (found == m_flowInfo.end())
+        return;
+    auto &info = found->second;
+    if (action.step == flow_step::bound) {
+        info.boundAt = now;
+        m_waitSeconds[std::size_t(info.flowClass)]->observe(now - info.openedAt);
+    } else if (info.boundAt && (action.step == flow_step::completed || action.step == flow_step::reset)) {
+        m_flowSeconds[std::size_t(info.flowClass)]->observe(now - *info.boundAt);
+    }
+}
+
+void agent_process::resolveHistograms()
+{
+    for (std::size_t index = 0; index < kFlowClassCount; ++index) {
+        const metric_labels labels{{"service", m_file.service}, {"class", toString(flow_class(index))}};
+        m_waitSeconds[index] =
+            &m_metrics.histogram("citroncrank_flow_wait_seconds", "Time from the open of a flow to its bind.", labels);
+        m_flowSeconds[index] =
+            &m_metrics.histogram("citroncrank_flow_seconds", "Time from the bind of a flow to its end.", labels);
+    }
+}
+
 void agent_process::onEvent(net_event event, time_point now)
 {
     std::visit(event_handler{*this, now}, event);
@@ -187,10 +222,10 @@
     checkUpstream(now);
 }
 
-void agent_process::runActions(time_point)
+void agent_process::runActions(time_point now)
 {
     for (auto &action : m_core->takeActions())
-        std::visit(action_handler{*this}, action);
+        std::visit(action_handler{*this, now}, action);
 }
 
 void agent_process::onConfig(const config_revision &revision, time_point now)
@@ -220,8 +255,8 @@
 
 host_address agent_process::balancerOf(const flow_id &flow) const
 {
-    const auto found = m_balancerOf.find(flow);
-    return found == m_balancerOf.end() ? host_address{} : found->second;
+    const auto found = m_flowInfo.find(flow);
+    return found == m_flowInfo.end() ? host_address{} : found->second.balancer;
 }
 
 void agent_process::onMembersChanged()
--- a/src/citroncrank-agent/agent_process.h
+++ b/src/citroncrank-agent/agent_process.h
@@ -37,8 +37,19 @@
 private:
     struct event_handler;
     struct action_handler;
+    /// What the process knows of a flow beside the core.
+    struct flow_info
+    {
+        host_address balancer; ///< Balancer of the flow's last frame; port 0: unknown.
+        flow_class flowClass = flow_class::normal;
+        time_point openedAt;
+        std::optional<time_point> boundAt;
+    };
 
     void sendFrame(const agent_send &action);
+    void onNote(const flow_note &action, time_point now);
+    void measure(const flow_note &action, time_point now);
+    void resolveHistograms();
     void checkUpstream(time_point now);
     void onCheckResult(bool reachable, time_point now);
     void setServing(serving_state state, time_point now);
@@ -60,8 +71,10 @@
     std::unique_ptr<agent_core> m_core;
     absl::flat_hash_map<flow_id, stream_id> m_streamOf;
     absl::flat_hash_map<stream_id, flow_id> m_flowOf;
-    absl::flat_hash_map<hop_id, host_address> m_hops; ///< Open inbound hops with the peer's address; port 0: unknown.
-    absl::flat_hash_map<flow_id, host_address> m_balancerOf; ///< Balancer of the flow's last frame.
+    absl::flat_hash_map<hop_id, host_address> m_hops;   ///< Open inbound hops with the peer's address; port 0: unknown.
+    absl::flat_hash_map<flow_id, flow_info> m_flowInfo; ///< Of the flows that the core holds.
+    std::array<metric_histogram *, kFlowClassCount> m_waitSeconds{};
+    std::array<metric_histogram *, kFlowClassCount> m_flowSeconds{};
     std::vector<host_address> m_balancers;
     std::size_t m_retransmissions = 0;
     stream_id m_checkStream = 0;
--- a/src/citroncrank-agent/agent_upgrade.cpp
+++ b/src/citroncrank-agent/agent_upgrade.cpp
@@ -73,10 +73,11 @@
         item.stream.stream = m_network.nextStreamId();
         m_streamOf[item.flow] = item.stream.stream;
         m_flowOf[item.stream.stream] = item.flow;
-        if (item.balancer.port != 0)
-            m_balancerOf[item.flow] = item.balancer;
+        m_flowInfo[item.flow] = {.balancer = item.balancer, .openedAt = now, .boundAt = now};
         m_network.adoptStream(item.stream);
     }
+    for (const auto &flow : m_core->flows())
+        m_flowInfo[flow.flow].flowClass = flow.flowClass;
     m_log.info(absl::StrCat("upgrade in place done, open_flows=", m_core->boundFlows()));
     return true;
 }
