End held sessions with a reset in process-bench

Cause: Asio turns a linger option it set off in the destructor, so held sessions ended with a half-close and stayed open at the agent, which rightly waits for the upstream's side. Ruled out: a lost reset in the edge (read: a caller's reset is forwarded as reset_body). Change: the option is set with setsockopt.

--- a/src/process-bench/load_generator.cpp
+++ b/src/process-bench/load_generator.cpp
@@ -60,8 +60,8 @@
     void send()
     {
         m_socket.set_option(tcp::no_delay(true));
-        if (m_onFirstBytes) // A held session ends with a reset: a half-closed one would stay open while it is idle.
-            m_socket.set_option(tcp::socket::linger(true, 0));
+        if (m_onFirstBytes)
+            resetAtExit();
         asio::async_write(m_socket, asio::buffer(m_text), [self = shared_from_this()](const auto &error, std::size_t) {
             if (error)
                 self->m_onEnd(false);
@@ -70,6 +70,14 @@
         });
     }
 
+    /// A held session ends with a reset, as a half-closed one would stay open while the upstream is idle. Not through
+    /// Asio, whose destructor turns a linger option it knows of off.
+    void resetAtExit()
+    {
+        const ::linger immediate{1, 0};
+        ::setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_LINGER, &immediate, sizeof(immediate));
+    }
+
     void receive()
     {
         m_socket.async_read_some(
