--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -12,7 +12,7 @@
     libraries=(-lsodium)
     ;;
 settings)
-    sources=(src/libbase/ids.cpp src/libruntime/settings*.cpp
+    sources=(src/libbase/{ids,nearest_name}.cpp src/libruntime/settings*.cpp
         src/libconfig/{config_document,config_keys,config_text,config_value,format_config,validate_config}.cpp)
     libraries=(-lyaml-cpp -lxxhash $(pkg-config --libs absl_strings absl_str_format absl_time))
     ;;
--- a/src/citroncrank-balancer/balancer_process.cpp
+++ b/src/citroncrank-balancer/balancer_process.cpp
@@ -34,7 +34,7 @@
     if (settings == m_settings)
         return;
     m_settings = settings;
-    m_budget = retry_budget(settings);
+    m_budgets.fill(retry_budget(settings));
 }
 
 balancer_process::balancer_process(balancer_file file, const daemon_options &)
@@ -137,7 +137,7 @@
             m_metrics.histogram("citroncrank_flow_open_seconds", "Time from accept to bind.", labels)
                 .observe(ended.timeToBind);
         if (ended.outcome == flow_outcome::completed)
-            m_retries.onSuccess();
+            m_retries.onSuccess(ended.flowClass);
         std::string reason;
         if (const auto *refused = std::get_if<refusal_reason>(&ended.reason)) {
             reason = toString(*refused);
--- a/src/citroncrank-balancer/balancer_process.h
+++ b/src/citroncrank-balancer/balancer_process.h
@@ -9,17 +9,18 @@
 
 namespace citroncrank {
 
-/// Limits retries of the balancer's own edge to a part of its successes.
+/// Limits the retries of each class at the balancer's own edge to a part of that class's successes, so that a failing
+/// class does not use up the retries of the others.
 class edge_retry_permit : public retry_permit
 {
 public:
-    bool tryRetry(time_point) override { return m_budget.trySpend(); }
-    void onSuccess() { m_budget.onSuccess(); }
+    bool tryRetry(flow_class flowClass) override { return m_budgets[std::size_t(flowClass)].trySpend(); }
+    void onSuccess(flow_class flowClass) { m_budgets[std::size_t(flowClass)].onSuccess(); }
     void configure(const retry_budget_settings &settings);
 
 private:
     retry_budget_settings m_settings;
-    retry_budget m_budget;
+    std::array<retry_budget, kFlowClassCount> m_budgets;
 };
 
 /// Runs a balancer_core, and the balancer's own edge for plain TCP callers, on sockets.
--- a/src/citroncrank/client.cpp
+++ b/src/citroncrank/client.cpp
@@ -14,25 +14,6 @@
 
 namespace json = boost::json;
 
-namespace {
-
-std::size_t editDistance(const std::string &left, const std::string &right)
-{
-    std::vector<std::size_t> row(right.size() + 1);
-    std::iota(row.begin(), row.end(), 0);
-    for (std::size_t i = 1; i <= left.size(); ++i) {
-        std::size_t diagonal = std::exchange(row[0], i);
-        for (std::size_t j = 1; j <= right.size(); ++j) {
-            const std::size_t substitution = diagonal + (left[i - 1] == right[j - 1] ? 0 : 1);
-            diagonal = row[j];
-            row[j] = std::min({row[j] + 1, row[j - 1] + 1, substitution});
-        }
-    }
-    return row.back();
-}
-
-} // namespace
-
 const char *toString(exit_code code)
 {
     switch (code) {
@@ -124,19 +105,4 @@
     return text.str();
 }
 
-std::string nearestOption(const std::string &name, const std::vector<std::string> &known)
-{
-    // A name that differs in more than a third of its characters is no likely typing error.
-    std::size_t best = std::max<std::size_t>(2, name.size() / 3) + 1;
-    std::string nearest;
-    for (const auto &candidate : known) {
-        const std::size_t distance = editDistance(name, candidate);
-        if (distance < best) {
-            best = distance;
-            nearest = candidate;
-        }
-    }
-    return nearest;
-}
-
 } // namespace citroncrank
--- a/src/citroncrank/client.h
+++ b/src/citroncrank/client.h
@@ -70,7 +70,4 @@
 void addStatusCommand(CLI::App *app, client *client);
 void addFlowCommands(CLI::App *app, client *client);
 
-/// Known name nearest to a mistyped one, or an empty text if none is close.
-std::string nearestOption(const std::string &name, const std::vector<std::string> &known);
-
 } // namespace citroncrank
--- a/src/citroncrank/main.cpp
+++ b/src/citroncrank/main.cpp
@@ -1,3 +1,4 @@
+#include "citroncrank/nearest_name.h"
 #include "client.h"
 
 #include <absl/strings/str_cat.h>
@@ -49,7 +50,7 @@
     appendNames(&app, &known);
     const auto unknown = app.remaining(true);
     const std::string name = unknown.empty() ? "" : unknown.front().substr(0, unknown.front().find('='));
-    const std::string nearest = nearestOption(name, known);
+    const std::string nearest = nearestName(name, {known.begin(), known.end()});
     return absl::StrCat(name.starts_with("-") ? "unknown option " : "unexpected argument ", name,
                         nearest.empty() ? "" : ", did you mean ", nearest, nearest.empty() ? "" : "?");
 }
--- a/src/citroncrank/revision_json.cpp
+++ b/src/citroncrank/revision_json.cpp
@@ -1,3 +1,4 @@
+#include "citroncrank/nearest_name.h"
 #include "revision_store.h"
 
 #include <absl/strings/str_cat.h>
@@ -121,7 +122,7 @@
     std::vector<std::string> names;
     for (const auto &spec : configKeys())
         names.emplace_back(spec.name);
-    const std::string nearest = nearestOption(key, names);
+    const std::string nearest = nearestName(key, {names.begin(), names.end()});
     return {exit_code::invalid_input,
             absl::StrCat("unknown key ", key, nearest.empty() ? "" : ", did you mean ", nearest, "?"),
             {{"nearest", nearest}}};
--- a/src/include/citroncrank/caller_flow.h
+++ b/src/include/citroncrank/caller_flow.h
@@ -79,7 +79,7 @@
 {
 public:
     virtual ~retry_permit() = default;
-    virtual bool tryRetry(time_point now) = 0;
+    virtual bool tryRetry(flow_class flowClass) = 0;
 };
 
 /// State machine of one flow at its edge. Pure: events and times in, actions out.
--- /dev/null
+++ b/src/include/citroncrank/nearest_name.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/// @file
+/// Suggestions for mistyped names in error messages.
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace citroncrank {
+
+/// Name from `known` with the smallest edit distance, or an empty string when none is close.
+std::string nearestName(std::string_view name, const std::vector<std::string_view> &known);
+
+} // namespace citroncrank
--- a/src/include/citroncrank/settings.h
+++ b/src/include/citroncrank/settings.h
@@ -119,7 +119,5 @@
 std::optional<duration> parseSettingsDuration(std::string_view text);
 /// Inverse of parseSettingsDuration(), in the largest unit that gives a whole number.
 std::string formatSettingsDuration(duration value);
-/// Parses "127.0.0.1:9000". Port 0 is accepted. Nullopt for anything else.
-std::optional<host_address> parseSettingsAddress(std::string_view text);
 
 } // namespace citroncrank
--- a/src/libconfig/config_text.cpp
+++ b/src/libconfig/config_text.cpp
@@ -4,28 +4,11 @@
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_format.h>
 #include <algorithm>
-#include <numeric>
 
 namespace citroncrank {
 
 namespace {
 
-std::size_t editDistance(std::string_view left, std::string_view right)
-{
-    std::vector<std::size_t> row(right.size() + 1);
-    std::iota(row.begin(), row.end(), 0);
-    for (std::size_t i = 1; i <= left.size(); ++i) {
-        std::size_t diagonal = row[0];
-        row[0] = i;
-        for (std::size_t j = 1; j <= right.size(); ++j) {
-            const std::size_t substitution = diagonal + (left[i - 1] == right[j - 1] ? 0 : 1);
-            diagonal = row[j];
-            row[j] = std::min({row[j] + 1, row[j - 1] + 1, substitution});
-        }
-    }
-    return row.back();
-}
-
 /// Number of continuation bytes after a lead byte, or -1 when it cannot start a character.
 int continuationBytes(unsigned char lead)
 {
@@ -76,25 +59,6 @@
     return printable ? quoteYaml(bytes) : concat("!!binary \"", absl::Base64Escape(toAbsl(bytes)), "\"");
 }
 
-std::string nearestName(std::string_view name, const std::vector<std::string_view> &known)
-{
-    // A name that differs in more than a third of its characters is no likely typing error.
-    std::size_t best = std::max<std::size_t>(2, name.size() / 3) + 1;
-    std::string_view nearest;
-    // Bounds the work for a document full of long unknown names.
-    constexpr std::size_t kMaxCompared = 128;
-    if (name.size() > kMaxCompared)
-        return {};
-    for (const auto candidate : known) {
-        const std::size_t distance = editDistance(name, candidate);
-        if (distance < best) {
-            best = distance;
-            nearest = candidate;
-        }
-    }
-    return std::string(nearest);
-}
-
 std::optional<std::size_t> invalidUtf8(std::string_view text)
 {
     for (std::size_t i = 0; i < text.size();) {
--- a/src/libconfig/config_text_pvt.h
+++ b/src/libconfig/config_text_pvt.h
@@ -44,8 +44,6 @@
 std::string quoteYaml(std::string_view text);
 /// YAML scalar for arbitrary bytes: a quoted text when printable, `!!binary` otherwise.
 std::string yamlBytes(std::string_view bytes);
-/// Name from `known` with the smallest edit distance, or an empty string when none is close.
-std::string nearestName(std::string_view name, const std::vector<std::string_view> &known);
 /// Offset of the first byte that is not valid UTF-8.
 std::optional<std::size_t> invalidUtf8(std::string_view text);
 /// True when the text has no character besides white space.
--- a/src/libconfig/validate_config.cpp
+++ b/src/libconfig/validate_config.cpp
@@ -1,4 +1,5 @@
 #include "citroncrank/config_document.h"
+#include "citroncrank/nearest_name.h"
 
 #include "config_text_pvt.h"
 
--- a/src/libruntime/settings_test.cpp
+++ b/src/libruntime/settings_test.cpp
@@ -169,11 +169,11 @@
         EXPECT_FALSE(parseSettingsDuration(text)) << text;
     for (const auto *text : {"0s", "250ms", "3s", "2m", "1h", "61s", "1001us"})
         EXPECT_EQ(formatSettingsDuration(*parseSettingsDuration(text)), text);
-    EXPECT_EQ(parseSettingsAddress("255.255.255.255:65535"), (host_address{0xFFFFFFFF, 65535}));
+    EXPECT_EQ(parseHostAddress("255.255.255.255:65535"), (host_address{0xFFFFFFFF, 65535}));
     for (const auto *text :
          {"", ":1", "1.2.3.4", "1.2.3.4:", "1.2.3.4:65536", "1.2.3:1", "localhost:1", "[::1]:1", "1.2.3.4:+1"})
-        EXPECT_FALSE(parseSettingsAddress(text)) << text;
-    EXPECT_FALSE(parseSettingsAddress(std::string_view("1.2.3.4\0:1", 10)));
+        EXPECT_FALSE(parseHostAddress(text)) << text;
+    EXPECT_FALSE(parseHostAddress(std::string_view("1.2.3.4\0:1", 10)));
 }
 
 // Guards against a start with defaults only when the file is missing or is a folder.
--- a/src/libruntime/settings_value.cpp
+++ b/src/libruntime/settings_value.cpp
@@ -7,10 +7,8 @@
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <algorithm>
-#include <arpa/inet.h>
 #include <array>
 #include <limits>
-#include <netinet/in.h>
 
 namespace citroncrank {
 
@@ -27,11 +25,6 @@
 
 using parsed_value = std::variant<settings_value, value_fault>;
 
-bool allDigits(const std::string &text)
-{
-    return !text.empty() && std::all_of(text.begin(), text.end(), absl::ascii_isdigit);
-}
-
 std::optional<std::string> decodeHex(std::string_view digits)
 {
     if (digits.size() % 2 != 0 || !std::all_of(digits.begin(), digits.end(), absl::ascii_isxdigit))
@@ -55,7 +48,7 @@
     case settings_type::duration:
         return parseSettingsDuration(text);
     case settings_type::address:
-        return parseSettingsAddress(text);
+        return parseHostAddress(text);
     case settings_type::secret:
         if (text.starts_with("hex:"))
             return decodeHex(std::string_view(text).substr(4));
@@ -195,22 +188,6 @@
     return absl::StrCat(value.count(), "us");
 }
 
-std::optional<host_address> parseSettingsAddress(std::string_view text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return std::nullopt;
-    const std::string portText(text.substr(colon + 1));
-    std::uint32_t port = 0;
-    if (!allDigits(portText) || !absl::SimpleAtoi(portText, &port) || port > 65535)
-        return std::nullopt;
-    in_addr ip{};
-    const std::string ipText(text.substr(0, colon));
-    if (ipText.size() != std::string_view(ipText.c_str()).size() || inet_pton(AF_INET, ipText.c_str(), &ip) != 1)
-        return std::nullopt;
-    return host_address{ntohl(ip.s_addr), std::uint16_t(port)};
-}
-
 std::variant<settings_value, value_fault> parseSettingsValue(const settings_key &key,
                                                              const std::vector<std::string> &texts)
 {
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -58,8 +58,8 @@
 
 secret=end-to-end-test-key
 
-# write_balancer NAME DOMAIN PORT HTTP_PORT PLATFORM_PORT [ACCEPT]
-write_balancer() {
+# write_node NAME DOMAIN PORT HTTP_PORT PLATFORM_PORT: the settings that both daemons have.
+write_node() {
     cat >"$work/$1.yaml" <<YAML
 name: $1
 region: is-sudvestur
@@ -68,20 +68,19 @@
 http: 127.0.0.1:$4
 platform: 127.0.0.1:$5
 keys: {current-id: 1, current-secret: $secret}
-accept: [${6:-}]
 YAML
 }
 
+# write_balancer NAME DOMAIN PORT HTTP_PORT PLATFORM_PORT [ACCEPT]
+write_balancer() {
+    write_node "$@"
+    echo "accept: [${6:-}]" >>"$work/$1.yaml"
+}
+
 # write_agent NAME DOMAIN PORT HTTP_PORT PLATFORM_PORT SERVICE UPSTREAM_PORT SLOTS
 write_agent() {
-    cat >"$work/$1.yaml" <<YAML
-name: $1
-region: is-sudvestur
-domain: $2
-listen: 127.0.0.1:$3
-http: 127.0.0.1:$4
-platform: 127.0.0.1:$5
-keys: {current-id: 1, current-secret: $secret}
+    write_node "$@"
+    cat >>"$work/$1.yaml" <<YAML
 service: $6
 upstream: 127.0.0.1:$7
 slots: $8
