Make the linter clean over the test fixtures, print a trace only on request without a skipped test

Ruled out: an exception in the linter's settings. Change: fixtures with public members; the trace test checks that a trace is written. Before: lint fails.

--- a/src/libbalancer/balancer_core_test.cpp
+++ b/src/libbalancer/balancer_core_test.cpp
@@ -28,7 +28,7 @@
 
 class BalancerCoreTest : public testing::Test
 {
-protected:
+public:
     void useTable(const std::vector<member_record> &records) { core.setTable(upstream_table::build(records, 1)); }
     template<typename wanted>
     std::vector<wanted> take()
--- a/src/libflow/caller_flow_test.cpp
+++ b/src/libflow/caller_flow_test.cpp
@@ -46,7 +46,7 @@
 
 class CallerFlowTest : public testing::Test
 {
-protected:
+public:
     void receive(const flow_owner &from, frame_body body, std::int64_t when)
     {
         frame value{.service = "main", .flow = {1, 1}, .edge = 1, .direction = frame_direction::to_caller};
--- a/src/libproof/promises_test.cpp
+++ b/src/libproof/promises_test.cpp
@@ -215,16 +215,19 @@
     EXPECT_GT(compare(promise::p7, "naive", runMany(count, plannedStops, naiveParts())), 0U);
 }
 
-// Prints the trace of the schedule in CITRONCRANK_TRACE_SEED (pairs of failures) to find the cause of a violation.
-TEST(Promises, PrintsTheTraceOfOneSeedOnRequest)
+// Guards against a trace that says nothing about a violation. With CITRONCRANK_TRACE_SEED set it prints the trace of that
+// schedule (pairs of failures), to find the cause of a violation.
+TEST(Promises, TraceOfOneSeedIsComplete)
 {
     const char *text = std::getenv("CITRONCRANK_TRACE_SEED");
-    if (text == nullptr)
-        GTEST_SKIP() << "CITRONCRANK_TRACE_SEED is not set";
-    auto plan = pairs(std::strtoull(text, nullptr, 10));
+    auto plan = pairs(text == nullptr ? 1 : std::strtoull(text, nullptr, 10));
     plan.trace = true;
-    for (const auto &line : proof_world(plan, productParts()).run().trace)
-        print(line);
+    const auto trace = proof_world(plan, productParts()).run().trace;
+    EXPECT_FALSE(trace.empty());
+    for (const auto &line : trace) {
+        if (text != nullptr)
+            print(line);
+    }
 }
 
 } // namespace
--- a/src/libruntime/http_endpoint_test.cpp
+++ b/src/libruntime/http_endpoint_test.cpp
@@ -57,7 +57,7 @@
 
 class HttpEndpointTest : public testing::Test
 {
-protected:
+public:
     void start(http_endpoint_settings settings = {})
     {
         settings.address = {kLoopback, 0};
