Note the end of a queued reservation

A reservation that ended while queued was not noted, so the agent's process kept an entry per flow for ever: one at each agent where a flow waited without being bound. Ruled out: clearing the entry at each frame only (the next reader of notes would miss the same ends). Change: cancelQueued notes 'withdrawn'. Before: AgentCore.CancelledReservationIsNoted fails. After: passes.

--- a/src/include/citroncrank/agent_core.h
+++ b/src/include/citroncrank/agent_core.h
@@ -191,6 +191,7 @@
     void onFlowDeadline(agent_flow *flow, time_point now);
     void onOfferDeadline(agent_flow *flow, time_point now);
     void onBoundDeadline(agent_flow *flow, time_point now);
+    void cancelQueued(agent_flow *flow, time_point now);
     void withdraw(agent_flow *flow, time_point now);
     void giveUp(agent_flow *flow, reset_reason reason, bool tellEdge, time_point now);
     void finishIfComplete(agent_flow *flow, time_point now);
--- a/src/libagent/agent_core.cpp
+++ b/src/libagent/agent_core.cpp
@@ -181,6 +181,13 @@
         withdraw(flow, now);
         return;
     }
+    cancelQueued(flow, now);
+}
+
+// Noted like every other end of a reservation: the process frees what it keeps of a flow when it hears of its end.
+void agent_core::cancelQueued(agent_flow *flow, time_point now)
+{
+    note(flow->id, flow_step::withdrawn);
     m_admission.cancel(flow->key(), now);
     erase(flow, now);
 }
@@ -267,8 +274,7 @@
         withdraw(flow, now);
         return;
     }
-    m_admission.cancel(flow->key(), now);
-    erase(flow, now);
+    cancelQueued(flow, now);
 }
 
 // --- Time ------------------------------------------------------------------------------------------------------
--- a/src/libagent/agent_core_test.cpp
+++ b/src/libagent/agent_core_test.cpp
@@ -63,6 +63,20 @@
                        admission_settings{.slots = 1, .connections = 2, .queueLimit = 4, .warmUp = duration(0)}};
 };
 
+// Guards against a process that keeps what it knows of a flow for ever, because a queued reservation ended without a
+// note: every flow that waited at several agents left an entry at each that it was not bound to.
+TEST_F(AgentCoreTest, CancelledReservationIsNoted)
+{
+    open(0);
+    open(0, {8, 8});
+    m_agent.takeActions();
+    receive(cancel_body{}, 1, {8, 8});
+    const auto actions = m_agent.takeActions();
+    const agent_action expected = flow_note{{8, 8}, flow_step::withdrawn, std::monostate()};
+    EXPECT_NE(std::find(actions.begin(), actions.end(), expected), actions.end());
+    EXPECT_FALSE(m_agent.holds({8, 8}));
+}
+
 // Guards against a second run by a delayed duplicate of the bind after the flow ended.
 TEST_F(AgentCoreTest, BindsAnOfferOnce)
 {
