Keep a share of each hop's send queue for every class

Cause: read-through. The limit of the send queue counted all classes together, so a flood of bulk frames filled it and urgent frames were dropped, although the lanes had shares when sending. Ruled out: a queue per class with a fixed size (it would not lend unused room).

--- a/src/libnet/hop.cpp
+++ b/src/libnet/hop.cpp
@@ -2,8 +2,10 @@
 
 #include "citroncrank/timer_service.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
+#include <numeric>
 
 namespace citroncrank {
 
@@ -15,10 +17,19 @@
 
 } // namespace
 
-void lane_queue::push(flow_class lane, std::string encoded)
+// A flood in one class may use the room of the others, but must not take it: a lane below its share is accepted although
+// the queue is full, so the queue holds at most twice its limit.
+bool lane_queue::push(flow_class lane, std::string encoded)
 {
+    const auto index = std::size_t(lane);
+    const std::size_t sum = std::accumulate(m_shares.begin(), m_shares.end(), std::size_t(0));
+    const std::size_t reserved = m_maxBytes * m_shares[index] / std::max<std::size_t>(sum, 1);
+    if (m_bytes >= m_maxBytes && m_laneBytes[index] >= reserved)
+        return false;
     m_bytes += encoded.size();
-    m_lanes[std::size_t(lane)].push_back(std::move(encoded));
+    m_laneBytes[index] += encoded.size();
+    m_lanes[index].push_back(std::move(encoded));
+    return true;
 }
 
 bool lane_queue::takeOne(std::size_t lane, std::string *out)
@@ -27,6 +38,7 @@
     if (queue.empty())
         return false;
     m_bytes -= queue.front().size();
+    m_laneBytes[lane] -= queue.front().size();
     out->append(queue.front());
     queue.pop_front();
     return true;
@@ -53,7 +65,7 @@
     , m_codec(codec)
     , m_counters(counters)
     , m_owner(owner)
-    , m_queue(settings.laneShares)
+    , m_queue(settings.laneShares, settings.hopQueueBytes)
 {}
 
 void hop::startAccepted(time_point now)
@@ -90,13 +102,12 @@
 
 void hop::send(const frame &value, time_point now)
 {
-    if (m_closed || m_queue.bytes() > m_settings.hopQueueBytes) {
+    std::string encoded;
+    m_codec.encode(value, &encoded);
+    if (m_closed || !m_queue.push(value.flowClass, std::move(encoded))) {
         ++m_counters.framesDropped;
         return;
     }
-    std::string encoded;
-    m_codec.encode(value, &encoded);
-    m_queue.push(value.flowClass, std::move(encoded));
     ++m_counters.framesOut;
     if (!m_unansweredSince)
         m_unansweredSince = now;
--- a/src/libnet/hop_pvt.h
+++ b/src/libnet/hop_pvt.h
@@ -20,11 +20,13 @@
 class lane_queue
 {
 public:
-    explicit lane_queue(std::array<std::size_t, kFlowClassCount> shares)
+    lane_queue(std::array<std::size_t, kFlowClassCount> shares, std::size_t maxBytes)
         : m_shares(shares)
+        , m_maxBytes(maxBytes)
     {}
 
-    void push(flow_class lane, std::string encoded);
+    /// Returns false, and keeps nothing, when the queue is full and the lane holds its share of it already.
+    bool push(flow_class lane, std::string encoded);
     /// Takes about `maxBytes` bytes in the lanes' shares; unused shares go to the other lanes.
     std::string takeBatch(std::size_t maxBytes);
     std::size_t bytes() const { return m_bytes; }
@@ -33,6 +35,8 @@
     bool takeOne(std::size_t lane, std::string *out);
 
     std::array<std::size_t, kFlowClassCount> m_shares;
+    std::size_t m_maxBytes;
+    std::array<std::size_t, kFlowClassCount> m_laneBytes{};
     std::array<std::deque<std::string>, kFlowClassCount> m_lanes;
     std::size_t m_bytes = 0;
 };
