--- a/src/citroncrank/client.cpp
+++ b/src/citroncrank/client.cpp
@@ -87,6 +87,7 @@
         return {exit_code::invalid_input, "the platform does not accept the call for " + what, {}};
     case platform_failure::unavailable:
     case platform_failure::unknown_outcome:
+    case platform_failure::history_gone:
         break;
     }
     return {exit_code::unreachable, "the platform is not reachable, needed for " + what, {}};
--- /dev/null
+++ b/src/include/citroncrank/agent_directory.h
@@ -0,0 +1,80 @@
+#pragma once
+
+/// @file
+/// What a balancer knows of the agents, and the order in which they are offered a new flow.
+
+#include "citroncrank/plane_message.h"
+#include "citroncrank/time.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace citroncrank {
+
+/// How usable an agent is for new flows. Lower is better.
+enum class agent_standing : std::uint8_t {
+    ready,
+    unconfirmed, ///< Its upstream has not announced itself to it yet.
+    silent,      ///< Listed or reported once, but no report arrives.
+    excluded,    ///< Draining, gone or stopping.
+};
+
+/// One agent.
+struct agent_record
+{
+    host_address address;
+    agent_report report;               ///< Only service and domain are set before the first report.
+    std::optional<time_point> heardAt; ///< Of the last report.
+    std::uint32_t sentSinceReport = 0; ///< New flows sent there after the last report.
+    bool isListed = false;             ///< The platform's store has an entry of it.
+    auto operator<=>(const agent_record &) const = default;
+};
+
+/// Agents by address. Not thread safe.
+class agent_directory
+{
+public:
+    /// Takes a report. Returns false and changes nothing if it is older than the one known.
+    bool reported(const host_address &address, const agent_report &report, time_point now);
+    /// The store lists the agent. Keeps what its reports say.
+    void listed(const host_address &address, const std::string &service, const std::string &domain);
+    /// The store's entry is gone.
+    void unlisted(const host_address &address);
+    /// A new flow was sent to the agent.
+    void flowSent(const host_address &address);
+
+    const agent_record *find(const host_address &address) const;
+    agent_standing standing(const agent_record &agent, time_point now) const;
+    /// Whether a report of the agent arrived recently enough to believe that it lives.
+    bool isFresh(const agent_record &agent, time_point now) const;
+
+    /// Agents of the service for a new flow, best first, at most `count`. Only agents of the best standing that
+    /// any of them has, without those in `excluded`.
+    std::vector<host_address> candidates(std::string_view service, std::string_view ownDomain,
+                                         std::span<const host_address> excluded, std::size_t count,
+                                         time_point now) const;
+
+    /// All agents of the service; all agents if `service` is empty.
+    std::vector<host_address> ofService(std::string_view service) const;
+    /// Whether any agent was heard recently.
+    bool hasFreshAgent(time_point now) const;
+    /// Whether each listed agent was heard recently, and there is one.
+    bool allListedAreFresh(time_point now) const;
+    /// Agents that have neither an entry nor a report within `age`.
+    void removeForgotten(duration age, time_point now);
+    std::size_t size() const { return m_agents.size(); }
+
+    /// Expected part of the agent's slots that is busy, with what this balancer sent since the last report. May exceed 1.
+    double expectedLoad(const agent_record &agent, time_point now) const;
+
+private:
+    absl::flat_hash_map<host_address, agent_record> m_agents;
+};
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/include/citroncrank/agent_node.h
@@ -0,0 +1,47 @@
+#pragma once
+
+/// @file
+/// Process of a packet agent.
+
+#include "citroncrank/packet_agent.h"
+#include "citroncrank/plane_node.h"
+#include "citroncrank/store_worker.h"
+
+#include <functional>
+#include <string>
+
+namespace citroncrank {
+
+class agent_node : public plane_node
+{
+public:
+    explicit agent_node(const packet_agent_file &file);
+
+    /// Opens the sockets. Returns false and stores the cause.
+    bool listen(std::error_code *lastReason);
+    /// Runs until the process is told to stop.
+    void run();
+
+private:
+    void onMessage(const host_address &from, plane_message message) override;
+    void onDeliver(std::string packetBytes) override;
+    void onUpstreamDatagram(std::string_view datagram);
+    void tick(time_point now);
+    http_reply announcement(const http_request &request);
+    http_reply leave(const http_request &request);
+    /// Runs `decide` in the loop's thread and waits for its result. Nullopt if the loop does not get to it in time.
+    std::optional<announcement_result> decideInLoop(const std::function<announcement_result()> &decide);
+    http_reply confirm(const std::optional<announcement_result> &result, const std::string &id);
+
+    packet_agent_file m_file;
+    packet_agent m_core;
+    datagram_socket m_fromUpstream;
+    http_endpoint m_http;
+    nodes_worker m_nodes;
+    metric_counter &m_upstreamPackets;
+    metric_histogram &m_latency;
+    metric_gauge &m_busy;
+    metric_gauge &m_flows;
+};
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/include/citroncrank/balancer_node.h
@@ -0,0 +1,61 @@
+#pragma once
+
+/// @file
+/// Process of a packet balancer.
+
+#include "citroncrank/packet_balancer.h"
+#include "citroncrank/plane_node.h"
+#include "citroncrank/store_worker.h"
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace citroncrank {
+
+class balancer_node : public plane_node
+{
+public:
+    explicit balancer_node(const packet_balancer_file &file);
+
+    /// Opens the sockets. Returns false and stores the cause.
+    bool listen(std::error_code *lastReason);
+    /// Runs until the process is told to stop.
+    void run();
+
+private:
+    void onMessage(const host_address &from, plane_message message) override;
+    void onDeliver(std::string packetBytes) override;
+    void onCallerDatagram(std::string_view datagram);
+    void receiveRoutes(std::shared_ptr<const route_set> routes, std::string text);
+    void applyRoutes(const std::shared_ptr<const route_set> &routes, const std::string &text);
+    void tick(time_point now);
+    void beginStop();
+    bool isDoneStopping(time_point now) const;
+    std::vector<std::string> notReadyReasons() const;
+    std::optional<routes_offer> newerRoutes() const;
+    http_reply readiness() const;
+    http_reply routesText() const;
+
+    host_address m_packetsAddress;
+    packet_balancer m_core;
+    datagram_socket m_packets;
+    http_endpoint m_http;
+    config_worker m_config;
+    peer_routes_worker m_peerRoutes;
+    nodes_worker m_nodes;
+    std::optional<time_point> m_stopAt; ///< When SIGTERM arrived.
+    std::optional<time_point> m_lastPacket;
+    metric_counter &m_callerPackets;
+    metric_gauge &m_flows;
+    metric_gauge &m_routesVersion;
+
+    mutable std::mutex m_sharedMutex; ///< Guards what other threads read.
+    std::vector<std::string> m_sharedReasons{"starting"};
+    std::optional<routes_offer> m_sharedNewerRoutes;
+    std::string m_sharedRoutesText;
+};
+
+} // namespace citroncrank
--- a/src/include/citroncrank/http_endpoint.h
+++ b/src/include/citroncrank/http_endpoint.h
@@ -49,6 +49,7 @@
 struct http_endpoint_settings
 {
     host_address address;                        ///< Port 0 chooses a free port.
+    std::vector<host_address> furtherAddresses;  ///< Served by the same thread and handlers.
     std::size_t maxHeaderBytes = 8 * 1024;       ///< More is answered with status 431.
     std::size_t maxBodyBytes = 1024 * 1024;      ///< More is answered with status 413.
     std::size_t maxConnections = 64;             ///< Further connections are closed at once and counted.
--- /dev/null
+++ b/src/include/citroncrank/packet_agent.h
@@ -0,0 +1,192 @@
+#pragma once
+
+/// @file
+/// Decisions of an agent: which packets its upstream gets, what it holds, what it has at work. No input or output of
+/// its own.
+
+#include "citroncrank/plane_action.h"
+#include "citroncrank/time.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace citroncrank {
+
+struct packet_agent_settings
+{
+    host_address self; ///< Where other nodes reach this one.
+    std::string service;
+    std::string domain;
+    std::uint64_t incarnation = 0;
+    host_address upstream;           ///< The upstream beside this agent.
+    std::vector<host_address> seeds; ///< Balancers that may be up.
+    duration announcementPeriod{0};  ///< Expected time between two announcements of the upstream.
+    duration flowLifetime{0};        ///< Older flows may be forgotten.
+};
+
+/// What an upstream says of itself.
+struct upstream_announcement
+{
+    std::string id;
+    std::string service;
+    host_address address;
+    std::string version; ///< Of its software.
+    std::uint32_t slots = 0;
+    bool isDraining = false;
+    duration coldRemaining{0};     ///< How much longer it is slow after its start.
+    std::uint64_t number = 0;      ///< Increases with each announcement of one start.
+    std::uint64_t startedAtMs = 0; ///< Its start, in milliseconds since the Unix epoch. Tells its starts apart.
+    auto operator<=>(const upstream_announcement &) const = default;
+};
+
+/// What an agent did with an announcement.
+enum class announcement_result : std::uint8_t {
+    accepted,
+    foreign,      ///< Of another service or address.
+    out_of_order, ///< A later one of the same start was taken before.
+    earlier_start ///< A later start of the upstream has announced itself.
+};
+const char *toString(announcement_result result);
+
+/// A request that an upstream began to answer.
+struct request_observation
+{
+    duration latency{0};      ///< From its first packet to the first packet of the answer, at the agent.
+    std::uint32_t status = 0; ///< 0: the answer does not begin with a status line.
+    auto operator<=>(const request_observation &) const = default;
+};
+
+/// Counts since the start of the agent.
+struct packet_agent_counts
+{
+    std::uint64_t opened = 0;
+    std::uint64_t passedOn = 0;
+    std::uint64_t turnedAway = 0;
+    std::uint64_t returned = 0; ///< Packets that the upstream sent back.
+    std::uint64_t resets = 0;
+    std::uint64_t requests = 0;
+    auto operator<=>(const packet_agent_counts &) const = default;
+};
+
+/// Not thread safe. Actions are appended to `out`.
+class packet_agent
+{
+public:
+    packet_agent(packet_agent_settings settings, packet_header_decoder decoder, time_point now);
+
+    /// A message of another node.
+    void message(const host_address &from, plane_message arrived, time_point now, plane_actions *out);
+    /// A packet that the upstream sent, or that it returned (`header.returned`).
+    void upstreamPacket(packet arrived, time_point now, plane_actions *out);
+    /// The upstream announced itself. The caller confirms it after the actions were carried out.
+    announcement_result announce(const upstream_announcement &announcement, time_point now, plane_actions *out);
+    /// The upstream said that it leaves for good.
+    announcement_result leave(const std::string &upstreamId, time_point now, plane_actions *out);
+    /// Balancers that the store lists.
+    void applyBalancers(const std::vector<host_address> &balancers, time_point now, plane_actions *out);
+    /// The process is about to end.
+    void stop(time_point now, plane_actions *out);
+    /// Periodic work. Call about every kAgentTick.
+    void advance(time_point now, plane_actions *out);
+
+    agent_report report(time_point now);
+    agent_state state() const { return m_state; }
+    const packet_agent_counts &counts() const { return m_counts; }
+    std::size_t flowCount() const { return m_flows.size(); }
+    std::size_t busy() const { return m_working + m_expected; }
+    /// Takes the requests that were answered since the last call.
+    std::vector<request_observation> takeObservations();
+
+private:
+    enum class flow_phase : std::uint8_t {
+        opening, ///< An opening packet was delivered; the upstream has not answered.
+        open,    ///< The upstream has sent a packet of the flow.
+        probing, ///< A packet was delivered without knowing whether the upstream holds the flow.
+        ended,   ///< Its upstream is gone.
+    };
+    struct agent_flow
+    {
+        flow_phase phase = flow_phase::probing;
+        host_address origin;                  ///< Balancer that sent the last packet.
+        std::vector<host_address> alternates; ///< While opening.
+        std::string service;
+        std::uint32_t upstreamFirst = 0; ///< Sequence number of the upstream's opening answer, once seen.
+        std::uint32_t upstreamEnd = 0;   ///< Behind its last byte.
+        std::uint32_t callerEnd = 0;     ///< Behind the caller's last byte.
+        std::uint32_t callerAcknowledged = 0;
+        bool knowsUpstreamFirst = false;
+        bool knowsUpstreamEnd = false;
+        bool knowsCallerEnd = false;
+        bool isExpected = false; ///< Counts as a request that is on its way.
+        bool isWorking = false;  ///< A request was delivered and not answered.
+        bool callerFinished = false;
+        bool upstreamFinished = false;
+        std::string requestId;
+        time_point requestSince;
+        time_point lastSeen;
+        time_point firstSeen;
+    };
+    using flow_map = absl::flat_hash_map<flow_key, agent_flow>;
+
+    void take(forwarded_packet arrived, time_point now, plane_actions *out);
+    void takeOpening(forwarded_packet arrived, packet content, time_point now, plane_actions *out);
+    void takeFlowPacket(forwarded_packet arrived, packet content, time_point now, plane_actions *out);
+    void turnAway(forwarded_packet arrived, not_taken_reason reason, plane_actions *out);
+    void passOn(forwarded_packet arrived, const char *reason, const flow_key &flow, plane_actions *out);
+    std::optional<not_taken_reason> openingRefusal(const std::string &service) const;
+    bool hasFreeSlot() const;
+    bool mayBeOf(const agent_flow &flow, const packet_header &header) const;
+    void deliver(const flow_key &key, agent_flow *flow, packet content, time_point now, plane_actions *out);
+    void noteCallerData(const flow_key &key, agent_flow *flow, const packet &content, time_point now,
+                        plane_actions *out);
+    void noteUpstreamData(const flow_key &key, agent_flow *flow, const packet &content, time_point now,
+                          plane_actions *out);
+    void noteUpstreamSequence(agent_flow *flow, const packet_header &header);
+    void upstreamReturned(packet content, time_point now, plane_actions *out);
+    void endFlows(const char *reason, time_point now, plane_actions *out);
+    void releaseWork(agent_flow *flow, time_point now);
+    void expectRequest(const flow_key &key, agent_flow *flow, time_point now);
+    void updateMean(time_point now);
+    void setState(agent_state state, const std::string &cause, time_point now, plane_actions *out);
+    void sendReports(time_point now, plane_actions *out);
+    void sendSeedHellos(time_point now, plane_actions *out);
+    void forgetFlows(time_point now);
+    duration reportPeriod() const;
+    bool knowsAllFlows(time_point now) const;
+    void log(decision_kind kind, std::string text, plane_actions *out) const;
+
+    packet_agent_settings m_settings;
+    packet_header_decoder m_decoder;
+    time_point m_startedAt;
+    agent_state m_state = agent_state::unconfirmed;
+    std::optional<upstream_announcement> m_upstream; ///< Last accepted announcement.
+    std::optional<time_point> m_announcedAt;
+    bool m_sawUpstreamStart = false; ///< The upstream's present start is later than this agent's.
+    std::optional<time_point> m_leftAt;
+    flow_map m_flows;
+    std::deque<std::pair<time_point, flow_key>> m_expectations;
+    absl::flat_hash_map<host_address, time_point> m_balancers; ///< And when each was last heard of.
+    std::vector<request_observation> m_observations;
+    packet_agent_counts m_counts;
+    std::size_t m_working = 0;
+    std::size_t m_expected = 0;
+    double m_meanBusy = 0;
+    time_point m_meanAt;
+    std::uint64_t m_reportNumber = 0;
+    std::optional<time_point> m_nextReport;
+    std::optional<time_point> m_nextSeedHello;
+    duration m_seedHelloDelay{0};
+    std::optional<time_point> m_nextSweep;
+};
+
+/// Period of packet_agent::advance().
+constexpr duration kAgentTick = std::chrono::milliseconds(50);
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/include/citroncrank/packet_balancer.h
@@ -0,0 +1,140 @@
+#pragma once
+
+/// @file
+/// Decisions of a balancer on callers' packets: route, agent, owner of an open flow. No input or output of its own.
+
+#include "citroncrank/agent_directory.h"
+#include "citroncrank/plane_action.h"
+#include "citroncrank/route_set.h"
+#include "citroncrank/time.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace citroncrank {
+
+struct packet_balancer_settings
+{
+    host_address self; ///< Where other nodes reach this one.
+    host_address http; ///< Where other balancers read the routes in force.
+    std::string domain;
+    std::uint64_t incarnation = 0;
+    std::vector<host_address> seeds; ///< Balancers that may be up.
+    duration flowLifetime{0};        ///< Older flows may be forgotten.
+    std::uint64_t randomSeed = 0;
+};
+
+/// A node as the platform's store lists it.
+struct listed_node
+{
+    host_address address;
+    bool isAgent = false;
+    std::string service; ///< Agents only.
+    std::string domain;
+    auto operator<=>(const listed_node &) const = default;
+};
+
+/// Balancer with a version of the routes that this one lacks.
+struct routes_offer
+{
+    host_address http;
+    std::uint64_t version = 0;
+    auto operator<=>(const routes_offer &) const = default;
+};
+
+/// Not thread safe. Actions are appended to `out`.
+class packet_balancer
+{
+public:
+    packet_balancer(packet_balancer_settings settings, packet_header_decoder decoder, time_point now);
+
+    /// A packet that a caller sent.
+    void callerPacket(packet arrived, time_point now, plane_actions *out);
+    /// A message of another node.
+    void message(const host_address &from, plane_message arrived, time_point now, plane_actions *out);
+    /// Puts routes in force. Does nothing unless their version is higher.
+    void applyRoutes(std::shared_ptr<const route_set> routes, time_point now, plane_actions *out);
+    /// All nodes that the store lists.
+    void applyListing(const std::vector<listed_node> &nodes, time_point now, plane_actions *out);
+    /// Periodic work: hellos, held packets, forgotten flows. Call about every kBalancerTick.
+    void advance(time_point now, plane_actions *out);
+
+    /// Why callers should not be sent here, one reason an entry. Empty: ready.
+    std::vector<std::string> notReadyReasons(time_point now) const;
+    /// Newest version that another balancer has and this one lacks.
+    std::optional<routes_offer> newerRoutes() const;
+    std::uint64_t routesVersion() const { return m_routes ? m_routes->version : 0; }
+    std::size_t flowCount() const { return m_flows.size(); }
+    const agent_directory &agents() const { return m_agents; }
+    std::size_t balancerCount() const { return m_balancers.size(); }
+
+private:
+    struct balancer_flow
+    {
+        host_address owner;
+        std::string service;
+        bool isOwnerKnown = false;    ///< False while the agents are asked.
+        bool isOpening = false;       ///< Only opening packets were seen.
+        std::uint32_t unanswered = 0; ///< Agents asked that have not answered.
+        bool finished = false;
+        time_point lastSeen;
+        time_point firstSeen;
+    };
+    struct held_packet
+    {
+        packet content;
+        time_point since;
+    };
+
+    void openFlow(packet arrived, const packet_route &route, time_point now, plane_actions *out);
+    void continueFlow(packet arrived, time_point now, plane_actions *out);
+    void askForOwner(packet arrived, balancer_flow *flow, std::optional<host_address> except, time_point now,
+                     plane_actions *out);
+    void withoutRoute(packet arrived, time_point now, plane_actions *out);
+    void hold(packet arrived, time_point now, plane_actions *out);
+    void replayHeld(time_point now, plane_actions *out);
+    void refuse(const packet &refused, const char *reason, plane_actions *out);
+    void learnOwner(const host_address &agent, const flow_key &flow, time_point now, plane_actions *out);
+    void notTaken(const host_address &agent, const not_taken_notice &notice, time_point now, plane_actions *out);
+    void openingNotTaken(const host_address &agent, not_taken_reason reason, packet returned, time_point now,
+                         plane_actions *out);
+    void carriedNotTaken(const host_address &agent, packet returned, time_point now, plane_actions *out);
+    void askNotTaken(const packet &returned, time_point now, plane_actions *out);
+    void takeReport(const host_address &agent, const agent_report &report, time_point now, plane_actions *out);
+    void takeHello(const host_address &from, const balancer_hello &hello, time_point now, plane_actions *out);
+    void noteBalancer(const host_address &address, time_point now);
+    balancer_hello hello() const;
+    void sendHellos(time_point now, plane_actions *out);
+    void forgetFlows(time_point now);
+    bool isStarting(time_point now) const;
+    bool knowsAllAgents(time_point now) const;
+    void log(decision_kind kind, std::string text, plane_actions *out) const;
+
+    packet_balancer_settings m_settings;
+    packet_header_decoder m_decoder;
+    time_point m_startedAt;
+    std::mt19937_64 m_random;
+    std::shared_ptr<const route_set> m_routes;
+    absl::flat_hash_set<host_address> m_droppedRoutes; ///< Addresses whose route a later version dropped.
+    agent_directory m_agents;
+    absl::flat_hash_map<host_address, time_point> m_balancers; ///< Others, and when each was last heard of.
+    absl::flat_hash_map<flow_key, balancer_flow> m_flows;
+    std::vector<held_packet> m_held;
+    std::optional<routes_offer> m_newerRoutes;
+    bool m_isListingKnown = false;
+    std::uint64_t m_helloRound = 0;
+    std::optional<time_point> m_nextHello;
+    std::optional<time_point> m_nextSweep;
+};
+
+/// Period of packet_balancer::advance().
+constexpr duration kBalancerTick = std::chrono::milliseconds(100);
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/include/citroncrank/plane_action.h
@@ -0,0 +1,75 @@
+#pragma once
+
+/// @file
+/// What the decision cores of the packet plane ask their process to do.
+
+#include "citroncrank/packet.h"
+#include "citroncrank/plane_message.h"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace citroncrank {
+
+/// Sends a message to another node of the plane.
+struct send_to_node
+{
+    host_address to;
+    plane_message message;
+    auto operator<=>(const send_to_node &) const = default;
+};
+
+/// Hands a caller's packet to the upstream beside the agent.
+struct deliver_to_upstream
+{
+    std::string packetBytes;
+    auto operator<=>(const deliver_to_upstream &) const = default;
+};
+
+/// Sends an upstream's packet to its caller.
+struct send_to_caller
+{
+    host_address caller;
+    std::string packetBytes;
+    auto operator<=>(const send_to_caller &) const = default;
+};
+
+/// Ends a flow at its caller.
+struct reset_flow
+{
+    flow_key flow;
+    std::uint32_t sequence = 0; ///< Next sequence number that the caller expects; any value while the flow is not open.
+    auto operator<=>(const reset_flow &) const = default;
+};
+
+/// Class of a log line. Each has a volume limit of its own, so that a flood of one hides no other.
+enum class decision_kind : std::uint8_t {
+    placement, ///< Where an opening packet goes.
+    refusal,   ///< A packet or flow is turned away.
+    owner,     ///< What a node believes of a flow's owner.
+    request,   ///< A request passes an agent.
+    belief,    ///< State of nodes and upstreams, routes in force.
+    lifecycle, ///< Start, stop, reload, dependencies.
+};
+constexpr int kDecisionKindCount = 6;
+
+/// Records a decision in the log.
+struct log_decision
+{
+    decision_kind kind = decision_kind::belief;
+    std::string text; ///< Short sentence and its inputs as key=value.
+    auto operator<=>(const log_decision &) const = default;
+};
+
+using plane_action = std::variant<send_to_node, deliver_to_upstream, send_to_caller, reset_flow, log_decision>;
+using plane_actions = std::vector<plane_action>;
+
+/// Decodes the header of a packet. Returns nullopt for bytes that are no packet.
+using packet_header_decoder = std::optional<packet_header> (*)(std::string_view bytes);
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/include/citroncrank/plane_message.h
@@ -0,0 +1,121 @@
+#pragma once
+
+/// @file
+/// Datagrams between balancers and agents of the packet plane.
+
+#include "citroncrank/ids.h"
+#include "citroncrank/packet.h"
+#include "citroncrank/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace citroncrank {
+
+/// Why a balancer hands a packet to an agent.
+enum class forward_purpose : std::uint8_t {
+    open,  ///< Opens a flow; the agent may pass it on to an alternate.
+    carry, ///< The agent is taken to own the flow.
+    ask,   ///< The owner is unknown; only the owner delivers it.
+};
+
+/// A caller's packet on its way to an agent.
+struct forwarded_packet
+{
+    forward_purpose purpose = forward_purpose::carry;
+    std::string service;                  ///< Name of the service that the route chose.
+    host_address origin;                  ///< Balancer that took the packet from the caller.
+    std::vector<host_address> alternates; ///< Further agents for an opening packet, best first.
+    std::string packetBytes;
+    auto operator<=>(const forwarded_packet &) const = default;
+};
+
+/// The sending agent owns the flow.
+struct owner_notice
+{
+    flow_key flow;
+    auto operator<=>(const owner_notice &) const = default;
+};
+
+/// Why an agent did not take a packet.
+enum class not_taken_reason : std::uint8_t {
+    wrong_service, ///< Its upstream belongs to another service.
+    draining,      ///< Its upstream leaves.
+    not_serving,   ///< Its upstream is not known to serve, or left.
+    full,          ///< Its upstream returned the opening packet.
+    unknown_flow,  ///< Its upstream does not hold the flow.
+    ended_flow,    ///< The upstream that held the flow is gone, so nobody holds it.
+};
+constexpr int kNotTakenReasonCount = 6;
+const char *toString(not_taken_reason reason);
+
+/// The agent did not deliver the packet, or its upstream returned it.
+struct not_taken_notice
+{
+    not_taken_reason reason = not_taken_reason::unknown_flow;
+    forward_purpose purpose = forward_purpose::carry;
+    std::string packetBytes;
+    auto operator<=>(const not_taken_notice &) const = default;
+};
+
+/// What an agent may take at present.
+enum class agent_state : std::uint8_t {
+    unconfirmed, ///< Started, and its upstream has not announced itself yet.
+    ready,
+    draining, ///< The upstream leaves; open flows go on.
+    gone,     ///< The upstream has left or is silent.
+    stopping, ///< The agent is about to restart.
+};
+constexpr int kAgentStateCount = 5;
+const char *toString(agent_state state);
+
+/// State and load of an agent and its upstream.
+struct agent_report
+{
+    std::string service;
+    std::string domain;            ///< Failure domain.
+    std::uint64_t incarnation = 0; ///< Start of the agent's process, in milliseconds since the Unix epoch.
+    std::uint64_t number = 0;      ///< Increases with each report of the incarnation, so that a late one is noticed.
+    agent_state state = agent_state::unconfirmed;
+    std::uint16_t slots = 0;
+    std::uint16_t busy = 0;               ///< Requests at work and opened flows whose request is on its way.
+    std::uint32_t flows = 0;              ///< Open flows.
+    std::uint32_t meanBusyMilli = 0;      ///< Thousandths: `busy` averaged over about a second.
+    std::uint32_t coldMilliseconds = 0;   ///< How much longer the upstream is slow after its start.
+    std::uint32_t periodMilliseconds = 0; ///< Time to the next report.
+    auto operator<=>(const agent_report &) const = default;
+};
+
+/// A balancer makes itself known. Agents answer with a report, balancers learn the version of the routes in force.
+struct balancer_hello
+{
+    std::uint64_t incarnation = 0;
+    std::uint64_t routesVersion = 0;     ///< 0: none.
+    host_address http;                   ///< Serves the routes in force to other balancers.
+    std::vector<host_address> balancers; ///< Known balancers, this one left out.
+    auto operator<=>(const balancer_hello &) const = default;
+};
+
+/// An agent asks a balancer for a hello.
+struct agent_hello
+{
+    agent_report report;
+    auto operator<=>(const agent_hello &) const = default;
+};
+
+using plane_message =
+    std::variant<forwarded_packet, owner_notice, not_taken_notice, agent_report, balancer_hello, agent_hello>;
+
+/// Encodes a message as one datagram.
+std::string encodePlaneMessage(const plane_message &message);
+
+/// Decodes a datagram. Returns nullopt for anything that is no valid message.
+std::optional<plane_message> decodePlaneMessage(std::string_view datagram);
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/include/citroncrank/plane_node.h
@@ -0,0 +1,83 @@
+#pragma once
+
+/// @file
+/// What both packet programs share: loop, log, metrics, HTTP endpoint, datagrams of other nodes.
+
+#include "citroncrank/datagram_socket.h"
+#include "citroncrank/event_log.h"
+#include "citroncrank/http_endpoint.h"
+#include "citroncrank/metrics.h"
+#include "citroncrank/plane_action.h"
+#include "citroncrank/plane_loop.h"
+#include "citroncrank/plane_settings.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace citroncrank {
+
+/// Base of the two packet programs. Derived classes own the decision core; it is used in the loop's thread only.
+class plane_node
+{
+public:
+    plane_node(plane_settings settings, const std::string &component);
+    virtual ~plane_node() = default;
+    plane_node(const plane_node &) = delete;
+    plane_node &operator=(const plane_node &) = delete;
+
+protected:
+    /// Opens the socket of the plane. Returns false and stores the cause.
+    bool openPlane(std::error_code *lastReason);
+    /// Carries actions out and empties the list.
+    void perform(plane_actions *actions);
+    /// Called for each message of another node.
+    virtual void onMessage(const host_address &from, plane_message message) = 0;
+    virtual void onDeliver(std::string packetBytes) = 0;
+    /// Sends what waits in the sockets and the log.
+    void flush();
+
+    void log(decision_kind kind, const std::string &text);
+    /// Thread-safe writer for the store's threads.
+    std::function<void(const std::string &)> storeLog();
+
+    plane_settings m_settings;
+    std::uint64_t m_incarnation;
+    event_log m_log;
+    metrics_registry m_metrics;
+    plane_loop m_loop;
+    datagram_socket m_plane;
+    plane_actions m_actions;
+    std::vector<timer_subscription> m_timers;
+
+private:
+    metric_counter &m_forwarded;
+    metric_counter &m_toCallers;
+    metric_counter &m_resets;
+    metric_counter &m_malformed;
+    std::optional<time_point> m_nextLogFlush;
+};
+
+/// Exit codes of the packet programs.
+enum plane_exit : int { plane_ok = 0, plane_usage = 2, plane_bad_settings = 3, plane_cannot_listen = 4 };
+
+/// Command line of the packet programs.
+struct plane_options
+{
+    std::string settingsFile;
+    bool checkOnly = false;
+    bool describe = false;
+};
+
+/// Parses the command line. Without --settings the platform's environment variable names the file. Returns the exit code
+/// when the program should end at once.
+std::optional<int> parsePlaneOptions(int argc, char **argv, const char *program, const char *purpose,
+                                     plane_options *options);
+/// Prints all faults, one per line.
+void printSettingsFaults(const std::vector<settings_fault> &faults);
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/include/citroncrank/plane_settings.h
@@ -0,0 +1,58 @@
+#pragma once
+
+/// @file
+/// Settings of the packet programs.
+
+#include "citroncrank/ids.h"
+#include "citroncrank/settings.h"
+#include "citroncrank/time.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace citroncrank {
+
+/// Settings that both programs have.
+struct plane_settings
+{
+    std::string name;
+    std::string region;
+    std::string domain;              ///< Failure domain.
+    host_address plane;              ///< For datagrams of other nodes.
+    host_address http;               ///< Readiness, metrics, and the routes in force for other nodes.
+    std::uint16_t callerPort = 0;    ///< Port at which callers receive packets.
+    host_address platform;           ///< The platform's store.
+    std::vector<host_address> seeds; ///< Balancers that may be up; each uses this node's plane port.
+    duration flowLifetime{0};
+    duration stopTime{0}; ///< The process is killed this long after SIGTERM.
+    bool operator==(const plane_settings &) const = default;
+};
+
+struct packet_balancer_file
+{
+    plane_settings node;
+    host_address packets; ///< Where routers send callers' packets.
+    bool operator==(const packet_balancer_file &) const = default;
+};
+
+struct packet_agent_file
+{
+    plane_settings node;
+    host_address upstreamPackets; ///< Where the upstream sends its packets.
+    host_address announcements;   ///< Where the upstream announces itself.
+    host_address upstream;        ///< Where the upstream receives packets.
+    std::string service;
+    duration announcementPeriod{0};
+    bool operator==(const packet_agent_file &) const = default;
+};
+
+settings_table packetBalancerTable();
+settings_table packetAgentTable();
+
+/// Reads and checks a settings file. Returns nullopt and stores all faults if there is any.
+std::optional<packet_balancer_file> readPacketBalancerFile(const std::string &path,
+                                                           std::vector<settings_fault> *faults);
+std::optional<packet_agent_file> readPacketAgentFile(const std::string &path, std::vector<settings_fault> *faults);
+
+} // namespace citroncrank
--- a/src/include/citroncrank/platform_client.h
+++ b/src/include/citroncrank/platform_client.h
@@ -32,8 +32,9 @@
     unavailable,     ///< The platform was not reached or refused the call; a write did not take effect.
     unknown_outcome, ///< The connection failed after a write was sent; it may have taken effect, now or later.
     rejected,        ///< The platform does not accept the call as it is; a repetition fails as well.
+    history_gone,    ///< The platform no longer knows the changes that a watch asks for; a list must be read again.
 };
-constexpr int kPlatformFailureCount = 5;
+constexpr int kPlatformFailureCount = 6;
 const char *toString(platform_failure failure);
 
 /// One object as read. Values are UTF-8 text.
@@ -45,12 +46,13 @@
     auto operator<=>(const stored_object &) const = default;
 };
 
-/// One line of a list. The value is read with `get`.
+/// One line of a list. A value that the platform leaves out is read with `get`.
 struct object_entry
 {
     std::string key;
     object_version version = 0;
     std::uint64_t valueBytes = 0;
+    std::optional<std::string> value = std::nullopt;
     auto operator<=>(const object_entry &) const = default;
 };
 
@@ -127,7 +129,7 @@
     virtual std::optional<object_list> list(const list_query &query, platform_failure *lastReason) = 0;
 
     /// Waits for changes under a prefix (long poll). A result without changes means that the wait ended. Errors:
-    /// unavailable, rejected.
+    /// unavailable, rejected, history_gone.
     virtual std::optional<watch_result> watch(const watch_query &query, platform_failure *lastReason) = 0;
 };
 
--- /dev/null
+++ b/src/include/citroncrank/store_worker.h
@@ -0,0 +1,150 @@
+#pragma once
+
+/// @file
+/// Threads that keep a packet program in step with the platform's store.
+
+#include "citroncrank/packet_balancer.h"
+#include "citroncrank/plane_settings.h"
+#include "citroncrank/route_set.h"
+
+#include "platform_store.h"
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace citroncrank {
+
+/// Writes a line about the store to the log. Called in the worker's thread.
+using store_log = std::function<void(const std::string &text)>;
+
+/// Thread with a store client of its own. Reports the store as lost and back, and waits between failed calls.
+class store_worker
+{
+public:
+    store_worker(std::string name, const host_address &store, store_log log);
+    virtual ~store_worker();
+    store_worker(const store_worker &) = delete;
+    store_worker &operator=(const store_worker &) = delete;
+
+    void start();
+    /// Ends the call in progress and the thread.
+    void stop();
+
+protected:
+    /// One step of the work. Returns how long to wait before the next, or nullopt when the work is done.
+    virtual std::optional<duration> step() = 0;
+
+    object_store &store() { return m_store; }
+    /// Notes the outcome of a call. Returns the wait before the next call: none after a success, growing with each
+    /// failure in a row.
+    duration noteCall(bool succeeded, platform_failure reason);
+    void log(const std::string &text) const { m_log(m_name + ": " + text); }
+
+private:
+    void run();
+
+    std::string m_name;
+    store_log m_log;
+    platform::platform_store m_store;
+    std::minstd_rand m_random;
+    std::uint32_t m_failuresInRow = 0;
+    bool m_isLost = false;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_isStopped = false;
+    std::thread m_thread;
+};
+
+/// Watches the operator's configuration.
+class config_worker : public store_worker
+{
+public:
+    /// Called in the worker's thread. The text is the document as stored.
+    using receiver = std::function<void(std::shared_ptr<const route_set> routes, std::string text)>;
+    /// Balancer that may be asked for the routes while the store does not answer.
+    using fallback = std::function<std::optional<routes_offer>()>;
+
+    config_worker(const host_address &store, receiver receive, fallback peer, store_log log);
+    ~config_worker() override { stop(); }
+
+protected:
+    std::optional<duration> step() override;
+
+private:
+    std::optional<duration> read();
+    std::optional<duration> wait();
+    void take(const std::string &text);
+    void askPeer();
+
+    receiver m_receive;
+    fallback m_peer;
+    std::optional<object_version> m_seen; ///< Changes up to here are known.
+};
+
+/// Asks other balancers for a version that this one lacks.
+class peer_routes_worker
+{
+public:
+    peer_routes_worker(config_worker::receiver receive, config_worker::fallback peer, store_log log);
+    ~peer_routes_worker();
+    peer_routes_worker(const peer_routes_worker &) = delete;
+    peer_routes_worker &operator=(const peer_routes_worker &) = delete;
+
+    void start();
+    void stop();
+
+private:
+    void run();
+
+    config_worker::receiver m_receive;
+    config_worker::fallback m_peer;
+    store_log m_log;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_isStopped = false;
+    std::thread m_thread;
+};
+
+/// Keeps this node's entry in the store and reads the others'. A balancer goes on watching them; an agent stops once both
+/// is done, since balancers make themselves known to it.
+class nodes_worker : public store_worker
+{
+public:
+    using receiver = std::function<void(std::vector<listed_node> nodes)>;
+
+    nodes_worker(const host_address &store, std::string nodeName, listed_node self, bool goesOnWatching,
+                 receiver receive, store_log log);
+    ~nodes_worker() override { stop(); }
+
+protected:
+    std::optional<duration> step() override;
+
+private:
+    std::optional<duration> readAll();
+    std::optional<duration> writeOwn();
+    std::optional<duration> wait();
+    void publish();
+
+    std::string m_key;
+    listed_node m_self;
+    bool m_goesOnWatching;
+    receiver m_receive;
+    std::map<std::string, object_entry> m_entries;
+    std::optional<object_version> m_seen;
+    bool m_isOwnWritten = false;
+};
+
+/// Entry of a node as JSON.
+std::string formatNode(const listed_node &node);
+/// Inverse of formatNode(). Nullopt for an entry of another writer.
+std::optional<listed_node> parseNode(const std::string &text);
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libplane/agent_directory.cpp
@@ -0,0 +1,179 @@
+#include "citroncrank/agent_directory.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace citroncrank {
+
+namespace {
+
+// Three lost reports in a row are rare even at 1 % loss, so an agent that misses them has failed or is cut off.
+constexpr int kMissedReports = 3;
+// Reports arrive late by queueing at small hosts.
+constexpr duration kReportSlack = std::chrono::milliseconds(100);
+// A new agent that reports no period yet.
+constexpr std::uint32_t kAssumedPeriodMs = 200;
+// The number of requests at work is forgotten with about the time that one request takes; after that the average is
+// the better estimate.
+constexpr double kBusyMemoryMs = 80;
+// Crossing failure domains costs about 9 ms there and back, as much as waiting for a sixth of a typical request.
+constexpr double kOtherDomainLoad = 0.15;
+// Upstreams that have just started need up to twice as long for a request.
+constexpr double kColdSlowdown = 2;
+
+double milliseconds(duration value)
+{
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+} // namespace
+
+bool agent_directory::reported(const host_address &address, const agent_report &report, time_point now)
+{
+    agent_record &agent = m_agents[address];
+    const auto order = std::tie(report.incarnation, report.number);
+    if (agent.heardAt && order <= std::tie(agent.report.incarnation, agent.report.number))
+        return false;
+    agent.address = address;
+    agent.report = report;
+    agent.heardAt = now;
+    agent.sentSinceReport = 0;
+    return true;
+}
+
+void agent_directory::listed(const host_address &address, const std::string &service, const std::string &domain)
+{
+    agent_record &agent = m_agents[address];
+    agent.address = address;
+    agent.isListed = true;
+    if (agent.heardAt)
+        return;
+    agent.report.service = service;
+    agent.report.domain = domain;
+}
+
+void agent_directory::unlisted(const host_address &address)
+{
+    const auto found = m_agents.find(address);
+    if (found != m_agents.end())
+        found->second.isListed = false;
+}
+
+void agent_directory::flowSent(const host_address &address)
+{
+    const auto found = m_agents.find(address);
+    if (found != m_agents.end())
+        ++found->second.sentSinceReport;
+}
+
+const agent_record *agent_directory::find(const host_address &address) const
+{
+    const auto found = m_agents.find(address);
+    return found == m_agents.end() ? nullptr : &found->second;
+}
+
+bool agent_directory::isFresh(const agent_record &agent, time_point now) const
+{
+    if (!agent.heardAt)
+        return false;
+    const auto period = agent.report.periodMilliseconds == 0 ? kAssumedPeriodMs : agent.report.periodMilliseconds;
+    return now - *agent.heardAt <= kMissedReports * std::chrono::milliseconds(period) + kReportSlack;
+}
+
+agent_standing agent_directory::standing(const agent_record &agent, time_point now) const
+{
+    switch (agent.report.state) {
+    case agent_state::draining:
+    case agent_state::gone:
+    case agent_state::stopping:
+        return agent_standing::excluded;
+    case agent_state::ready:
+        return isFresh(agent, now) ? agent_standing::ready : agent_standing::silent;
+    case agent_state::unconfirmed:
+        break;
+    }
+    return isFresh(agent, now) ? agent_standing::unconfirmed : agent_standing::silent;
+}
+
+double agent_directory::expectedLoad(const agent_record &agent, time_point now) const
+{
+    const agent_report &report = agent.report;
+    if (!agent.heardAt || report.slots == 0)
+        return agent.sentSinceReport;
+    const double mean = report.meanBusyMilli / 1000.0;
+    const double remembered = std::exp(-milliseconds(now - *agent.heardAt) / kBusyMemoryMs);
+    const double busy = mean + (report.busy - mean) * remembered + agent.sentSinceReport;
+    const double capacity = report.coldMilliseconds > 0 ? report.slots / kColdSlowdown : report.slots;
+    return busy / capacity;
+}
+
+std::vector<host_address> agent_directory::candidates(std::string_view service, std::string_view ownDomain,
+                                                      std::span<const host_address> excluded, std::size_t count,
+                                                      time_point now) const
+{
+    struct ranked
+    {
+        agent_standing standing = agent_standing::excluded;
+        double load = 0;
+        host_address address;
+    };
+    std::vector<ranked> order;
+    for (const auto &[address, agent] : m_agents) {
+        const agent_standing rank = standing(agent, now);
+        if (agent.report.service != service || rank == agent_standing::excluded
+            || std::find(excluded.begin(), excluded.end(), address) != excluded.end())
+            continue;
+        const double distance = agent.report.domain == ownDomain ? 0 : kOtherDomainLoad;
+        order.push_back({rank, expectedLoad(agent, now) + distance, address});
+    }
+    std::sort(order.begin(), order.end(), [](const ranked &left, const ranked &right) {
+        return std::tie(left.standing, left.load, left.address) < std::tie(right.standing, right.load, right.address);
+    });
+    std::vector<host_address> result;
+    for (const ranked &candidate : order) {
+        if (result.size() == count || candidate.standing != order.front().standing)
+            break;
+        result.push_back(candidate.address);
+    }
+    return result;
+}
+
+std::vector<host_address> agent_directory::ofService(std::string_view service) const
+{
+    std::vector<host_address> result;
+    for (const auto &[address, agent] : m_agents) {
+        if (service.empty() || agent.report.service == service)
+            result.push_back(address);
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+bool agent_directory::hasFreshAgent(time_point now) const
+{
+    return std::any_of(m_agents.begin(), m_agents.end(), [&](const auto &entry) { return isFresh(entry.second, now); });
+}
+
+bool agent_directory::allListedAreFresh(time_point now) const
+{
+    bool any = false;
+    for (const auto &[address, agent] : m_agents) {
+        if (!agent.isListed)
+            continue;
+        any = true;
+        if (!isFresh(agent, now))
+            return false;
+    }
+    return any;
+}
+
+void agent_directory::removeForgotten(duration age, time_point now)
+{
+    absl::erase_if(m_agents, [&](const auto &entry) {
+        const agent_record &agent = entry.second;
+        return !agent.isListed && (!agent.heardAt || now - *agent.heardAt > age);
+    });
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libplane/plane_message.cpp
@@ -0,0 +1,274 @@
+#include "citroncrank/plane_message.h"
+
+#include "generated/plane_message_generated.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <type_traits>
+
+namespace citroncrank {
+
+namespace {
+
+namespace wire = plane_wire;
+using builder = flatbuffers::FlatBufferBuilder;
+
+// A forwarded packet of the largest size fits without growing the buffer.
+constexpr std::size_t kBuilderBytes = 1536;
+
+wire::Address toWire(const host_address &address)
+{
+    return {address.ip, address.port};
+}
+
+host_address fromWire(const wire::Address *address)
+{
+    return address == nullptr ? host_address{} : host_address{address->ip(), address->port()};
+}
+
+flatbuffers::Offset<flatbuffers::Vector<const wire::Address *>> toWire(builder *out,
+                                                                       const std::vector<host_address> &addresses)
+{
+    return out->CreateVectorOfStructs<wire::Address>(
+        addresses.size(), [&](std::size_t index, wire::Address *target) { *target = toWire(addresses[index]); });
+}
+
+std::vector<host_address> fromWire(const flatbuffers::Vector<const wire::Address *> *addresses)
+{
+    std::vector<host_address> result;
+    if (addresses == nullptr)
+        return result;
+    result.reserve(addresses->size());
+    for (const wire::Address *address : *addresses)
+        result.push_back(fromWire(address));
+    return result;
+}
+
+flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> toWire(builder *out, const std::string &bytes)
+{
+    return out->CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
+}
+
+std::string fromWire(const flatbuffers::Vector<std::uint8_t> *bytes)
+{
+    return bytes == nullptr ? std::string() : std::string(reinterpret_cast<const char *>(bytes->data()), bytes->size());
+}
+
+std::string fromWire(const flatbuffers::String *text)
+{
+    return text == nullptr ? std::string() : text->str();
+}
+
+flatbuffers::Offset<void> encodeBody(builder *out, const forwarded_packet &message)
+{
+    const auto service = out->CreateString(message.service);
+    const auto alternates = toWire(out, message.alternates);
+    const auto bytes = toWire(out, message.packetBytes);
+    const auto origin = toWire(message.origin);
+    return wire::CreateForward(*out, std::uint8_t(message.purpose), service, &origin, alternates, bytes).Union();
+}
+
+flatbuffers::Offset<void> encodeBody(builder *out, const owner_notice &message)
+{
+    const wire::Flow flow(toWire(message.flow.caller), toWire(message.flow.service));
+    return wire::CreateOwner(*out, &flow).Union();
+}
+
+flatbuffers::Offset<void> encodeBody(builder *out, const not_taken_notice &message)
+{
+    const auto bytes = toWire(out, message.packetBytes);
+    return wire::CreateNotTaken(*out, std::uint8_t(message.reason), std::uint8_t(message.purpose), bytes).Union();
+}
+
+flatbuffers::Offset<wire::Report> encodeReport(builder *out, const agent_report &report)
+{
+    const auto service = out->CreateString(report.service);
+    const auto domain = out->CreateString(report.domain);
+    return wire::CreateReport(*out, service, domain, report.incarnation, report.number, std::uint8_t(report.state),
+                              report.slots, report.busy, report.flows, report.meanBusyMilli, report.coldMilliseconds,
+                              report.periodMilliseconds);
+}
+
+flatbuffers::Offset<void> encodeBody(builder *out, const agent_report &message)
+{
+    return encodeReport(out, message).Union();
+}
+
+flatbuffers::Offset<void> encodeBody(builder *out, const balancer_hello &message)
+{
+    const auto balancers = toWire(out, message.balancers);
+    const auto http = toWire(message.http);
+    return wire::CreateBalancerHello(*out, message.incarnation, message.routesVersion, &http, balancers).Union();
+}
+
+flatbuffers::Offset<void> encodeBody(builder *out, const agent_hello &message)
+{
+    return wire::CreateAgentHello(*out, encodeReport(out, message.report)).Union();
+}
+
+template<typename message_type>
+constexpr wire::Body bodyType()
+{
+    if constexpr (std::is_same_v<message_type, forwarded_packet>)
+        return wire::Body::Forward;
+    else if constexpr (std::is_same_v<message_type, owner_notice>)
+        return wire::Body::Owner;
+    else if constexpr (std::is_same_v<message_type, not_taken_notice>)
+        return wire::Body::NotTaken;
+    else if constexpr (std::is_same_v<message_type, agent_report>)
+        return wire::Body::Report;
+    else if constexpr (std::is_same_v<message_type, balancer_hello>)
+        return wire::Body::BalancerHello;
+    else
+        return wire::Body::AgentHello;
+}
+
+std::optional<plane_message> decodeBody(const wire::Forward &source)
+{
+    if (source.purpose() > std::uint8_t(forward_purpose::ask) || source.packet() == nullptr)
+        return std::nullopt;
+    return forwarded_packet{.purpose = forward_purpose(source.purpose()),
+                            .service = fromWire(source.service()),
+                            .origin = fromWire(source.origin()),
+                            .alternates = fromWire(source.alternates()),
+                            .packetBytes = fromWire(source.packet())};
+}
+
+std::optional<plane_message> decodeBody(const wire::Owner &source)
+{
+    if (source.flow() == nullptr)
+        return std::nullopt;
+    return owner_notice{{fromWire(&source.flow()->caller()), fromWire(&source.flow()->service())}};
+}
+
+std::optional<plane_message> decodeBody(const wire::NotTaken &source)
+{
+    if (source.reason() >= kNotTakenReasonCount || source.purpose() > std::uint8_t(forward_purpose::ask)
+        || source.packet() == nullptr)
+        return std::nullopt;
+    return not_taken_notice{not_taken_reason(source.reason()), forward_purpose(source.purpose()),
+                            fromWire(source.packet())};
+}
+
+std::optional<agent_report> decodeReport(const wire::Report *source)
+{
+    if (source == nullptr || source->state() >= kAgentStateCount)
+        return std::nullopt;
+    return agent_report{.service = fromWire(source->service()),
+                        .domain = fromWire(source->domain()),
+                        .incarnation = source->incarnation(),
+                        .number = source->number(),
+                        .state = agent_state(source->state()),
+                        .slots = source->slots(),
+                        .busy = source->busy(),
+                        .flows = source->flows(),
+                        .meanBusyMilli = source->mean_busy_milli(),
+                        .coldMilliseconds = source->cold_ms(),
+                        .periodMilliseconds = source->period_ms()};
+}
+
+std::optional<plane_message> decodeBody(const wire::Report &source)
+{
+    const auto report = decodeReport(&source);
+    return report ? std::optional<plane_message>(*report) : std::nullopt;
+}
+
+std::optional<plane_message> decodeBody(const wire::BalancerHello &source)
+{
+    return balancer_hello{.incarnation = source.incarnation(),
+                          .routesVersion = source.routes_version(),
+                          .http = fromWire(source.http()),
+                          .balancers = fromWire(source.balancers())};
+}
+
+std::optional<plane_message> decodeBody(const wire::AgentHello &source)
+{
+    const auto report = decodeReport(source.report());
+    return report ? std::optional<plane_message>(agent_hello{*report}) : std::nullopt;
+}
+
+} // namespace
+
+const char *toString(not_taken_reason reason)
+{
+    switch (reason) {
+    case not_taken_reason::wrong_service:
+        return "wrong_service";
+    case not_taken_reason::draining:
+        return "draining";
+    case not_taken_reason::not_serving:
+        return "not_serving";
+    case not_taken_reason::full:
+        return "full";
+    case not_taken_reason::unknown_flow:
+        return "unknown_flow";
+    case not_taken_reason::ended_flow:
+        return "ended_flow";
+    }
+    return "unknown";
+}
+
+const char *toString(agent_state state)
+{
+    switch (state) {
+    case agent_state::unconfirmed:
+        return "unconfirmed";
+    case agent_state::ready:
+        return "ready";
+    case agent_state::draining:
+        return "draining";
+    case agent_state::gone:
+        return "gone";
+    case agent_state::stopping:
+        return "stopping";
+    }
+    return "unknown";
+}
+
+std::string toString(const flow_key &flow)
+{
+    return absl::StrCat(toString(flow.caller), ">", toString(flow.service));
+}
+
+std::string encodePlaneMessage(const plane_message &message)
+{
+    builder out(kBuilderBytes);
+    std::visit(
+        [&out](const auto &body) {
+            const auto offset = encodeBody(&out, body);
+            const auto type = bodyType<std::decay_t<decltype(body)>>();
+            wire::FinishMessageBuffer(out, wire::CreateMessage(out, type, offset));
+        },
+        message);
+    return {reinterpret_cast<const char *>(out.GetBufferPointer()), out.GetSize()};
+}
+
+std::optional<plane_message> decodePlaneMessage(std::string_view datagram)
+{
+    const auto *data = reinterpret_cast<const std::uint8_t *>(datagram.data());
+    flatbuffers::Verifier verifier(data, datagram.size());
+    if (!wire::VerifyMessageBuffer(verifier))
+        return std::nullopt;
+    const wire::Message *const message = wire::GetMessage(data);
+    if (message->body() == nullptr)
+        return std::nullopt;
+    switch (message->body_type()) {
+    case wire::Body::Forward:
+        return decodeBody(*message->body_as_Forward());
+    case wire::Body::Owner:
+        return decodeBody(*message->body_as_Owner());
+    case wire::Body::NotTaken:
+        return decodeBody(*message->body_as_NotTaken());
+    case wire::Body::Report:
+        return decodeBody(*message->body_as_Report());
+    case wire::Body::BalancerHello:
+        return decodeBody(*message->body_as_BalancerHello());
+    case wire::Body::AgentHello:
+        return decodeBody(*message->body_as_AgentHello());
+    case wire::Body::NONE:
+        break;
+    }
+    return std::nullopt;
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libplane/request_head_pvt.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/// @file
+/// What an agent reads from the bytes of a flow for its log. It never changes them.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace citroncrank {
+
+/// Value of the Request-Id field in the head of an HTTP/1.1 request. Empty if the data holds none.
+std::string requestIdOf(std::string_view head);
+
+/// Status code of an HTTP/1.1 answer. 0 if the data does not begin with a status line.
+std::uint32_t statusOf(std::string_view head);
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libplane/route_set.cpp
@@ -0,0 +1,32 @@
+#include "citroncrank/route_set.h"
+
+#include <numeric>
+
+namespace citroncrank {
+
+const packet_route *route_set::find(const host_address &address) const
+{
+    const auto found = routes.find(address);
+    return found == routes.end() ? nullptr : &found->second;
+}
+
+const std::string &chooseService(const packet_route &route, const flow_key &flow)
+{
+    const std::uint64_t total =
+        std::accumulate(route.targets.begin(), route.targets.end(), std::uint64_t(0),
+                        [](std::uint64_t sum, const route_target &target) { return sum + target.weight; });
+    if (total == 0)
+        return route.targets.front().service;
+    const auto ofAddress = [](const host_address &address) {
+        return (std::uint64_t(address.ip) << 16U) | address.port;
+    };
+    std::uint64_t point = hashPair(ofAddress(flow.caller), ofAddress(flow.service)) % total;
+    for (const route_target &target : route.targets) {
+        if (point < target.weight)
+            return target.service;
+        point -= target.weight;
+    }
+    return route.targets.back().service;
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libplanenode/agent_node.cpp
@@ -0,0 +1,191 @@
+#include "citroncrank/agent_node.h"
+
+#include "documents.h"
+#include "packet_codec.h"
+
+#include <absl/strings/str_cat.h>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <utility>
+
+namespace citroncrank {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// An upstream takes a confirmation for lost after a second.
+constexpr milliseconds kDecisionTime{800};
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusConflict = 409;
+constexpr int kStatusUnavailable = 503;
+
+packet_agent_settings coreSettings(const packet_agent_file &file, std::uint64_t incarnation)
+{
+    return {.self = file.node.plane,
+            .service = file.service,
+            .domain = file.node.domain,
+            .incarnation = incarnation,
+            .upstream = file.upstream,
+            .seeds = file.node.seeds,
+            .announcementPeriod = file.announcementPeriod,
+            .flowLifetime = file.node.flowLifetime};
+}
+
+listed_node selfOf(const packet_agent_file &file)
+{
+    return {.address = file.node.plane, .isAgent = true, .service = file.service, .domain = file.node.domain};
+}
+
+} // namespace
+
+agent_node::agent_node(const packet_agent_file &file)
+    : plane_node(file.node, "agent")
+    , m_file(file)
+    , m_core(coreSettings(file, m_incarnation), platform::decodePacketHeader, monotonicNow())
+    , m_http({.address = file.announcements, .furtherAddresses = {file.node.http}}, m_metrics,
+             [] { return std::vector<std::string>(); })
+    , m_nodes(
+          file.node.platform, file.node.name, selfOf(file), false,
+          [this](const std::vector<listed_node> &nodes) {
+              std::vector<host_address> balancers;
+              for (const listed_node &node : nodes) {
+                  if (!node.isAgent)
+                      balancers.push_back(node.address);
+              }
+              m_loop.post([this, balancers = std::move(balancers)] {
+                  m_core.applyBalancers(balancers, monotonicNow(), &m_actions);
+                  perform(&m_actions);
+              });
+          },
+          storeLog())
+    , m_upstreamPackets(m_metrics.counter("citroncrank_agent_upstream_packets_total", "Packets sent by the upstream."))
+    , m_latency(m_metrics.histogram("citroncrank_agent_request_seconds",
+                                    "From the first packet of a request to the first packet of its answer.",
+                                    {{"service", file.service}}))
+    , m_busy(m_metrics.gauge("citroncrank_agent_busy", "Requests at work at the upstream."))
+    , m_flows(m_metrics.gauge("citroncrank_agent_flows", "Flows known to the agent."))
+{}
+
+bool agent_node::listen(std::error_code *lastReason)
+{
+    if (!m_fromUpstream.open(m_file.upstreamPackets, lastReason) || !openPlane(lastReason))
+        return false;
+    m_loop.watch(m_fromUpstream.descriptor(), [this] {
+        m_fromUpstream.receiveWaiting(
+            [this](const host_address &, std::string_view datagram) { onUpstreamDatagram(datagram); });
+    });
+    m_http.handle("GET", platform::kReadinessPath, [](const http_request &) { return http_reply{.body = "ready\n"}; });
+    m_http.handle("POST", platform::kAnnouncementPath,
+                  [this](const http_request &request) { return announcement(request); });
+    m_http.handle("POST", platform::kLeavePath, [this](const http_request &request) { return leave(request); });
+    if (const auto failure = m_http.start()) {
+        *lastReason = {failure->systemError, std::generic_category()};
+        return false;
+    }
+    return true;
+}
+
+void agent_node::run()
+{
+    m_loop.catchSignals([this] { m_loop.stop(); },
+                        [this] { log(decision_kind::lifecycle, "reload asked for, settings are read at the start"); });
+    log(decision_kind::lifecycle,
+        absl::StrCat("started, node=", m_settings.name, " incarnation=", m_incarnation, " service=", m_file.service,
+                     " upstream=", toString(m_file.upstream), " plane=", toString(m_settings.plane)));
+    m_nodes.start();
+    m_timers.push_back(m_loop.timers().subscribe(kAgentTick, [this](time_point now) { tick(now); }));
+    tick(monotonicNow());
+    m_loop.run();
+    // The upstream has no other way out while this process is away, so it ends at once.
+    m_core.stop(monotonicNow(), &m_actions);
+    perform(&m_actions);
+    log(decision_kind::lifecycle, absl::StrCat("stopped, flows=", m_core.flowCount(), " busy=", m_core.busy()));
+    flush();
+    m_nodes.stop();
+    m_http.stop();
+}
+
+void agent_node::onMessage(const host_address &from, plane_message message)
+{
+    m_core.message(from, std::move(message), monotonicNow(), &m_actions);
+    perform(&m_actions);
+}
+
+void agent_node::onDeliver(std::string packetBytes)
+{
+    m_fromUpstream.queue(m_file.upstream, std::move(packetBytes));
+}
+
+void agent_node::onUpstreamDatagram(std::string_view datagram)
+{
+    const auto header = platform::decodePacketHeader(datagram);
+    if (!header)
+        return;
+    m_upstreamPackets.increment();
+    packet arrived{*header, std::string(datagram)};
+    if (header->returned)
+        platform::clearSystemMarks(&arrived.bytes);
+    m_core.upstreamPacket(std::move(arrived), monotonicNow(), &m_actions);
+    perform(&m_actions);
+    for (const request_observation &observed : m_core.takeObservations())
+        m_latency.observe(observed.latency);
+}
+
+void agent_node::tick(time_point now)
+{
+    m_core.advance(now, &m_actions);
+    perform(&m_actions);
+    m_busy.set(double(m_core.busy()));
+    m_flows.set(double(m_core.flowCount()));
+}
+
+// The confirmation promises that the agent already acts on the announcement, so it waits for the loop.
+std::optional<announcement_result> agent_node::decideInLoop(const std::function<announcement_result()> &decide)
+{
+    const auto decided = std::make_shared<std::promise<announcement_result>>();
+    auto result = decided->get_future();
+    const bool isPosted = m_loop.post([this, decide, decided] {
+        decided->set_value(decide());
+        perform(&m_actions);
+    });
+    if (!isPosted || result.wait_for(kDecisionTime) != std::future_status::ready)
+        return std::nullopt;
+    return result.get();
+}
+
+http_reply agent_node::announcement(const http_request &request)
+{
+    const std::string id = platform::idInPath(request.path, platform::kAnnouncementPath);
+    platform::document_fault fault;
+    const auto announced = platform::parseAnnouncement(id, request.body, &fault);
+    if (!announced) {
+        log(decision_kind::refusal, absl::StrCat("announcement names no upstream, id=", id, " reason=", fault.what));
+        return {.status = kStatusBadRequest, .body = "the announcement cannot be read\n"};
+    }
+    return confirm(
+        decideInLoop([this, announced = *announced] { return m_core.announce(announced, monotonicNow(), &m_actions); }),
+        id);
+}
+
+http_reply agent_node::leave(const http_request &request)
+{
+    const std::string id = platform::idInPath(request.path, platform::kLeavePath);
+    return confirm(decideInLoop([this, id] { return m_core.leave(id, monotonicNow(), &m_actions); }), id);
+}
+
+http_reply agent_node::confirm(const std::optional<announcement_result> &result, const std::string &id)
+{
+    if (!result) {
+        log(decision_kind::refusal, absl::StrCat("announcement not confirmed, id=", id, " reason=overloaded"));
+        return {.status = kStatusUnavailable, .body = "overloaded\n"};
+    }
+    if (*result == announcement_result::accepted)
+        return {.status = kStatusOk, .contentType = "application/json", .body = platform::kConfirmation};
+    log(decision_kind::refusal, absl::StrCat("announcement not taken, id=", id, " reason=", toString(*result)));
+    return {.status = kStatusConflict, .body = absl::StrCat(toString(*result), "\n")};
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libplanenode/plane_node.cpp
@@ -0,0 +1,137 @@
+#include "citroncrank/plane_node.h"
+
+#include "packet_codec.h"
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+#include <utility>
+
+namespace citroncrank {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Lines wait this long at most; each flush is a system call.
+constexpr duration kLogFlushPeriod = milliseconds(100);
+constexpr const char *kSettingsVariable = "CITRONCRANK_BOOT";
+constexpr const char *kVersion = "0.2.0";
+
+std::vector<std::string> decisionNames()
+{
+    return {"placement", "refusal", "owner", "request", "belief", "lifecycle"};
+}
+
+std::uint64_t wallMilliseconds()
+{
+    return std::uint64_t(std::chrono::duration_cast<milliseconds>(wallNow().time_since_epoch()).count());
+}
+
+} // namespace
+
+plane_node::plane_node(plane_settings settings, const std::string &component)
+    : m_settings(std::move(settings))
+    , m_incarnation(wallMilliseconds())
+    , m_log({.descriptor = 1, .component = component, .classNames = decisionNames()})
+    , m_forwarded(m_metrics.counter("citroncrank_plane_datagrams_total", "Datagrams sent to other nodes."))
+    , m_toCallers(m_metrics.counter("citroncrank_plane_caller_packets_total", "Packets sent to callers."))
+    , m_resets(m_metrics.counter("citroncrank_plane_resets_total", "Resets sent to callers."))
+    , m_malformed(m_metrics.counter("citroncrank_plane_malformed_total", "Datagrams that could not be read."))
+{}
+
+bool plane_node::openPlane(std::error_code *lastReason)
+{
+    if (!m_plane.open(m_settings.plane, lastReason))
+        return false;
+    m_loop.watch(m_plane.descriptor(), [this] {
+        m_plane.receiveWaiting([this](const host_address &from, std::string_view datagram) {
+            auto message = decodePlaneMessage(datagram);
+            if (message)
+                onMessage(from, std::move(*message));
+            else
+                m_malformed.increment();
+        });
+    });
+    m_loop.afterRound([this] { flush(); });
+    return true;
+}
+
+void plane_node::perform(plane_actions *actions)
+{
+    struct visitor
+    {
+        plane_node *self;
+
+        void operator()(const send_to_node &action) const
+        {
+            self->m_forwarded.increment();
+            self->m_plane.queue(action.to, encodePlaneMessage(action.message));
+        }
+        void operator()(deliver_to_upstream &action) const { self->onDeliver(std::move(action.packetBytes)); }
+        void operator()(send_to_caller &action) const
+        {
+            self->m_toCallers.increment();
+            self->m_plane.queue({action.caller.ip, self->m_settings.callerPort}, std::move(action.packetBytes));
+        }
+        void operator()(const reset_flow &action) const
+        {
+            self->m_resets.increment();
+            self->m_plane.queue({action.flow.caller.ip, self->m_settings.callerPort},
+                                platform::encodeReset(action.flow, action.sequence));
+        }
+        void operator()(const log_decision &action) const { self->log(action.kind, action.text); }
+    };
+    for (plane_action &action : *actions)
+        std::visit(visitor{this}, action);
+    actions->clear();
+}
+
+void plane_node::log(decision_kind kind, const std::string &text)
+{
+    m_log.write(std::size_t(kind), text);
+}
+
+std::function<void(const std::string &)> plane_node::storeLog()
+{
+    return [this](const std::string &text) { m_log.write(std::size_t(decision_kind::lifecycle), text); };
+}
+
+void plane_node::flush()
+{
+    m_plane.flush();
+    const time_point now = monotonicNow();
+    if (m_nextLogFlush && now < *m_nextLogFlush)
+        return;
+    m_log.flush();
+    m_nextLogFlush = now + kLogFlushPeriod;
+}
+
+std::optional<int> parsePlaneOptions(int argc, char **argv, const char *program, const char *purpose,
+                                     plane_options *options)
+{
+    CLI::App app(purpose, program);
+    app.set_version_flag("--version", std::string(program) + " " + kVersion);
+    app.add_option("--settings", options->settingsFile, "Settings file (YAML)")->envname(kSettingsVariable);
+    app.add_flag("--check", options->checkOnly, "Check the settings file and exit");
+    app.add_flag("--describe-settings", options->describe, "Print the table of settings as Markdown and exit");
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError &error) {
+        return app.exit(error) == 0 ? plane_ok : plane_usage;
+    }
+    if (options->settingsFile.empty() && !options->describe) {
+        std::cerr << app.help();
+        return plane_usage;
+    }
+    return std::nullopt;
+}
+
+void printSettingsFaults(const std::vector<settings_fault> &faults)
+{
+    for (const auto &fault : faults)
+        std::cerr << toString(fault) << "\n";
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libplanenode/plane_settings.cpp
@@ -0,0 +1,131 @@
+#include "citroncrank/plane_settings.h"
+
+namespace citroncrank {
+
+namespace {
+
+settings_table commonTable()
+{
+    return {
+        {.path = "name",
+         .type = settings_type::text,
+         .description = "Name of this node, unique in the fleet.",
+         .required = true,
+         .minimum = 1,
+         .maximum = 64},
+        {.path = "region", .type = settings_type::text, .description = "Region of this host.", .required = true},
+        {.path = "domain",
+         .type = settings_type::text,
+         .description = "Failure domain of this host.",
+         .required = true},
+        {.path = "listen.plane",
+         .type = settings_type::address,
+         .description = "Address for datagrams of other nodes (UDP).",
+         .required = true},
+        {.path = "listen.http",
+         .type = settings_type::address,
+         .description = "Address for readiness, metrics and the routes in force.",
+         .required = true},
+        {.path = "caller-address",
+         .type = settings_type::address,
+         .description = "Callers receive packets at their own address and the port of this one (UDP).",
+         .required = true},
+        {.path = "platform",
+         .type = settings_type::address,
+         .description = "Address of the platform's store.",
+         .required = true},
+        {.path = "seeds",
+         .type = settings_type::address,
+         .description = "Balancers that may be up. The port is ignored: each uses the port of listen.plane.",
+         .isList = true},
+        {.path = "flow-lifetime",
+         .type = settings_type::duration,
+         .description = "A flow older than this may be forgotten.",
+         .defaultValue = "60s"},
+        {.path = "stop-time",
+         .type = settings_type::duration,
+         .description = "Time between SIGTERM and SIGKILL.",
+         .defaultValue = "6s"},
+    };
+}
+
+plane_settings readCommon(const settings_values &values)
+{
+    plane_settings node{.name = values.getText("name"),
+                        .region = values.getText("region"),
+                        .domain = values.getText("domain"),
+                        .plane = values.getAddress("listen.plane"),
+                        .http = values.getAddress("listen.http"),
+                        .callerPort = values.getAddress("caller-address").port,
+                        .platform = values.getAddress("platform"),
+                        .seeds = {},
+                        .flowLifetime = values.getDuration("flow-lifetime"),
+                        .stopTime = values.getDuration("stop-time")};
+    if (values.has("seeds")) {
+        for (const host_address &seed : values.getAddresses("seeds"))
+            node.seeds.push_back({seed.ip, node.plane.port});
+    }
+    return node;
+}
+
+} // namespace
+
+settings_table packetBalancerTable()
+{
+    settings_table table = commonTable();
+    table.push_back({.path = "listen.packets",
+                     .type = settings_type::address,
+                     .description = "Address to which routers send callers' packets (UDP).",
+                     .required = true});
+    return table;
+}
+
+settings_table packetAgentTable()
+{
+    settings_table table = commonTable();
+    table.push_back({.path = "listen.upstream-packets",
+                     .type = settings_type::address,
+                     .description = "Address to which the upstream sends its packets (UDP).",
+                     .required = true});
+    table.push_back({.path = "listen.announcements",
+                     .type = settings_type::address,
+                     .description = "Address at which the upstream announces itself.",
+                     .required = true});
+    table.push_back({.path = "upstream.address",
+                     .type = settings_type::address,
+                     .description = "Address at which the upstream receives packets (UDP).",
+                     .required = true});
+    table.push_back({.path = "upstream.service",
+                     .type = settings_type::text,
+                     .description = "Service of the upstream.",
+                     .required = true,
+                     .minimum = 1});
+    table.push_back({.path = "upstream.announcement-period",
+                     .type = settings_type::duration,
+                     .description = "Expected time between two announcements of the upstream.",
+                     .defaultValue = "1s"});
+    return table;
+}
+
+std::optional<packet_balancer_file> readPacketBalancerFile(const std::string &path, std::vector<settings_fault> *faults)
+{
+    const auto values = readSettings(path, packetBalancerTable(), faults);
+    if (!values)
+        return std::nullopt;
+    return packet_balancer_file{readCommon(*values), values->getAddress("listen.packets")};
+}
+
+std::optional<packet_agent_file> readPacketAgentFile(const std::string &path, std::vector<settings_fault> *faults)
+{
+    const auto values = readSettings(path, packetAgentTable(), faults);
+    if (!values)
+        return std::nullopt;
+    return packet_agent_file{.node = readCommon(*values),
+                             .upstreamPackets = values->getAddress("listen.upstream-packets"),
+                             .announcements = values->getAddress("listen.announcements"),
+                             .upstream = values->getAddress("upstream.address"),
+                             .service = values->getText("upstream.service"),
+                             .announcementPeriod = values->getDuration("upstream.announcement-period")};
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libplanenode/store_worker.cpp
@@ -0,0 +1,379 @@
+#include "citroncrank/store_worker.h"
+
+#include "citroncrank/timer_service.h"
+#include "documents.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/json.hpp>
+#include <chrono>
+#include <csignal>
+#include <utility>
+
+namespace citroncrank {
+
+namespace json = boost::json;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Reads take a few milliseconds; a store that is slow by a factor of a hundred still answers in time.
+constexpr milliseconds kCallDeadline{1500};
+constexpr duration kFirstRetryDelay = milliseconds(100);
+constexpr duration kMaxRetryDelay = seconds(1);
+constexpr std::uint32_t kMaxDoublings = 4;
+// A watch that hangs without notice is given up in time for a change to be in force within seconds.
+constexpr milliseconds kConfigWatchWait{4000};
+constexpr milliseconds kNodesWatchWait{25000};
+constexpr duration kPeerCheckPeriod = milliseconds(250);
+// How long a node waits for its own watch before it asks another balancer for a version.
+constexpr duration kPeerPatience = milliseconds(300);
+constexpr milliseconds kPeerCallDeadline{500};
+constexpr const char *kRoutesPath = "/routes";
+
+std::optional<std::string> fetchRoutes(const host_address &peer)
+{
+    http_connection connection({peer, kPeerCallDeadline});
+    http_call_failure failure = http_call_failure::not_sent;
+    auto answer = connection.call({"GET", kRoutesPath, "", {}, true}, &failure);
+    constexpr unsigned kStatusOk = 200;
+    if (!answer || answer->status != kStatusOk)
+        return std::nullopt;
+    return std::move(answer->body);
+}
+
+void blockSignals()
+{
+    sigset_t all;
+    sigfillset(&all);
+    pthread_sigmask(SIG_BLOCK, &all, nullptr);
+}
+
+} // namespace
+
+store_worker::store_worker(std::string name, const host_address &store, store_log log)
+    : m_name(std::move(name))
+    , m_log(std::move(log))
+    , m_store({store, kCallDeadline})
+    , m_random(std::random_device{}())
+{}
+
+store_worker::~store_worker()
+{
+    stop();
+}
+
+void store_worker::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void store_worker::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopped = true;
+    }
+    m_wake.notify_all();
+    m_store.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void store_worker::run()
+{
+    blockSignals();
+    for (;;) {
+        const auto pause = step();
+        std::unique_lock lock(m_mutex);
+        if (!pause || m_isStopped || m_wake.wait_for(lock, *pause, [this] { return m_isStopped; }))
+            return;
+    }
+}
+
+duration store_worker::noteCall(bool succeeded, platform_failure reason)
+{
+    if (succeeded) {
+        if (std::exchange(m_isLost, false))
+            log("store is back");
+        m_failuresInRow = 0;
+        return duration(0);
+    }
+    if (!std::exchange(m_isLost, true))
+        log(absl::StrCat("store is lost, reason=", toString(reason)));
+    const duration delay =
+        std::min(kFirstRetryDelay * (1U << std::min(m_failuresInRow, kMaxDoublings)), kMaxRetryDelay);
+    ++m_failuresInRow;
+    // Half of the delay is random, so that nodes that lost the store together do not return together.
+    return delay / 2 + duration(std::int64_t(m_random() % std::uint64_t(delay.count())) / 2);
+}
+
+config_worker::config_worker(const host_address &store, receiver receive, fallback peer, store_log log)
+    : store_worker("configuration", store, std::move(log))
+    , m_receive(std::move(receive))
+    , m_peer(std::move(peer))
+{}
+
+std::optional<duration> config_worker::step()
+{
+    return m_seen ? wait() : read();
+}
+
+std::optional<duration> config_worker::read()
+{
+    platform_failure reason = platform_failure::unavailable;
+    const auto list = store().list({.prefix = platform::kConfigPrefix, .after = {}}, &reason);
+    const duration pause = noteCall(list.has_value(), reason);
+    if (!list) {
+        askPeer();
+        return pause;
+    }
+    for (const object_entry &entry : list->entries) {
+        if (entry.key == platform::kConfigKey && entry.value)
+            take(*entry.value);
+    }
+    m_seen = list->version;
+    return duration(0);
+}
+
+std::optional<duration> config_worker::wait()
+{
+    platform_failure reason = platform_failure::unavailable;
+    const auto result = store().watch({platform::kConfigPrefix, *m_seen, kConfigWatchWait}, &reason);
+    if (!result && reason == platform_failure::history_gone) {
+        log("history is gone, reading again");
+        m_seen = std::nullopt;
+        return duration(0);
+    }
+    const duration pause = noteCall(result.has_value(), reason);
+    if (!result)
+        return pause;
+    for (const object_change &change : result->changes) {
+        if (change.key == platform::kConfigKey && change.value)
+            take(*change.value);
+    }
+    m_seen = result->version;
+    return duration(0);
+}
+
+void config_worker::take(const std::string &text)
+{
+    platform::document_fault fault;
+    auto routes = platform::parseRoutes(text, &fault);
+    if (!routes) {
+        log(absl::StrCat("configuration cannot be used, reason=", fault.what));
+        return;
+    }
+    m_receive(std::move(routes), text);
+}
+
+void config_worker::askPeer()
+{
+    const auto offer = m_peer();
+    if (!offer)
+        return;
+    if (const auto text = fetchRoutes(offer->http)) {
+        log(absl::StrCat("routes read from a balancer, balancer=", toString(offer->http), " version=", offer->version));
+        take(*text);
+    }
+}
+
+peer_routes_worker::peer_routes_worker(config_worker::receiver receive, config_worker::fallback peer, store_log log)
+    : m_receive(std::move(receive))
+    , m_peer(std::move(peer))
+    , m_log(std::move(log))
+{}
+
+peer_routes_worker::~peer_routes_worker()
+{
+    stop();
+}
+
+void peer_routes_worker::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void peer_routes_worker::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopped = true;
+    }
+    m_wake.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void peer_routes_worker::run()
+{
+    blockSignals();
+    std::optional<time_point> missingSince;
+    for (;;) {
+        {
+            std::unique_lock lock(m_mutex);
+            if (m_wake.wait_for(lock, kPeerCheckPeriod, [this] { return m_isStopped; }))
+                return;
+        }
+        const auto offer = m_peer();
+        if (!offer) {
+            missingSince = std::nullopt;
+            continue;
+        }
+        const time_point now = monotonicNow();
+        if (!missingSince)
+            missingSince = now;
+        if (now - *missingSince < kPeerPatience)
+            continue;
+        const auto text = fetchRoutes(offer->http);
+        platform::document_fault fault{"no answer"};
+        auto routes = text ? platform::parseRoutes(*text, &fault) : nullptr;
+        if (routes) {
+            m_log(absl::StrCat("routes read from a balancer, balancer=", toString(offer->http),
+                               " version=", routes->version));
+            m_receive(std::move(routes), *text);
+        } else {
+            m_log(absl::StrCat("routes of a balancer cannot be read, balancer=", toString(offer->http),
+                               " reason=", fault.what));
+        }
+        missingSince = now;
+    }
+}
+
+std::string formatNode(const listed_node &node)
+{
+    json::object entry{
+        {"role", node.isAgent ? "agent" : "balancer"}, {"address", toString(node.address)}, {"domain", node.domain}};
+    if (node.isAgent)
+        entry["service"] = node.service;
+    return json::serialize(entry);
+}
+
+std::optional<listed_node> parseNode(const std::string &text)
+{
+    try {
+        const json::value parsed = json::parse(text);
+        const json::object &entry = parsed.as_object();
+        const auto address = parseHostAddress(std::string(entry.at("address").as_string()));
+        const auto &role = entry.at("role").as_string();
+        if (!address || (role != "agent" && role != "balancer"))
+            return std::nullopt;
+        listed_node node{.address = *address,
+                         .isAgent = role == "agent",
+                         .service = {},
+                         .domain = std::string(entry.at("domain").as_string())};
+        if (node.isAgent)
+            node.service = std::string(entry.at("service").as_string());
+        return node;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+nodes_worker::nodes_worker(const host_address &store, std::string nodeName, listed_node self, bool goesOnWatching,
+                           receiver receive, store_log log)
+    : store_worker("nodes", store, std::move(log))
+    , m_key(platform::kNodesPrefix + std::move(nodeName))
+    , m_self(std::move(self))
+    , m_goesOnWatching(goesOnWatching)
+    , m_receive(std::move(receive))
+{}
+
+std::optional<duration> nodes_worker::step()
+{
+    if (!m_seen)
+        return readAll();
+    if (!m_isOwnWritten)
+        return writeOwn();
+    return m_goesOnWatching ? wait() : std::nullopt;
+}
+
+std::optional<duration> nodes_worker::readAll()
+{
+    std::map<std::string, object_entry> entries;
+    std::string after;
+    std::optional<object_version> seen;
+    for (bool more = true; more;) {
+        platform_failure reason = platform_failure::unavailable;
+        const auto list = store().list({.prefix = platform::kNodesPrefix, .after = after}, &reason);
+        const duration pause = noteCall(list.has_value(), reason);
+        if (!list)
+            return pause;
+        for (const object_entry &entry : list->entries)
+            entries[entry.key] = entry;
+        // The first page is the oldest; a watch from there misses nothing.
+        if (!seen)
+            seen = list->version;
+        more = list->more && !list->entries.empty();
+        if (more)
+            after = list->entries.back().key;
+    }
+    m_entries = std::move(entries);
+    m_seen = seen;
+    const auto own = m_entries.find(m_key);
+    m_isOwnWritten = own != m_entries.end() && own->second.value && parseNode(*own->second.value) == m_self;
+    publish();
+    return duration(0);
+}
+
+// Writing is conditional, so a write that an earlier process sent and that takes effect late cannot undo this one.
+std::optional<duration> nodes_worker::writeOwn()
+{
+    platform_failure reason = platform_failure::unavailable;
+    const auto own = m_entries.find(m_key);
+    const auto version = own == m_entries.end()
+                             ? store().create(m_key, formatNode(m_self), &reason)
+                             : store().update(m_key, formatNode(m_self), own->second.version, &reason);
+    if (version) {
+        m_isOwnWritten = true;
+        log(absl::StrCat("own entry written, version=", *version));
+        return noteCall(true, reason);
+    }
+    if (reason == platform_failure::rejected) {
+        log("own entry rejected");
+        return std::nullopt;
+    }
+    // Reading again shows whether the write took effect.
+    m_seen = std::nullopt;
+    return noteCall(reason == platform_failure::conflict, reason) + kFirstRetryDelay;
+}
+
+std::optional<duration> nodes_worker::wait()
+{
+    platform_failure reason = platform_failure::unavailable;
+    const auto result = store().watch({platform::kNodesPrefix, *m_seen, kNodesWatchWait}, &reason);
+    if (!result && reason == platform_failure::history_gone) {
+        log("history is gone, reading again");
+        m_seen = std::nullopt;
+        return duration(0);
+    }
+    const duration pause = noteCall(result.has_value(), reason);
+    if (!result)
+        return pause;
+    for (const object_change &change : result->changes) {
+        if (change.value)
+            m_entries[change.key] = {change.key, change.version, change.value->size(), change.value};
+        else
+            m_entries.erase(change.key);
+    }
+    m_seen = result->version;
+    if (!result->changes.empty())
+        publish();
+    return duration(0);
+}
+
+void nodes_worker::publish()
+{
+    std::vector<listed_node> nodes;
+    for (const auto &[key, entry] : m_entries) {
+        const auto node = entry.value ? parseNode(*entry.value) : std::nullopt;
+        if (node)
+            nodes.push_back(*node);
+        else
+            log(absl::StrCat("entry names no node, key=", key));
+    }
+    m_receive(std::move(nodes));
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libplatform/http_connection.cpp
@@ -0,0 +1,175 @@
+#include "citroncrank/http_connection.h"
+
+#include <atomic>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace citroncrank {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace net = boost::asio;
+using error_code = boost::system::error_code;
+
+namespace {
+
+// A silent peer is noticed after about idle time + probes x interval = 3 s.
+constexpr int kKeepAliveSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr int kUserTimeoutMs = 2000;
+
+/// How far an exchange came.
+enum class exchange_result : std::uint8_t { not_sent, sent_without_answer, answered };
+
+} // namespace
+
+/// One kept-alive connection and the exchange on it.
+class http_connection::implementation
+{
+public:
+    explicit implementation(http_connection_settings settings)
+        : m_settings(settings)
+        , m_stream(m_context)
+    {}
+
+    std::optional<http_answer> call(const http_call &request, http_call_failure *lastReason)
+    {
+        m_stream.expires_after(m_settings.callDeadline + request.wait);
+        const bool wasOpen = isConnectionUsable();
+        http::response<http::string_body> response;
+        exchange_result result = exchange(request, &response);
+        if (result != exchange_result::answered && request.isRepeatable && wasOpen && !m_isTimedOut)
+            result = exchange(request, &response);
+        if (result == exchange_result::answered)
+            return http_answer{response.result_int(), std::move(response.body())};
+        *lastReason =
+            result == exchange_result::sent_without_answer ? http_call_failure::no_answer : http_call_failure::not_sent;
+        return std::nullopt;
+    }
+
+    void stop()
+    {
+        m_isStopped = true;
+        net::post(m_context, [this] { m_stream.close(); });
+    }
+
+private:
+    /// Runs one asynchronous operation to its end. The deadline of the stream bounds it.
+    template<typename start_type>
+    error_code run(start_type start)
+    {
+        error_code result = net::error::operation_aborted;
+        if (m_isStopped)
+            return result;
+        start([&result](error_code error, auto &&...) { result = error; });
+        m_context.restart();
+        m_context.run();
+        m_isTimedOut = result == beast::error::timeout;
+        return result;
+    }
+
+    /// Detects that the peer closed the idle connection, which would otherwise turn the next write into an unknown
+    /// outcome.
+    bool isConnectionUsable()
+    {
+        if (!m_stream.socket().is_open())
+            return false;
+        char byte = 0;
+        error_code error;
+        m_stream.socket().non_blocking(true, error);
+        m_stream.socket().receive(net::buffer(&byte, 1), net::socket_base::message_peek, error);
+        if (error == net::error::would_block)
+            return true;
+        m_stream.close();
+        return false;
+    }
+
+    bool connect()
+    {
+        if (m_stream.socket().is_open())
+            return true;
+        m_buffer.clear();
+        const net::ip::tcp::endpoint endpoint(net::ip::address_v4(m_settings.address.ip), m_settings.address.port);
+        const error_code error = run([&](auto handler) { m_stream.async_connect(endpoint, handler); });
+        if (error)
+            m_stream.close();
+        else
+            setOptions();
+        return !error;
+    }
+
+    /// Keep-alive probes and the user timeout notice a connection that has gone silent, also while a call waits.
+    void setOptions()
+    {
+        error_code ignored;
+        auto &socket = m_stream.socket();
+        socket.set_option(net::ip::tcp::no_delay(true), ignored);
+        socket.set_option(net::socket_base::keep_alive(true), ignored);
+        setTcpOption(TCP_KEEPIDLE, kKeepAliveSeconds);
+        setTcpOption(TCP_KEEPINTVL, kKeepAliveSeconds);
+        setTcpOption(TCP_KEEPCNT, kKeepAliveProbes);
+        setTcpOption(TCP_USER_TIMEOUT, kUserTimeoutMs);
+    }
+
+    void setTcpOption(int option, int value)
+    {
+        ::setsockopt(m_stream.socket().native_handle(), IPPROTO_TCP, option, &value, sizeof value);
+    }
+
+    exchange_result exchange(const http_call &call, http::response<http::string_body> *response)
+    {
+        m_isTimedOut = false;
+        if (!connect())
+            return exchange_result::not_sent;
+        http::request<http::string_body> request(http::string_to_verb(call.method), call.target, 11, call.body);
+        request.set(http::field::host, toString(m_settings.address));
+        request.set(http::field::content_type, "application/json");
+        request.prepare_payload();
+        // A failed send means that the request did not leave in full, so the platform cannot have run it.
+        error_code error = run([&](auto handler) { http::async_write(m_stream, request, handler); });
+        if (error) {
+            m_stream.close();
+            return exchange_result::not_sent;
+        }
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(m_settings.maxAnswerBytes);
+        error = run([&](auto handler) { http::async_read(m_stream, m_buffer, parser, handler); });
+        if (error || !parser.get().keep_alive())
+            m_stream.close();
+        if (error)
+            return exchange_result::sent_without_answer;
+        *response = parser.release();
+        return exchange_result::answered;
+    }
+
+    http_connection_settings m_settings;
+    net::io_context m_context{1};
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    bool m_isTimedOut = false;
+    std::atomic<bool> m_isStopped = false;
+};
+
+http_connection::http_connection(http_connection_settings settings)
+    : m_implementation(std::make_unique<implementation>(settings))
+{}
+
+http_connection::~http_connection() = default;
+
+std::optional<http_answer> http_connection::call(const http_call &request, http_call_failure *lastReason)
+{
+    return m_implementation->call(request, lastReason);
+}
+
+void http_connection::stop()
+{
+    m_implementation->stop();
+}
+
+} // namespace citroncrank
--- a/src/libplatform/versioned_objects.cpp
+++ b/src/libplatform/versioned_objects.cpp
@@ -27,8 +27,8 @@
 
 const char *toString(platform_failure failure)
 {
-    static constexpr std::array<const char *, kPlatformFailureCount> kNames{"not_found", "conflict", "unavailable",
-                                                                            "unknown_outcome", "rejected"};
+    static constexpr std::array<const char *, kPlatformFailureCount> kNames{
+        "not_found", "conflict", "unavailable", "unknown_outcome", "rejected", "history_gone"};
     return kNames[std::size_t(failure)];
 }
 
--- a/src/libruntime/http_endpoint.cpp
+++ b/src/libruntime/http_endpoint.cpp
@@ -62,9 +62,16 @@
 
     std::optional<http_listen_failure> start()
     {
-        if (const auto error = listen())
-            return http_listen_failure{m_context.settings.address, error.value()};
-        accept();
+        const auto &settings = m_context.settings;
+        if (const auto error = listen(settings.address, &m_address))
+            return http_listen_failure{settings.address, error.value()};
+        for (const host_address &further : settings.furtherAddresses) {
+            host_address inUse;
+            if (const auto error = listen(further, &inUse))
+                return http_listen_failure{further, error.value()};
+        }
+        for (const auto &source : m_listeners)
+            accept(source.get());
         const signals_blocked blocked;
         m_thread = std::thread([this] { m_loop.run(); });
         return std::nullopt;
@@ -79,43 +86,55 @@
     }
 
 private:
-    boost::system::error_code listen()
+    /// A listening socket, and its timer for the time after a failed accept.
+    struct listener
+    {
+        explicit listener(asio::io_context &loop)
+            : acceptor(loop)
+            , retry(loop)
+        {}
+        tcp::acceptor acceptor;
+        asio::steady_timer retry;
+    };
+
+    boost::system::error_code listen(const host_address &wanted, host_address *inUse)
     {
-        const auto &wanted = m_context.settings.address;
+        m_listeners.push_back(std::make_unique<listener>(m_loop));
+        tcp::acceptor &acceptor = m_listeners.back()->acceptor;
         const tcp::endpoint endpoint(asio::ip::address_v4(wanted.ip), wanted.port);
         boost::system::error_code error;
-        m_acceptor.open(endpoint.protocol(), error);
+        acceptor.open(endpoint.protocol(), error);
         if (!error)
-            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+            acceptor.set_option(tcp::acceptor::reuse_address(true), error);
         if (!error)
-            m_acceptor.bind(endpoint, error);
+            acceptor.bind(endpoint, error);
         if (!error)
-            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+            acceptor.listen(asio::socket_base::max_listen_connections, error);
         if (!error)
-            m_address = {wanted.ip, m_acceptor.local_endpoint(error).port()};
+            *inUse = {wanted.ip, acceptor.local_endpoint(error).port()};
         return error;
     }
 
-    void accept()
+    void accept(listener *source)
     {
-        m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
-            if (!m_acceptor.is_open())
+        source->acceptor.async_accept([this, source](const boost::system::error_code &error, tcp::socket socket) {
+            if (!source->acceptor.is_open())
                 return;
             if (error) {
-                retryLater();
+                retryLater(source);
                 return;
             }
             admit(std::move(socket));
-            accept();
+            accept(source);
         });
     }
 
-    void retryLater()
+    void retryLater(listener *source)
     {
-        m_retry.expires_after(kAcceptRetryDelay);
-        m_retry.async_wait([this](const boost::system::error_code &error) {
-            if (!error && m_acceptor.is_open())
-                accept();
+        source->retry.expires_after(kAcceptRetryDelay);
+        source->retry.async_wait([this, source](const boost::system::error_code &error) {
+            if (!error && source->acceptor.is_open())
+                accept(source);
         });
     }
 
@@ -134,8 +153,10 @@
     void closeAll()
     {
         boost::system::error_code ignored;
-        m_acceptor.close(ignored);
-        m_retry.cancel();
+        for (const auto &source : m_listeners) {
+            source->acceptor.close(ignored);
+            source->retry.cancel();
+        }
         for (const auto &weak : m_sessions) {
             if (const auto session = weak.lock())
                 session->stop();
@@ -148,8 +169,7 @@
                                                    "Connections closed because the HTTP endpoint held too many.");
     host_address m_address;
     asio::io_context m_loop{1};
-    tcp::acceptor m_acceptor{m_loop};
-    asio::steady_timer m_retry{m_loop};
+    std::vector<std::unique_ptr<listener>> m_listeners;
     std::vector<std::weak_ptr<http_session>> m_sessions;
     std::thread m_thread;
 };
--- a/src/libstandin/platform.cpp
+++ b/src/libstandin/platform.cpp
@@ -29,6 +29,8 @@
         return 500;
     case platform_failure::rejected:
         return 400;
+    case platform_failure::history_gone:
+        return 410;
     }
     return 500;
 }
