--- a/src/include/citroncrank/agent_node.h
+++ b/src/include/citroncrank/agent_node.h
@@ -25,6 +25,7 @@
 private:
     void onMessage(const host_address &from, plane_message message) override;
     void onDeliver(std::string packetBytes) override;
+    void flush() override;
     void onUpstreamDatagram(std::string_view datagram);
     void tick(time_point now);
     http_reply announcement(const http_request &request);
--- a/src/include/citroncrank/plane_node.h
+++ b/src/include/citroncrank/plane_node.h
@@ -39,7 +39,7 @@
     virtual void onMessage(const host_address &from, plane_message message) = 0;
     virtual void onDeliver(std::string packetBytes) = 0;
     /// Sends what waits in the sockets and the log.
-    void flush();
+    virtual void flush();
 
     void log(decision_kind kind, const std::string &text);
     /// Thread-safe writer for the store's threads.
--- a/src/libplanenode/agent_node.cpp
+++ b/src/libplanenode/agent_node.cpp
@@ -119,6 +119,12 @@
     m_fromUpstream.queue(m_file.upstream, std::move(packetBytes));
 }
 
+void agent_node::flush()
+{
+    m_fromUpstream.flush();
+    plane_node::flush();
+}
+
 void agent_node::onUpstreamDatagram(std::string_view datagram)
 {
     const auto header = platform::decodePacketHeader(datagram);
