agent: newest request first while late ones wait, a turn for the priority longest unserved

Cause: with late requests waiting the queue still took the oldest request in time, which then missed its target by a little; the turn for less urgent requests went to the newest of any priority. Change: late requests that wait count as overload; turns remember when a priority was served last; requests that cannot be answered before their deadline are dropped.

--- a/src/include/citroncrank/event_log.h
+++ b/src/include/citroncrank/event_log.h
@@ -20,7 +20,7 @@
     int descriptor = 1;
     std::string component;               ///< Fixed prefix of the lines.
     std::vector<std::string> classNames; ///< One per class of lines.
-    std::uint32_t linesPerSecond = 200;  ///< Per class. More are left out and counted.
+    std::uint32_t linesPerSecond = 300;  ///< Per class. More are left out and counted.
     std::size_t maxBufferedBytes = 64 * 1024;
 };
 
--- a/src/include/citroncrank/request_queue.h
+++ b/src/include/citroncrank/request_queue.h
@@ -45,11 +45,13 @@
     std::size_t size() const { return m_waiting.size(); }
 
 private:
-    const waiting_request *nextInTime(std::size_t inTimeLimit, bool anyPriority, time_point now) const;
+    std::optional<std::uint32_t> nextPriority(bool longestUnserved, time_point now) const;
+    const waiting_request *nextInTime(std::size_t inTimeLimit, bool longestUnserved, time_point now) const;
     const waiting_request *nextLate(time_point now) const;
 
     absl::flat_hash_map<flow_key, waiting_request> m_waiting;
-    std::uint32_t m_turn = 0;
+    absl::flat_hash_map<std::uint32_t, std::uint64_t> m_lastServed; ///< Turn in which each priority was served last.
+    std::uint64_t m_turns = 0;
 };
 
 } // namespace citroncrank
--- a/src/libplane/packet_agent_requests.cpp
+++ b/src/libplane/packet_agent_requests.cpp
@@ -177,10 +177,10 @@
     }
 }
 
-// The caller of an expired request has given up, so the upstream need not work on it.
+// The caller of an expired request gives up before it could be answered, so the upstream need not work on it.
 void packet_agent::dropExpired(time_point now, plane_actions *out)
 {
-    for (const flow_key &key : m_queue.takeExpired(now)) {
+    for (const flow_key &key : m_queue.takeExpired(now + fromMilliseconds(m_meanWorkMs + kReturnMs))) {
         agent_flow &flow = m_flows.at(key);
         logRequest(key, flow, "request dropped, reason=deadline", out);
         flow.request = request_phase::none;
@@ -193,8 +193,9 @@
     log(decision_kind::request,
         absl::StrCat(what, ", request=", flow.requestId, " flow=", toString(key),
                      " held=", flow.phase == flow_phase::probing ? "unknown" : "yes", " working=", m_working,
-                     " waiting=", m_queue.size(), " state=", toString(m_state),
-                     " announcement=", m_upstream ? m_upstream->number : 0),
+                     " waiting=", m_queue.size(),
+                     " left_ms=", wholeMilliseconds(flow.requestDeadline - flow.requestSince),
+                     " state=", toString(m_state), " announcement=", m_upstream ? m_upstream->number : 0),
         out);
 }
 
--- a/src/libplane/request_queue.cpp
+++ b/src/libplane/request_queue.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-// Of each round of turns one goes to requests that are late already and one to the earliest of any priority, so that
-// neither a flood of urgent requests nor an overload starves the others.
+// Of each round of turns one goes to requests that are late already and one to the priority that was not served for longest,
+// so that neither a flood of urgent requests nor an overload starves the others.
 constexpr std::uint32_t kTurnsPerRound = 4;
-constexpr std::uint32_t kTurnForAnyPriority = 2;
+constexpr std::uint32_t kTurnForUnserved = 2;
 constexpr std::uint32_t kTurnForLate = 3;
 
 } // namespace
@@ -24,10 +24,28 @@
     return m_waiting.erase(flow) > 0;
 }
 
-// When more requests wait than can be served in time, serving the oldest first makes all of them late by a little; the
-// newest first keeps most of them in time.
-const waiting_request *request_queue::nextInTime(std::size_t inTimeLimit, bool anyPriority, time_point now) const
+std::optional<std::uint32_t> request_queue::nextPriority(bool longestUnserved, time_point now) const
 {
+    std::optional<std::uint32_t> best;
+    std::uint64_t bestServed = 0;
+    for (const auto &[flow, request] : m_waiting) {
+        if (request.startBy < now)
+            continue;
+        const auto served = m_lastServed.find(request.priority);
+        const std::uint64_t turn = !longestUnserved || served == m_lastServed.end() ? 0 : served->second;
+        if (!best || std::tie(turn, request.priority) < std::tie(bestServed, *best)) {
+            best = request.priority;
+            bestServed = turn;
+        }
+    }
+    return best;
+}
+
+// When not all requests can be served in time, serving the oldest first makes all of them late by a little; the newest
+// first keeps most of them in time. Late requests that still wait show that this is so.
+const waiting_request *request_queue::nextInTime(std::size_t inTimeLimit, bool longestUnserved, time_point now) const
+{
+    const auto priority = nextPriority(longestUnserved, now);
     std::size_t inTime = 0;
     const waiting_request *oldest = nullptr;
     const waiting_request *newest = nullptr;
@@ -35,15 +53,15 @@
         if (request.startBy < now)
             continue;
         ++inTime;
-        const std::uint32_t rank = anyPriority ? 0 : request.priority;
-        if (oldest == nullptr
-            || std::tie(rank, request.startBy) < std::make_tuple(anyPriority ? 0 : oldest->priority, oldest->startBy))
+        if (request.priority != priority)
+            continue;
+        if (oldest == nullptr || request.startBy < oldest->startBy)
             oldest = &request;
-        if (newest == nullptr || rank < (anyPriority ? 0 : newest->priority)
-            || (rank == (anyPriority ? 0 : newest->priority) && request.arrival > newest->arrival))
+        if (newest == nullptr || request.arrival > newest->arrival)
             newest = &request;
     }
-    return inTime > inTimeLimit ? newest : oldest;
+    const bool isOverloaded = inTime > inTimeLimit || inTime < m_waiting.size();
+    return isOverloaded ? newest : oldest;
 }
 
 const waiting_request *request_queue::nextLate(time_point now) const
@@ -61,15 +79,17 @@
 
 std::optional<flow_key> request_queue::takeNext(std::size_t inTimeLimit, time_point now)
 {
-    const std::uint32_t turn = m_turn++ % kTurnsPerRound;
+    const std::uint64_t turn = ++m_turns % kTurnsPerRound;
     const waiting_request *const late = nextLate(now);
-    const waiting_request *const inTime = nextInTime(inTimeLimit, turn == kTurnForAnyPriority, now);
+    const waiting_request *const inTime = nextInTime(inTimeLimit, turn == kTurnForUnserved, now);
     const waiting_request *next = inTime;
     if (inTime == nullptr || (late != nullptr && turn == kTurnForLate))
         next = late;
     if (next == nullptr)
         return std::nullopt;
     const flow_key flow = next->flow;
+    if (next != late)
+        m_lastServed[next->priority] = m_turns;
     m_waiting.erase(flow);
     return flow;
 }
