--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
-run-clang-tidy -quiet -p "$build" -j "${LINT_JOBS:-$(nproc)}" "$PWD/src/.*\.cpp" >"$build/lint.log" 2>/dev/null || {
+run-clang-tidy -quiet -p "$build" -j "${LINT_JOBS:-$(nproc)}" "$PWD/(src|platform)/.*\.cpp" >"$build/lint.log" 2>/dev/null || {
     grep -E '(warning|error):' "$build/lint.log" | sort -u | head -60
     exit 1
 }
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -172,6 +172,7 @@
     void noteAnswer(const flow_key &key, agent_flow *flow, const packet &content, time_point now, plane_actions *out);
     void noteUpstreamSequence(agent_flow *flow, const packet_header &header);
     void upstreamReturned(packet content, time_point now, plane_actions *out);
+    void forgetWork(time_point now);
     void endFlows(const char *reason, time_point now, plane_actions *out);
     void logRequest(const flow_key &key, const agent_flow &flow, const char *what, plane_actions *out) const;
     void releaseWork(const flow_key &key, agent_flow *flow, time_point now);
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -115,7 +115,7 @@
                      plane_actions *out);
     void askOthers(balancer_flow *flow, const flow_key &key, plane_actions *out);
     void decideUndecided(time_point now, plane_actions *out);
-    void withoutRoute(packet arrived, time_point now, plane_actions *out);
+    void withoutRoute(const packet &arrived, plane_actions *out);
     void hold(packet arrived, time_point now, plane_actions *out);
     void replayHeld(time_point now, plane_actions *out);
     void refuse(const packet &refused, const char *reason, plane_actions *out);
--- a/src/include/citroncrank/standin_platform.h
+++ b/src/include/citroncrank/standin_platform.h
@@ -19,7 +19,8 @@
     std::chrono::milliseconds delayWatches{0}; ///< Answers to watches are held back for this time.
 };
 
-/// Serves docs/platform-api.md. Single threaded: everything runs in the io_context.
+/// Serves docs/platform-api.md, and the calls of the users' metadata store below /-/objects/ over the same objects. Single
+/// threaded: everything runs in the io_context.
 class standin_platform
 {
 public:
@@ -38,8 +39,14 @@
     void after(std::chrono::milliseconds delay, std::function<void()> action);
     void run(const exchange_pointer &exchange);
     void runOnObject(const exchange_pointer &exchange, const std::string &key);
+    void runStoreCall(const exchange_pointer &exchange);
+    void runStoreRead(const exchange_pointer &exchange, const std::string &kind, const std::string &name);
+    void runStoreWrite(const exchange_pointer &exchange, const std::string &kind, const std::string &name);
+    void answerStoreWrite(const exchange_pointer &exchange, const std::string &key,
+                          const std::optional<object_version> &version, platform_failure failure);
     void runList(const exchange_pointer &exchange);
     void runWatch(const exchange_pointer &exchange);
+    void waitForChanges(const std::shared_ptr<waiting_watch> &watch, std::uint64_t waitMs);
     void answerWrite(const exchange_pointer &exchange, const std::string &key,
                      const std::optional<object_version> &version, platform_failure failure);
     void answerWatches(const std::string &changedKey);
--- a/src/libplane/packet_agent_upstream.cpp
+++ b/src/libplane/packet_agent_upstream.cpp
@@ -31,7 +31,11 @@
     if (m_upstream && !isOtherStart && announcement.number <= m_upstream->number)
         return announcement_result::out_of_order;
     if (isOtherStart) {
-        endFlows("upstream_restarted", now, out);
+        log(decision_kind::belief,
+            absl::StrCat("upstream restarted, upstream=", announcement.id, " started_at_ms=", announcement.startedAtMs,
+                         " before=", m_upstream->startedAtMs, " flows=", m_flows.size(), " working=", m_working),
+            out);
+        forgetWork(now);
         m_sawUpstreamStart = true;
     }
     m_upstream = announcement;
@@ -65,6 +69,16 @@
     sendReports(now, out);
 }
 
+// The requests at work ended with the earlier start of the upstream. Its flows did too, but the upstream may have taken new
+// ones before this announcement: what it returns shows which flows have ended.
+void packet_agent::forgetWork(time_point now)
+{
+    for (auto &[key, flow] : m_flows) {
+        if (flow.request == request_phase::working)
+            releaseWork(key, &flow, now);
+    }
+}
+
 // The upstream that held the flows has ended, so their callers are told at once instead of by their own timeouts.
 void packet_agent::endFlows(const char *reason, time_point now, plane_actions *out)
 {
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -82,7 +82,7 @@
     }
     const packet_route *const route = m_routes->find(arrived.header.destination);
     if (route == nullptr)
-        withoutRoute(std::move(arrived), now, out);
+        withoutRoute(arrived, out);
     else if (arrived.header.open)
         openFlow(std::move(arrived), *route, now, out);
     else
@@ -91,7 +91,7 @@
 
 // A route that this balancer never knew may be newer than its routes, so only the opening of a flow is refused for
 // it. The open flows of a dropped route end.
-void packet_balancer::withoutRoute(packet arrived, time_point now, plane_actions *out)
+void packet_balancer::withoutRoute(const packet &arrived, plane_actions *out)
 {
     const flow_key flow = flowFromCaller(arrived.header);
     const bool wasDropped = m_droppedRoutes.contains(arrived.header.destination);
--- /dev/null
+++ b/src/libproof/packet_promises_test.cpp
@@ -0,0 +1,98 @@
+#include "packet_world_pvt.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <gtest/gtest.h>
+
+using namespace citroncrank;
+using namespace citroncrank::proof;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Schedules of each test. PACKET_SCHEDULES=N runs another number by hand.
+constexpr std::uint64_t kDefaultSchedules = 400;
+constexpr duration kLength = seconds(8);
+
+std::uint64_t scheduleCount()
+{
+    const char *const text = std::getenv("PACKET_SCHEDULES");
+    return text == nullptr ? kDefaultSchedules : std::strtoull(text, nullptr, 10);
+}
+
+packet_outcome runAll(packet_schedule schedule)
+{
+    packet_outcome total;
+    for (std::uint64_t seed = 1; seed <= scheduleCount(); ++seed) {
+        schedule.seed = seed;
+        const packet_outcome outcome = runPacketSchedule(schedule, kLength);
+        EXPECT_EQ(outcome.violations(), 0U)
+            << "seed " << seed << " wrong " << outcome.wrongAnswers << " resets " << outcome.falseResets
+            << " other service " << outcome.otherService << " after drain " << outcome.afterDrain;
+        total.answered += outcome.answered;
+        total.timedOut += outcome.timedOut;
+        total.overSlots = std::max(total.overSlots, outcome.overSlots);
+    }
+    return total;
+}
+
+} // namespace
+
+// P1, P3, P7: planned changes of balancers and agents cut no flow, and every request gets its own answer.
+TEST(PacketPromises, PlannedChangesBreakNoFlow)
+{
+    const packet_outcome total =
+        runAll({.delay = milliseconds(8), .replacesBalancers = true, .restartsAgents = true, .movesFlows = true});
+    EXPECT_EQ(total.timedOut, 0U);
+    EXPECT_GT(total.answered, 10'000U);
+}
+
+// P1 to P6 with packets that are lost, late and doubled, while everything is replaced and upstreams drain and crash.
+TEST(PacketPromises, HoldUnderLossAndFailures)
+{
+    const packet_outcome total = runAll({.loss = 0.01,
+                                         .doubled = 0.01,
+                                         .delay = milliseconds(12),
+                                         .replacesBalancers = true,
+                                         .restartsAgents = true,
+                                         .movesFlows = true,
+                                         .drainsUpstreams = true,
+                                         .crashesUpstreams = true});
+    EXPECT_GT(total.answered, 10'000U);
+}
+
+// P6: no new flow reaches an upstream once its drain is confirmed.
+TEST(PacketPromises, ConfirmedDrainTakesNoNewFlow)
+{
+    runAll({.loss = 0.01, .doubled = 0.02, .delay = milliseconds(20), .movesFlows = true, .drainsUpstreams = true});
+}
+
+// An upstream gets at most its slots and the one that is held ready.
+TEST(PacketPromises, UpstreamsGetNoMoreThanTheyHold)
+{
+    const packet_outcome total = runAll({.delay = milliseconds(8), .movesFlows = true});
+    EXPECT_LE(total.overSlots, 1U);
+}
+
+// The same schedules break the promises when balancers choose the agent of each packet anew.
+TEST(PacketPromises, NaiveBalancersBreakThem)
+{
+    std::uint64_t timedOut = 0;
+    std::uint64_t afterDrain = 0;
+    for (std::uint64_t seed = 1; seed <= scheduleCount(); ++seed) {
+        const packet_outcome outcome = runPacketSchedule({.seed = seed,
+                                                          .delay = milliseconds(8),
+                                                          .replacesBalancers = true,
+                                                          .restartsAgents = true,
+                                                          .movesFlows = true,
+                                                          .drainsUpstreams = true,
+                                                          .naiveBalancers = true},
+                                                         kLength);
+        timedOut += outcome.timedOut;
+        afterDrain += outcome.afterDrain;
+    }
+    EXPECT_GT(timedOut, 0U);
+    EXPECT_GT(afterDrain, 0U);
+}
--- /dev/null
+++ b/src/libproof/packet_world.cpp
@@ -0,0 +1,388 @@
+#include "packet_world_pvt.h"
+
+#include "packet_codec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citroncrank::proof {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kBalancers = 2;
+constexpr std::size_t kAgents = 4;
+constexpr std::size_t kCallers = 4;
+constexpr std::uint16_t kPlanePort = 7200;
+constexpr std::uint16_t kAppPort = 8688;
+constexpr std::uint32_t kSlots = 2;
+constexpr duration kStep = milliseconds(1);
+constexpr duration kAnnouncePeriod = milliseconds(300);
+constexpr duration kChangePeriod = milliseconds(700);
+constexpr duration kRequestPause = milliseconds(20);
+// Long enough for every caller to end its last request.
+constexpr duration kTail = seconds(6);
+const std::string kMainService = "bokunarkerfi";
+const std::string kOtherService = "skjalaveita";
+constexpr host_address kServiceAddress{0xC6120001, 443};
+
+host_address balancerAddress(std::size_t index)
+{
+    return {std::uint32_t(0x0A010000 + index), kPlanePort};
+}
+
+host_address agentAddress(std::size_t index)
+{
+    return {std::uint32_t(0x0A020000 + index), kPlanePort};
+}
+
+struct upstream_host
+{
+    std::unique_ptr<standin_packet_upstream> upstream;
+    std::string service;
+    std::uint64_t startedAtMs = 0;
+    std::uint64_t announcements = 0;
+    bool isDraining = false;
+    bool isConfirmedDraining = false;
+    std::set<flow_key> opened; ///< Flows whose opening packet it took.
+};
+
+/// The world of one schedule.
+class packet_world
+{
+public:
+    explicit packet_world(const packet_schedule &schedule)
+        : m_schedule(schedule)
+        , m_random(schedule.seed)
+    {
+        for (std::size_t i = 0; i < kAgents; ++i) {
+            m_hosts[i].service = i + 1 == kAgents ? kOtherService : kMainService;
+            startUpstream(i);
+            startAgent(i);
+        }
+        for (std::size_t i = 0; i < kBalancers; ++i)
+            startBalancer(i);
+        for (std::size_t i = 0; i < kCallers; ++i) {
+            m_callers.push_back(std::make_unique<standin_packet_caller>(
+                standin_caller_settings{
+                    .address = {std::uint32_t(0x64400000 + i), 0}, .service = kServiceAddress, .requestsPerFlow = 8},
+                m_random()));
+        }
+    }
+
+    packet_outcome run(duration length)
+    {
+        const time_point end = m_now + length;
+        const time_point last = end + kTail;
+        for (; m_now < last; m_now += kStep) {
+            deliverDue();
+            step(m_now < end);
+        }
+        for (const auto &caller : m_callers) {
+            m_outcome.answered += caller->counts().answered;
+            m_outcome.wrongAnswers += caller->counts().wrong;
+            m_outcome.timedOut += caller->counts().timedOut;
+        }
+        for (const auto &[index, host] : m_hosts)
+            m_outcome.overSlots = std::max(m_outcome.overSlots, excess(host));
+        return m_outcome;
+    }
+
+private:
+    static std::uint64_t excess(const upstream_host &host)
+    {
+        const auto most = host.upstream->mostAtWork();
+        return most > kSlots ? most - kSlots : 0;
+    }
+
+    bool chance(double probability) { return std::uniform_real_distribution<double>(0, 1)(m_random) < probability; }
+
+    /// Runs `arrive` after the way of a datagram, or not at all, or twice.
+    void sendDatagram(const std::function<void()> &arrive)
+    {
+        const int copies = chance(m_schedule.loss) ? 0 : chance(m_schedule.doubled) ? 2 : 1;
+        for (int i = 0; i < copies; ++i)
+            at(m_now + kStep + duration(std::int64_t(m_random() % std::uint64_t(m_schedule.delay.count() + 1))),
+               arrive);
+    }
+
+    void at(time_point time, std::function<void()> run) { m_events.emplace(time, std::move(run)); }
+
+    void deliverDue()
+    {
+        while (!m_events.empty() && m_events.begin()->first <= m_now) {
+            const auto run = std::move(m_events.begin()->second);
+            m_events.erase(m_events.begin());
+            run();
+        }
+    }
+
+    void startUpstream(std::size_t index)
+    {
+        upstream_host &host = m_hosts[index];
+        host.upstream = std::make_unique<standin_packet_upstream>(standin_upstream_settings{
+            .id = "i-" + std::to_string(++m_starts), .slots = kSlots, .workTime = milliseconds(5), .seed = m_random()});
+        host.startedAtMs = m_starts;
+        host.announcements = 0;
+        host.isDraining = false;
+        host.isConfirmedDraining = false;
+        host.opened.clear();
+    }
+
+    void startAgent(std::size_t index)
+    {
+        m_agents[index] =
+            std::make_unique<packet_agent>(packet_agent_settings{.self = agentAddress(index),
+                                                                 .service = m_hosts[index].service,
+                                                                 .domain = "a",
+                                                                 .incarnation = ++m_starts,
+                                                                 .upstream = {agentAddress(index).ip, kAppPort},
+                                                                 .seeds = {balancerAddress(0), balancerAddress(1)},
+                                                                 .announcementPeriod = kAnnouncePeriod,
+                                                                 .flowLifetime = seconds(60)},
+                                           platform::decodePacketHeader, m_now);
+    }
+
+    void startBalancer(std::size_t index)
+    {
+        m_balancers[index] = std::make_unique<packet_balancer>(
+            packet_balancer_settings{.self = balancerAddress(index),
+                                     .http = {},
+                                     .domain = "a",
+                                     .incarnation = ++m_starts,
+                                     .seeds = {balancerAddress(0), balancerAddress(1)},
+                                     .flowLifetime = seconds(60),
+                                     .randomSeed = m_random()},
+            platform::decodePacketHeader, m_now);
+        auto routes = std::make_shared<route_set>();
+        routes->version = 3;
+        routes->flowIdleTimeout = seconds(15);
+        routes->routes[kServiceAddress] = {.name = "r", .address = kServiceAddress, .targets = {{kMainService, 1}}};
+        plane_actions actions;
+        m_balancers[index]->applyRoutes(routes, m_now, &actions);
+        std::vector<listed_node> nodes;
+        for (std::size_t i = 0; i < kBalancers; ++i)
+            nodes.push_back({balancerAddress(i), false, {}, "a"});
+        for (std::size_t i = 0; i < kAgents; ++i)
+            nodes.push_back({agentAddress(i), true, m_hosts[i].service, "a"});
+        m_balancers[index]->applyListing(nodes, m_now, &actions);
+        perform(balancerAddress(index), &actions);
+    }
+
+    void perform(const host_address &from, plane_actions *actions)
+    {
+        for (plane_action &action : std::exchange(*actions, {})) {
+            if (auto *const sent = std::get_if<send_to_node>(&action))
+                sendDatagram([this, from, sent = std::move(*sent)] { toNode(from, sent.to, sent.message); });
+            else if (auto *const delivered = std::get_if<deliver_to_upstream>(&action))
+                toUpstream(from.ip - agentAddress(0).ip, delivered->packetBytes);
+            else if (auto *const answered = std::get_if<send_to_caller>(&action))
+                toCaller(answered->caller, answered->packetBytes);
+            else if (const auto *const reset = std::get_if<reset_flow>(&action))
+                toCallerReset(*reset);
+        }
+    }
+
+    void toNode(const host_address &from, const host_address &to, const plane_message &message)
+    {
+        plane_actions actions;
+        for (std::size_t i = 0; i < kBalancers; ++i) {
+            if (to == balancerAddress(i))
+                m_balancers[i]->message(from, message, m_now, &actions);
+        }
+        for (std::size_t i = 0; i < kAgents; ++i) {
+            if (to == agentAddress(i))
+                m_agents[i]->message(from, message, m_now, &actions);
+        }
+        perform(to, &actions);
+    }
+
+    void toUpstream(std::size_t index, const std::string &bytes)
+    {
+        upstream_host &host = m_hosts[index];
+        const auto header = platform::decodePacketHeader(bytes);
+        if (host.service != kMainService)
+            ++m_outcome.otherService;
+        if (header->open) {
+            if (host.isConfirmedDraining && !host.opened.contains(flowFromCaller(*header)))
+                ++m_outcome.afterDrain;
+            host.opened.insert(flowFromCaller(*header));
+        }
+        host.upstream->receive({*header, bytes}, m_now);
+    }
+
+    void toCaller(const host_address &address, const std::string &bytes)
+    {
+        sendDatagram([this, address, bytes] {
+            const auto header = platform::decodePacketHeader(bytes);
+            callerAt(address).receive({*header, bytes}, m_now);
+        });
+    }
+
+    standin_packet_caller &callerAt(const host_address &address) { return *m_callers.at(address.ip - 0x64400000); }
+
+    // A caller has confirmed a flow once it holds it open; it opened at an upstream that lives if that one would not return
+    // a packet of it.
+    void toCallerReset(const reset_flow &reset)
+    {
+        const bool isOpen = callerAt(reset.flow.caller).holdsOpen(reset.flow);
+        const bool isHeld = std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto &entry) {
+            return entry.second.upstream->holds(reset.flow, callerAt(reset.flow.caller).expectedNext());
+        });
+        if (isOpen && isHeld)
+            ++m_outcome.falseResets;
+        toCaller(reset.flow.caller, platform::encodeReset(reset.flow, reset.sequence));
+    }
+
+    void step(bool isRunning)
+    {
+        if (isRunning && m_now >= m_nextChange) {
+            changeSomething();
+            m_nextChange = m_now + kChangePeriod;
+        }
+        for (std::size_t i = 0; i < kAgents; ++i)
+            stepHost(i);
+        for (std::size_t i = 0; i < kBalancers; ++i)
+            stepBalancer(i);
+        for (std::size_t i = 0; i < kCallers; ++i)
+            stepCaller(i, isRunning);
+    }
+
+    void stepHost(std::size_t index)
+    {
+        upstream_host &host = m_hosts[index];
+        plane_actions actions;
+        host.upstream->advance(m_now);
+        for (const std::string &bytes : host.upstream->takeOutgoing()) {
+            const auto header = platform::decodePacketHeader(bytes);
+            packet content{*header, bytes};
+            if (header->returned)
+                platform::clearSystemMarks(&content.bytes);
+            m_agents[index]->upstreamPacket(content, m_now, &actions);
+        }
+        if (m_now >= m_nextAnnounce[index]) {
+            announce(index, &actions);
+            m_nextAnnounce[index] = m_now + kAnnouncePeriod;
+        }
+        if (m_now.time_since_epoch() % kAgentTick == duration(0))
+            m_agents[index]->advance(m_now, &actions);
+        perform(agentAddress(index), &actions);
+    }
+
+    void announce(std::size_t index, plane_actions *actions)
+    {
+        upstream_host &host = m_hosts[index];
+        const auto result = m_agents[index]->announce({.id = "i",
+                                                       .service = host.service,
+                                                       .address = {agentAddress(index).ip, kAppPort},
+                                                       .version = "v1",
+                                                       .slots = kSlots,
+                                                       .isDraining = host.isDraining,
+                                                       .number = ++host.announcements,
+                                                       .startedAtMs = host.startedAtMs},
+                                                      m_now, actions);
+        if (host.isDraining && result == announcement_result::accepted)
+            host.isConfirmedDraining = true;
+    }
+
+    void stepBalancer(std::size_t index)
+    {
+        if (m_now.time_since_epoch() % kBalancerTick != duration(0))
+            return;
+        plane_actions actions;
+        m_balancers[index]->advance(m_now, &actions);
+        perform(balancerAddress(index), &actions);
+    }
+
+    void stepCaller(std::size_t index, bool isRunning)
+    {
+        standin_packet_caller &caller = *m_callers[index];
+        caller.advance(m_now);
+        if (isRunning && caller.isIdle() && m_now.time_since_epoch() % kRequestPause == duration(0))
+            caller.begin(m_now);
+        for (const std::string &bytes : caller.takeOutgoing()) {
+            const auto header = platform::decodePacketHeader(bytes);
+            const std::size_t balancer = (header->source.port + m_shift) % kBalancers;
+            sendDatagram([this, balancer, bytes] { fromCaller(balancer, bytes); });
+        }
+    }
+
+    void fromCaller(std::size_t balancer, const std::string &bytes)
+    {
+        const auto header = platform::decodePacketHeader(bytes);
+        if (m_schedule.naiveBalancers) {
+            naiveForward(balancer, *header, bytes);
+            return;
+        }
+        plane_actions actions;
+        m_balancers[balancer]->callerPacket({*header, bytes}, m_now, &actions);
+        perform(balancerAddress(balancer), &actions);
+    }
+
+    void naiveForward(std::size_t balancer, const packet_header &header, const std::string &bytes)
+    {
+        const auto agents = m_balancers[balancer]->agents().candidates(kMainService, "a", {}, kAgents, m_now);
+        if (agents.empty())
+            return;
+        auto sorted = agents;
+        std::sort(sorted.begin(), sorted.end());
+        const host_address chosen = sorted[hashPair(header.source.ip, header.source.port) % sorted.size()];
+        sendDatagram([this, chosen, bytes] { toUpstream(chosen.ip - agentAddress(0).ip, bytes); });
+    }
+
+    void changeSomething()
+    {
+        const std::size_t agent = m_random() % (kAgents - 1);
+        if (m_schedule.replacesBalancers && chance(0.5))
+            startBalancer(m_random() % kBalancers);
+        if (m_schedule.movesFlows && chance(0.5))
+            ++m_shift;
+        if (m_schedule.restartsAgents && chance(0.5))
+            startAgent(agent);
+        if (m_schedule.crashesUpstreams && chance(0.3))
+            startUpstream(agent);
+        if (m_schedule.drainsUpstreams && chance(0.5))
+            advanceDrain(agent);
+    }
+
+    // A leaving upstream is replaced at the second visit; in between it serves what it holds.
+    void advanceDrain(std::size_t index)
+    {
+        upstream_host &host = m_hosts[index];
+        if (!host.isDraining) {
+            const auto draining = std::count_if(m_hosts.begin(), m_hosts.end(),
+                                                [](const auto &entry) { return entry.second.isDraining; });
+            host.isDraining = draining == 0;
+            return;
+        }
+        plane_actions actions;
+        m_agents[index]->leave("i", m_now, &actions);
+        perform(agentAddress(index), &actions);
+        startUpstream(index);
+    }
+
+    packet_schedule m_schedule;
+    std::mt19937_64 m_random;
+    time_point m_now{seconds(100)};
+    time_point m_nextChange{seconds(102)};
+    std::multimap<time_point, std::function<void()>> m_events;
+    std::map<std::size_t, upstream_host> m_hosts;
+    std::map<std::size_t, time_point> m_nextAnnounce;
+    std::map<std::size_t, std::unique_ptr<packet_agent>> m_agents;
+    std::map<std::size_t, std::unique_ptr<packet_balancer>> m_balancers;
+    std::vector<std::unique_ptr<standin_packet_caller>> m_callers;
+    std::uint64_t m_starts = 0;
+    std::size_t m_shift = 0;
+    packet_outcome m_outcome;
+};
+
+} // namespace
+
+packet_outcome runPacketSchedule(const packet_schedule &schedule, duration length)
+{
+    return packet_world(schedule).run(length);
+}
+
+} // namespace citroncrank::proof
--- /dev/null
+++ b/src/libstandin/platform_store.cpp
@@ -0,0 +1,172 @@
+#include "platform_pvt.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/json.hpp>
+
+namespace citroncrank {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned kStatusUnavailable = 503;
+constexpr unsigned kStatusNotFound = 404;
+constexpr unsigned kStatusConflict = 409;
+constexpr unsigned kStatusBadRequest = 400;
+
+std::string nameOf(const std::string &key)
+{
+    return key.substr(key.find('/') + 1);
+}
+
+json::object objectOf(const std::string &key, object_version version, const std::string &value)
+{
+    return {{"meta",
+             {{"name", nameOf(key)},
+              {"revision", version},
+              {"created", 0},
+              {"finalizers", json::array()},
+              {"deleting", false}}},
+            {"spec", json::parse(value)},
+            {"status", nullptr}};
+}
+
+standin_response refused(unsigned status)
+{
+    return {.status = status, .body = "{}"};
+}
+
+/// Name, condition and value of a write.
+struct write_body
+{
+    std::string name;
+    std::optional<object_version> expected;
+    std::string value;
+};
+
+std::optional<write_body> parseWrite(const std::string &text)
+{
+    try {
+        const json::value parsed = json::parse(text);
+        const json::object &meta = parsed.at("meta").as_object();
+        write_body result{.name = std::string(meta.at("name").as_string()),
+                          .expected = std::nullopt,
+                          .value = json::serialize(parsed.at("spec"))};
+        if (const json::value *const revision = meta.if_contains("revision"))
+            result.expected = revision->to_number<object_version>();
+        return result;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string storeEventsAsJson(const watch_result &result)
+{
+    json::array events;
+    for (const object_change &change : result.changes)
+        events.push_back({{"deleted", !change.value.has_value()},
+                          {"object", objectOf(change.key, change.version, change.value.value_or("null"))}});
+    return json::serialize(json::object{{"events", std::move(events)}, {"as-of", result.version}});
+}
+
+void standin_platform::runStoreCall(const exchange_pointer &exchange)
+{
+    const standin_request &request = exchange->request();
+    if (m_switches.down) {
+        countCall("refused");
+        exchange->respond(refused(kStatusUnavailable));
+        return;
+    }
+    const std::string path = request.path.substr(kStorePath.size());
+    const auto slash = path.find('/');
+    const std::string kind = path.substr(0, slash);
+    const std::string name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
+    if (request.method == "GET")
+        runStoreRead(exchange, kind, name);
+    else
+        runStoreWrite(exchange, kind, name);
+}
+
+void standin_platform::runStoreRead(const exchange_pointer &exchange, const std::string &kind, const std::string &name)
+{
+    const standin_request &request = exchange->request();
+    const std::string prefix = kind + "/";
+    if (request.query.contains("watch")) {
+        countCall("watch");
+        auto watch = std::make_shared<waiting_watch>(waiting_watch{
+            exchange, prefix, request.number("watch", 0).value_or(0), true, boost::asio::steady_timer(m_context)});
+        waitForChanges(watch, request.number("wait-ms", 0).value_or(0));
+        return;
+    }
+    platform_failure failure{};
+    if (!name.empty()) {
+        countCall("get");
+        const auto found = m_objects.get(prefix + name, &failure);
+        exchange->respond(
+            found ? standin_response{.body = json::serialize(objectOf(found->key, found->version, found->value))}
+                  : refused(kStatusNotFound));
+        return;
+    }
+    countCall("list");
+    const std::string after = request.parameter("after");
+    const auto list = m_objects.list({.prefix = prefix, .after = after.empty() ? "" : prefix + after}, &failure);
+    if (!list) {
+        exchange->respond(refused(kStatusBadRequest));
+        return;
+    }
+    json::array items;
+    for (const object_entry &entry : list->entries) {
+        if (const auto found = m_objects.get(entry.key, &failure))
+            items.push_back(objectOf(entry.key, entry.version, found->value));
+    }
+    exchange->respond({.body = json::serialize(json::object{
+                           {"items", std::move(items)}, {"has-more", list->more}, {"as-of", list->version}})});
+}
+
+void standin_platform::runStoreWrite(const exchange_pointer &exchange, const std::string &kind, const std::string &name)
+{
+    const standin_request &request = exchange->request();
+    platform_failure failure = platform_failure::rejected;
+    if (request.method == "DELETE") {
+        countCall("remove");
+        const auto version =
+            m_objects.remove(absl::StrCat(kind, "/", name), request.number("revision", 0).value_or(0), &failure);
+        answerStoreWrite(exchange, absl::StrCat(kind, "/", name), version, failure);
+        return;
+    }
+    const auto body = parseWrite(request.body);
+    if (!body) {
+        exchange->respond(refused(kStatusBadRequest));
+        return;
+    }
+    const std::string key = absl::StrCat(kind, "/", body->name);
+    const bool isCreate = request.method == "POST";
+    countCall(isCreate ? "create" : "update");
+    const auto current = m_objects.get(key, &failure);
+    const auto version = isCreate ? m_objects.create(key, body->value, &failure)
+                                  : m_objects.update(key, body->value,
+                                                     body->expected.value_or(current ? current->version : 0), &failure);
+    answerStoreWrite(exchange, key, version, failure);
+}
+
+void standin_platform::answerStoreWrite(const exchange_pointer &exchange, const std::string &key,
+                                        const std::optional<object_version> &version, platform_failure failure)
+{
+    if (m_switches.loseAnswers > 0) {
+        --m_switches.loseAnswers;
+        exchange->drop();
+    } else if (version) {
+        platform_failure ignored{};
+        const auto written = m_objects.get(key, &ignored);
+        exchange->respond(
+            {.body = json::serialize(objectOf(key, *version, written ? written->value : std::string("null")))});
+    } else {
+        exchange->respond(refused(failure == platform_failure::conflict ? kStatusConflict : kStatusNotFound));
+    }
+    if (version)
+        answerWatches(key);
+}
+
+} // namespace citroncrank
