Order the maps behind decisions, keep the opening sequence of a confirmed flow, pass flows on until announced

Cause 3: an agent that had restarted took new flows for an upstream that was leaving although others could take them. Ruled out: late denials; each came after its question. Change: ordered maps where order decides; the sequence stays once confirmed; unconfirmed agents pass flows on. The stand-in opens a flow only where the caller acknowledges it.

--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -6,7 +6,7 @@
 #include "citroncrank/plane_message.h"
 #include "citroncrank/time.h"
 
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/btree_map.h>
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -82,7 +82,8 @@
     double expectedLoad(const agent_record &agent, time_point now) const;
 
 private:
-    absl::flat_hash_map<host_address, agent_record> m_agents;
+    /// Ordered, so that the same input gives the same decisions in every process.
+    absl::btree_map<host_address, agent_record> m_agents;
 };
 
 } // namespace citroncrank
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -8,6 +8,7 @@
 #include "citroncrank/request_queue.h"
 #include "citroncrank/time.h"
 
+#include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
 #include <compare>
 #include <cstdint>
@@ -196,7 +197,7 @@
     std::optional<time_point> m_leftAt;
     flow_map m_flows;
     std::deque<std::pair<time_point, flow_key>> m_expectations;
-    absl::flat_hash_map<host_address, time_point> m_balancers; ///< And when each was last heard of.
+    absl::btree_map<host_address, time_point> m_balancers; ///< And when each was last heard of.
     std::vector<request_observation> m_observations;
     packet_agent_counts m_counts;
     request_queue m_queue;
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -8,6 +8,8 @@
 #include "citroncrank/route_set.h"
 #include "citroncrank/time.h"
 
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 #include <cstdint>
@@ -143,12 +145,12 @@
     std::shared_ptr<const route_set> m_routes;
     absl::flat_hash_set<host_address> m_droppedRoutes; ///< Addresses whose route a later version dropped.
     agent_directory m_agents;
-    absl::flat_hash_map<host_address, time_point> m_balancers; ///< Others, and when each was last heard of.
+    absl::btree_map<host_address, time_point> m_balancers; ///< Others, and when each was last heard of.
     absl::flat_hash_map<flow_key, balancer_flow> m_flows;
-    absl::flat_hash_set<flow_key> m_undecided; ///< Flows whose agents are asked.
+    absl::btree_set<flow_key> m_undecided; ///< Flows whose agents are asked.
     std::vector<held_packet> m_held;
     std::optional<routes_offer> m_newerRoutes;
-    absl::flat_hash_map<host_address, time_point> m_listedBalancers; ///< Others, and since when.
+    absl::btree_map<host_address, time_point> m_listedBalancers; ///< Others, and since when.
     bool m_isListingKnown = false;
     std::uint64_t m_helloRound = 0;
     std::optional<time_point> m_nextHello;
--- a/src/include/citroncrank/request_queue.h
+++ b/src/include/citroncrank/request_queue.h
@@ -6,7 +6,7 @@
 #include "citroncrank/packet.h"
 #include "citroncrank/time.h"
 
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/btree_map.h>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -49,8 +49,9 @@
     const waiting_request *nextInTime(std::size_t inTimeLimit, bool longestUnserved, time_point now) const;
     const waiting_request *nextLate(time_point now) const;
 
-    absl::flat_hash_map<flow_key, waiting_request> m_waiting;
-    absl::flat_hash_map<std::uint32_t, std::uint64_t> m_lastServed; ///< Turn in which each priority was served last.
+    /// Ordered, so that the same input gives the same decisions in every process.
+    absl::btree_map<flow_key, waiting_request> m_waiting;
+    absl::btree_map<std::uint32_t, std::uint64_t> m_lastServed; ///< Turn in which each priority was served last.
     std::uint64_t m_turns = 0;
 };
 
--- a/src/include/citroncrank/standin_packet.h
+++ b/src/include/citroncrank/standin_packet.h
@@ -60,6 +60,7 @@
 private:
     struct flow_state
     {
+        bool isOpen = false;
         std::uint32_t first = 0;    ///< Sequence number of the opening answer.
         std::uint32_t next = 0;     ///< Sequence number of the next byte to send.
         std::uint32_t expected = 0; ///< Next byte of the caller.
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -164,9 +164,11 @@
             turnAway(std::move(arrived), *refusal, out);
         return;
     }
-    if (!hasFreeSlot() && !arrived.alternates.empty()) {
+    // Before its upstream's first announcement an agent cannot know that the upstream is not leaving.
+    const bool isUnconfirmed = m_state == agent_state::unconfirmed;
+    if ((isUnconfirmed || !hasFreeSlot()) && !arrived.alternates.empty()) {
         arrived.packetBytes = std::move(content.bytes);
-        passOn(std::move(arrived), "no_free_slot", key, out);
+        passOn(std::move(arrived), isUnconfirmed ? "unconfirmed" : "no_free_slot", key, out);
         return;
     }
     if (m_flows.size() >= kMaxFlows || isOverloaded(arrived.limits)) {
@@ -248,6 +250,8 @@
 void packet_agent::noteUpstreamSequence(agent_flow *flow, const packet_header &header)
 {
     if (header.open) {
+        if (flow->isConfirmed && flow->knowsUpstreamFirst)
+            return; // A repeated opening answer tells nothing new of an open flow.
         flow->upstreamFirst = header.sequence;
         flow->knowsUpstreamFirst = true;
         if (!flow->knowsUpstreamEnd)
--- a/src/libplane/packet_agent_test.cpp
+++ b/src/libplane/packet_agent_test.cpp
@@ -130,6 +130,30 @@
     EXPECT_EQ(delivered(), 1U);
 }
 
+// Guards against a draining upstream that gets a new flow because its agent has restarted (schedules of
+// packet_promises_test with agents restarted).
+TEST_F(PacketAgent, PassesAFlowOnUntilItsUpstreamHasAnnouncedItself)
+{
+    packet_agent fresh(
+        {.self = kAgentA, .service = kService, .upstream = kUpstream, .announcementPeriod = milliseconds(770)},
+        decodeTestHeader, now);
+    const auto open = [&](std::vector<host_address> alternates) {
+        actions.clear();
+        fresh.message(kBalancer,
+                      forwarded_packet{.purpose = forward_purpose::open,
+                                       .service = kService,
+                                       .origin = kBalancer,
+                                       .alternates = std::move(alternates),
+                                       .packetBytes = openingPacket().bytes},
+                      now, &actions);
+    };
+    open({kAgentB});
+    EXPECT_EQ(delivered(), 0U);
+    EXPECT_EQ(messagesOf<forwarded_packet>(actions).size(), 1U);
+    open({});
+    EXPECT_EQ(delivered(), 1U);
+}
+
 // Guards against a busy count that does not go back when a request is answered.
 TEST_F(PacketAgent, CountsRequestsAtWork)
 {
--- a/src/libplane/packet_agent_upstream.cpp
+++ b/src/libplane/packet_agent_upstream.cpp
@@ -82,21 +82,21 @@
 // The upstream that held the flows has ended, so their callers are told at once instead of by their own timeouts.
 void packet_agent::endFlows(const char *reason, time_point now, plane_actions *out)
 {
-    std::size_t count = 0;
+    std::vector<reset_flow> resets;
     for (auto &[key, flow] : m_flows) {
-        if (!flow.isConfirmed)
+        if (!flow.isConfirmed || flow.phase == flow_phase::ended)
             continue;
         releaseWork(key, &flow, now);
         flow.phase = flow_phase::ended;
         flow.lastSeen = now;
-        if (flow.callerFinished && flow.upstreamFinished)
-            continue;
-        ++count;
-        out->emplace_back(reset_flow{key, flow.callerAcknowledged});
+        if (!flow.callerFinished || !flow.upstreamFinished)
+            resets.push_back({key, flow.callerAcknowledged});
     }
-    m_counts.resets += count;
-    if (count > 0)
-        log(decision_kind::belief, absl::StrCat("ended flows, reason=", reason, " count=", count), out);
+    std::sort(resets.begin(), resets.end());
+    out->insert(out->end(), resets.begin(), resets.end());
+    m_counts.resets += resets.size();
+    if (!resets.empty())
+        log(decision_kind::belief, absl::StrCat("ended flows, reason=", reason, " count=", resets.size()), out);
 }
 
 void packet_agent::applyBalancers(const std::vector<host_address> &balancers, time_point now, plane_actions *out)
--- a/src/libplane/packet_balancer_nodes.cpp
+++ b/src/libplane/packet_balancer_nodes.cpp
@@ -67,7 +67,7 @@
 void packet_balancer::applyListing(const std::vector<listed_node> &nodes, time_point now, plane_actions *out)
 {
     absl::flat_hash_set<host_address> listedAgents;
-    absl::flat_hash_map<host_address, time_point> listedBalancers;
+    absl::btree_map<host_address, time_point> listedBalancers;
     for (const listed_node &node : nodes) {
         if (!node.isAgent) {
             const auto known = m_listedBalancers.find(node.address);
--- a/src/libproof/packet_world_pvt.h
+++ b/src/libproof/packet_world_pvt.h
@@ -31,6 +31,8 @@
     bool movesFlows = false;      ///< The routers send packets of a flow to another balancer.
     bool drainsUpstreams = false; ///< An upstream announces that it leaves, and another one replaces it.
     bool crashesUpstreams = false;
+    /// An upstream may get new flows for this long after its drain was confirmed. P6 allows 3 s.
+    duration drainTime = std::chrono::seconds(3);
     /// Balancers choose the agent of each packet by a hash over the agents that they hear, and keep nothing.
     bool naiveBalancers = false;
 };
--- a/src/libstandin/packet_ends.cpp
+++ b/src/libstandin/packet_ends.cpp
@@ -80,13 +80,13 @@
     if (arrived.header.open) {
         const auto [entry, isNew] = m_flows.try_emplace(key);
         if (isNew) {
-            entry->second.next = std::uint32_t(m_random());
-            entry->second.first = entry->second.next;
+            entry->second.first = std::uint32_t(m_random());
+            entry->second.next = entry->second.first + 1;
             entry->second.expected = arrived.header.sequence + 1;
         }
         answer(key, {.open = true,
                      .acknowledges = true,
-                     .sequence = isNew ? entry->second.next++ : entry->second.next - 1,
+                     .sequence = entry->second.first,
                      .acknowledged = entry->second.expected});
         return;
     }
@@ -101,6 +101,10 @@
         m_flows.erase(found);
         return;
     }
+    // The flow opens where the caller's next packet acknowledges the opening answer.
+    found->second.isOpen = found->second.isOpen || arrived.header.acknowledged == found->second.first + 1;
+    if (!found->second.isOpen)
+        return;
     if (arrived.header.dataBytes > 0)
         takeData(key, &found->second, arrived, now);
     if (arrived.header.finish) {
