--- a/src/include/citroncrank/standin_packet.h
+++ b/src/include/citroncrank/standin_packet.h
@@ -65,6 +65,8 @@
         std::uint32_t next = 0;     ///< Sequence number of the next byte to send.
         std::uint32_t expected = 0; ///< Next byte of the caller.
         std::string unanswered;     ///< Request of which a part has arrived.
+        std::string lastAnswer;     ///< Sent again when the caller repeats its request.
+        std::uint32_t lastAnswerAt = 0;
     };
     struct work
     {
--- a/src/libstandin/packet_ends.cpp
+++ b/src/libstandin/packet_ends.cpp
@@ -119,6 +119,11 @@
 void standin_packet_upstream::takeData(const flow_key &key, flow_state *flow, const packet &arrived, time_point now)
 {
     const packet_header &header = arrived.header;
+    if (header.sequence != flow->expected && !flow->lastAnswer.empty() && header.acknowledged == flow->lastAnswerAt) {
+        answer(key, {.acknowledges = true, .sequence = flow->lastAnswerAt, .acknowledged = flow->expected},
+               flow->lastAnswer);
+        return;
+    }
     if (header.sequence == flow->expected) {
         flow->expected += header.dataBytes;
         flow->unanswered += arrived.bytes.substr(arrived.bytes.size() - header.dataBytes);
@@ -158,6 +163,8 @@
         answer(done.flow,
                {.acknowledges = true, .sequence = found->second.next, .acknowledged = found->second.expected},
                done.answer);
+        found->second.lastAnswer = done.answer;
+        found->second.lastAnswerAt = found->second.next;
         found->second.next += std::uint32_t(done.answer.size());
     }
     startWaiting(now);
