--- a/scripts/generate-docs.sh
+++ b/scripts/generate-docs.sh
@@ -23,6 +23,10 @@
     "$bin/citroncrank-balancer" --describe-settings
     printf '\n## Settings of an agent\n\n'
     "$bin/citroncrank-agent" --describe-settings
+    printf '\n## Settings of a packet balancer\n\n'
+    "$bin/citroncrank-packet-balancer" --describe-settings
+    printf '\n## Settings of a packet agent\n\n'
+    "$bin/citroncrank-packet-agent" --describe-settings
     cat <<'MARKDOWN'
 
 ## Configuration keys
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -11,7 +11,8 @@
 [ -f "$build/build.ninja" ] || cmake -S . -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
 echo "quickstart: building"
 cmake --build "$build" --target citroncrank citroncrank-agent citroncrank-balancer standin-fabric standin-platform \
-    standin-upstream >/dev/null
+    standin-upstream citroncrank-packet-agent citroncrank-packet-balancer standin-packet-upstream \
+    standin-packet-callers >/dev/null
 set -- "$build/bin"
 source testsuite/lib.sh
 if [ "$keep" = yes ]; then trap - EXIT; fi
@@ -85,6 +86,8 @@
 wait_until 11 "revision 2 in force everywhere" in_force_everywhere
 "${client[@]}" status || true
 "${client[@]}" history
+echo "quickstart: packets through the packet path, with planned changes and the store down"
+if [ "$keep" = no ]; then check "packet path" testsuite/packet-path/run "$build/bin"; fi
 check "no failed check" test "$failures" = 0
 if [ "$keep" = yes ]; then
     echo "quickstart: left running; logs in $work; stop with: kill ${pids[*]}"
--- /dev/null
+++ b/src/libplane/agent_directory_test.cpp
@@ -0,0 +1,73 @@
+#include "citroncrank/agent_directory.h"
+
+#include "plane_fixture_test.h"
+
+#include <gtest/gtest.h>
+
+using namespace citroncrank;
+using namespace citroncrank::plane_test;
+
+namespace {
+
+std::vector<host_address> candidatesOf(const agent_directory &agents, time_point now)
+{
+    return agents.candidates(kService, "nbi-west", {}, 3, now);
+}
+
+} // namespace
+
+// Guards against a flood of new flows to one agent between two of its reports.
+TEST(AgentDirectory, CountsFlowsSentSinceTheLastReport)
+{
+    agent_directory agents;
+    const time_point now{};
+    agents.reported(kAgentA, makeReport(1), now);
+    agents.reported(kAgentB, makeReport(1, agent_state::ready, 1), now);
+    EXPECT_EQ(candidatesOf(agents, now).front(), kAgentA);
+    for (int i = 0; i < 2; ++i)
+        agents.flowSent(kAgentA);
+    EXPECT_EQ(candidatesOf(agents, now).front(), kAgentB);
+    agents.reported(kAgentA, makeReport(2), now);
+    EXPECT_EQ(candidatesOf(agents, now).front(), kAgentA);
+}
+
+// Guards against new upstreams that take the whole rush before they are warm.
+TEST(AgentDirectory, ColdAgentsGetFewerFlows)
+{
+    agent_directory agents;
+    const time_point now{};
+    agent_report cold = makeReport(1, agent_state::ready, 1);
+    cold.coldMilliseconds = 1500;
+    agents.reported(kAgentA, cold, now);
+    agents.reported(kAgentB, makeReport(1, agent_state::ready, 1), now);
+    EXPECT_EQ(candidatesOf(agents, now).front(), kAgentB);
+}
+
+// Guards against flows that cross failure domains without need.
+TEST(AgentDirectory, PrefersTheOwnDomainAmongEquals)
+{
+    agent_directory agents;
+    const time_point now{};
+    agent_report far = makeReport(1);
+    far.domain = "nbi-east";
+    agents.reported(kAgentA, far, now);
+    agents.reported(kAgentB, makeReport(1), now);
+    EXPECT_EQ(candidatesOf(agents, now), (std::vector{kAgentB, kAgentA}));
+    agents.reported(kAgentB, makeReport(2, agent_state::ready, 2), now);
+    EXPECT_EQ(candidatesOf(agents, now).front(), kAgentA);
+}
+
+// Guards against silent or unconfirmed agents that get flows while others are ready, and against a service that is refused
+// though agents are listed.
+TEST(AgentDirectory, TakesTheBestStandingThereIs)
+{
+    agent_directory agents;
+    const time_point now{};
+    agents.listed(kAgentC, kService, "nbi-west", now);
+    EXPECT_EQ(candidatesOf(agents, now), std::vector{kAgentC});
+    agents.reported(kAgentB, makeReport(1, agent_state::unconfirmed), now);
+    EXPECT_EQ(candidatesOf(agents, now), std::vector{kAgentB});
+    agents.reported(kAgentA, makeReport(1), now);
+    EXPECT_EQ(candidatesOf(agents, now), std::vector{kAgentA});
+    EXPECT_EQ(candidatesOf(agents, now + seconds(1)).size(), 3U);
+}
--- /dev/null
+++ b/src/libplane/plane_message_test.cpp
@@ -0,0 +1,61 @@
+#include "citroncrank/plane_message.h"
+
+#include "plane_fixture_test.h"
+
+#include <gtest/gtest.h>
+
+using namespace citroncrank;
+using namespace citroncrank::plane_test;
+
+namespace {
+
+std::vector<plane_message> samples()
+{
+    const packet content = callerPacket(77, std::string(1200, 'x'));
+    flow_owner_list owners;
+    for (std::uint16_t port = 0; port < kMaxOwnersPerMessage; ++port)
+        owners.entries.push_back({{{1, port}, kServiceAddress}, kAgentA});
+    return {forwarded_packet{.purpose = forward_purpose::ask,
+                             .service = kService,
+                             .origin = kBalancer,
+                             .alternates = {kAgentA, kAgentB},
+                             .limits = {1, 300, 2500},
+                             .packetBytes = content.bytes},
+            owner_notice{kFlow},
+            not_taken_notice{not_taken_reason::full, forward_purpose::open, content.bytes},
+            makeReport(9, agent_state::draining, 2),
+            balancer_hello{
+                .incarnation = 4, .domain = "a", .routesVersion = 7, .http = kBalancer, .balancers = {kOtherBalancer}},
+            agent_hello{makeReport(3)},
+            owners};
+}
+
+} // namespace
+
+// Guards against a field that is lost on the way, and against messages that need more than one datagram.
+TEST(PlaneMessage, ComesBackAsItWasSent)
+{
+    constexpr std::size_t kMaxDatagramBytes = 1472;
+    for (const plane_message &message : samples()) {
+        const std::string datagram = encodePlaneMessage(message);
+        EXPECT_LE(datagram.size(), kMaxDatagramBytes) << message.index();
+        EXPECT_EQ(decodePlaneMessage(datagram), message) << message.index();
+    }
+}
+
+// Guards against a crash or a wrong message by damaged datagrams.
+TEST(PlaneMessage, DamagedDatagramsAreNoMessagesOrHarmless)
+{
+    for (const plane_message &message : samples()) {
+        const std::string datagram = encodePlaneMessage(message);
+        for (std::size_t size = 0; size < datagram.size(); size += 7)
+            decodePlaneMessage(datagram.substr(0, size));
+        for (std::size_t at = 0; at < datagram.size(); ++at) {
+            std::string damaged = datagram;
+            damaged[at] = char(damaged[at] ^ 0x55);
+            decodePlaneMessage(damaged);
+        }
+    }
+    EXPECT_FALSE(decodePlaneMessage(""));
+    EXPECT_FALSE(decodePlaneMessage(std::string(64, '\xff')));
+}
