--- a/src/citroncrank/main.cpp
+++ b/src/citroncrank/main.cpp
@@ -1,4 +1,5 @@
 #include "citroncrank/nearest_name.h"
+#include "citroncrank/version.h"
 #include "client.h"
 
 #include <absl/strings/str_cat.h>
@@ -67,6 +68,7 @@
 {
     client client;
     CLI::App app("Operators' client of citroncrank", "citroncrank");
+    app.set_version_flag("--version", std::string("citroncrank ") + kVersion);
     app.require_subcommand(1);
     app.fallthrough();
     addSharedOptions(&app, &client);
--- a/src/include/citroncrank/agent_node.h
+++ b/src/include/citroncrank/agent_node.h
@@ -28,6 +28,7 @@
     void flush() override;
     void onUpstreamDatagram(std::string_view datagram);
     void tick(time_point now);
+    void showCount(const char *decision, std::uint64_t count);
     http_reply announcement(const http_request &request);
     http_reply leave(const http_request &request);
     /// Runs `decide` in the loop's thread and waits for its result. Nullopt if the loop does not get to it in time.
--- /dev/null
+++ b/src/include/citroncrank/version.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/// @file
+/// Version of all programs.
+
+namespace citroncrank {
+
+constexpr const char *kVersion = "0.2.0";
+
+} // namespace citroncrank
--- a/src/libnode/daemon_main.cpp
+++ b/src/libnode/daemon_main.cpp
@@ -1,5 +1,7 @@
 #include "citroncrank/daemon_main.h"
 
+#include "citroncrank/version.h"
+
 #include <CLI/CLI.hpp>
 
 namespace citroncrank {
@@ -8,6 +10,7 @@
                                       daemon_options *options)
 {
     CLI::App app(description.purpose, description.program);
+    app.set_version_flag("--version", description.program + " " + kVersion);
     app.add_option("--settings", options->settingsFile, "Settings file (YAML)");
     app.add_flag("--check", options->checkOnly, "Check the settings file and exit");
     app.add_flag("--describe-settings", options->describe, "Print the table of settings as Markdown and exit");
--- a/src/libnode/operator_api.cpp
+++ b/src/libnode/operator_api.cpp
@@ -1,6 +1,7 @@
 #include "citroncrank/operator_api.h"
 
 #include "citroncrank/timer_service.h"
+#include "citroncrank/version.h"
 
 #include <boost/json/serialize.hpp>
 #include <chrono>
@@ -12,7 +13,6 @@
 namespace {
 
 constexpr std::chrono::seconds kAnswerTimeout{2};
-constexpr const char *kVersion = "0.1.0";
 
 const char *name(node_role role)
 {
--- a/src/libplanenode/agent_node.cpp
+++ b/src/libplanenode/agent_node.cpp
@@ -152,6 +152,20 @@
     perform(&m_actions);
     m_busy.set(double(m_core.busy()));
     m_flows.set(double(m_core.flowCount()));
+    const packet_agent_counts &counts = m_core.counts();
+    showCount("opened", counts.opened);
+    showCount("passed_on", counts.passedOn);
+    showCount("turned_away", counts.turnedAway);
+    showCount("returned", counts.returned);
+    showCount("reset", counts.resets);
+}
+
+void agent_node::showCount(const char *decision, std::uint64_t count)
+{
+    m_metrics
+        .gauge("citroncrank_agent_decisions", "Flows and packets by what the agent did with them, since its start.",
+               {{"decision", decision}})
+        .set(double(count));
 }
 
 // The confirmation promises that the agent already acts on the announcement, so it waits for the loop.
--- a/src/libplanenode/plane_node.cpp
+++ b/src/libplanenode/plane_node.cpp
@@ -1,5 +1,6 @@
 #include "citroncrank/plane_node.h"
 
+#include "citroncrank/version.h"
 #include "packet_codec.h"
 
 #include <CLI/CLI.hpp>
@@ -17,7 +18,6 @@
 // Lines wait this long at most; each flush is a system call.
 constexpr duration kLogFlushPeriod = milliseconds(100);
 constexpr const char *kSettingsVariable = "CITRONCRANK_BOOT";
-constexpr const char *kVersion = "0.2.0";
 
 std::vector<std::string> decisionNames()
 {
