platform: the fields of a request's head and the settings variable are decoded there

Cause: CITRONCRANK_BOOT, Request-Id and Deadline-Ms, names of the platform, stood in libplane and libplanenode. Change: platform/request_fields decodes the head into request_head (id, time that the caller still waits); the agent gets the reader as it gets the packet decoder. libplane keeps the HTTP status only. Tests of the core use a head of their own, tests of the fields lie beside the adapter.

--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -5,6 +5,7 @@
 /// its own.
 
 #include "citroncrank/plane_action.h"
+#include "citroncrank/request_head.h"
 #include "citroncrank/request_queue.h"
 #include "citroncrank/time.h"
 
@@ -81,7 +82,8 @@
 class packet_agent
 {
 public:
-    packet_agent(packet_agent_settings settings, packet_header_decoder decoder, time_point now);
+    packet_agent(packet_agent_settings settings, packet_header_decoder decoder, request_head_reader readHead,
+                 time_point now);
 
     /// A message of another node.
     void message(const host_address &from, plane_message arrived, time_point now, plane_actions *out);
@@ -167,7 +169,7 @@
     bool startsRequest(agent_flow *flow, const packet &content);
     void identifyRequest(const flow_key &key, agent_flow *flow, const packet &content, plane_actions *out);
     void beginRequest(const flow_key &key, agent_flow *flow, const packet &content, time_point now, plane_actions *out);
-    waiting_request waitingRequest(const flow_key &key, const agent_flow &flow, std::string_view head,
+    waiting_request waitingRequest(const flow_key &key, const agent_flow &flow, const request_head &head,
                                    time_point now) const;
     void startWork(const flow_key &key, agent_flow *flow, time_point now, plane_actions *out);
     void dispatch(time_point now, plane_actions *out);
@@ -196,6 +198,7 @@
 
     packet_agent_settings m_settings;
     packet_header_decoder m_decoder;
+    request_head_reader m_readHead;
     time_point m_startedAt;
     agent_state m_state = agent_state::unconfirmed;
     std::optional<upstream_announcement> m_upstream; ///< Last accepted announcement.
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -50,9 +50,11 @@
     return "unknown";
 }
 
-packet_agent::packet_agent(packet_agent_settings settings, packet_header_decoder decoder, time_point now)
+packet_agent::packet_agent(packet_agent_settings settings, packet_header_decoder decoder, request_head_reader readHead,
+                           time_point now)
     : m_settings(std::move(settings))
     , m_decoder(decoder)
+    , m_readHead(readHead)
     , m_startedAt(now)
     , m_assumedSlots(kAssumedSlots)
     , m_meanWorkMs(kInitialWorkMs)
--- a/src/libplane/packet_agent_fixture_test.h
+++ b/src/libplane/packet_agent_fixture_test.h
@@ -87,6 +87,7 @@
                        .announcementPeriod = milliseconds(770),
                        .flowLifetime = seconds(60)},
                       decodeTestHeader,
+                      readTestHead,
                       now};
     plane_actions actions;
 };
--- a/src/libplane/packet_agent_requests.cpp
+++ b/src/libplane/packet_agent_requests.cpp
@@ -1,7 +1,6 @@
 #include "citroncrank/packet_agent.h"
 
 #include "packet_agent_pvt.h"
-#include "request_head_pvt.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -118,16 +117,16 @@
 // The packet with the head arrived behind another one of the same request.
 void packet_agent::identifyRequest(const flow_key &key, agent_flow *flow, const packet &content, plane_actions *out)
 {
-    flow->requestId = requestIdOf(dataOf(content));
+    flow->requestId = m_readHead(dataOf(content)).id;
     if (!flow->requestId.empty())
         logRequest(key, *flow, "request identified", out);
 }
 
-waiting_request packet_agent::waitingRequest(const flow_key &key, const agent_flow &flow, std::string_view head,
+waiting_request packet_agent::waitingRequest(const flow_key &key, const agent_flow &flow, const request_head &head,
                                              time_point now) const
 {
     const std::uint32_t timeout = flow.limits.timeoutMs == 0 ? kAssumedTimeoutMs : flow.limits.timeoutMs;
-    const std::uint32_t left = std::min(remainingMsOf(head).value_or(timeout), timeout);
+    const std::uint32_t left = std::min(head.remainingMs.value_or(timeout), timeout);
     const double age = timeout - left;
     const double target = flow.limits.latencyTargetMs == 0 ? timeout : flow.limits.latencyTargetMs;
     return {.flow = key,
@@ -145,8 +144,9 @@
         --m_expected;
     ++m_counts.requests;
     flow->requestSince = now;
-    flow->requestId = requestIdOf(dataOf(content));
-    const waiting_request request = waitingRequest(key, *flow, dataOf(content), now);
+    request_head head = m_readHead(dataOf(content));
+    const waiting_request request = waitingRequest(key, *flow, head, now);
+    flow->requestId = std::move(head.id);
     flow->requestDeadline = request.deadline;
     m_meanSlackMs += kMeanWeight * (std::max(0.0, toMilliseconds(request.startBy - now)) - m_meanSlackMs);
     const bool isProbe = flow->phase == flow_phase::probing;
--- a/src/libplane/packet_agent_requests_test.cpp
+++ b/src/libplane/packet_agent_requests_test.cpp
@@ -22,7 +22,7 @@
 {
     open();
     EXPECT_EQ(core.busy(), 1U);
-    forward(callerPacket(kUpstreamFirst + 1, "GET / HTTP/1.1\r\nRequest-Id: 7f\r\n\r\n"));
+    forward(callerPacket(kUpstreamFirst + 1, "GET / HTTP/1.1\r\nTest-Id: 7f\r\n\r\n"));
     EXPECT_EQ(core.busy(), 1U);
     fromUpstream(upstreamPacket(kUpstreamFirst + 1, "HTTP/1.1 200 OK\r\n"));
     EXPECT_EQ(core.busy(), 0U);
@@ -30,7 +30,7 @@
     ASSERT_EQ(observed.size(), 1U);
     EXPECT_EQ(observed[0].status, 200U);
     // A retransmitted request is no new one.
-    forward(callerPacket(kUpstreamFirst + 1, "GET / HTTP/1.1\r\nRequest-Id: 7f\r\n\r\n"));
+    forward(callerPacket(kUpstreamFirst + 1, "GET / HTTP/1.1\r\nTest-Id: 7f\r\n\r\n"));
     EXPECT_EQ(core.busy(), 0U);
 }
 
@@ -39,7 +39,7 @@
 TEST_F(PacketAgent, CountsAnAnswerThatArrivesBehindTheEndOfItsFlow)
 {
     open();
-    forward(callerPacket(kUpstreamFirst + 1, "POST / HTTP/1.1\r\nRequest-Id: 7f\r\n\r\n"));
+    forward(callerPacket(kUpstreamFirst + 1, "POST / HTTP/1.1\r\nTest-Id: 7f\r\n\r\n"));
     packet_header end = upstreamPacket(kUpstreamFirst + 301).header;
     end.finish = true;
     fromUpstream(makePacket(end));
@@ -54,7 +54,7 @@
 TEST_F(PacketAgent, AcknowledgementIsNoAnswer)
 {
     open();
-    forward(callerPacket(kUpstreamFirst + 1, "POST / HTTP/1.1\r\nRequest-Id: 7f\r\n\r\n"));
+    forward(callerPacket(kUpstreamFirst + 1, "POST / HTTP/1.1\r\nTest-Id: 7f\r\n\r\n"));
     fromUpstream(upstreamPacket(kUpstreamFirst + 1));
     EXPECT_EQ(core.busy(), 1U);
 }
@@ -63,7 +63,7 @@
 TEST_F(PacketAgent, UnansweredRequestFreesItsSlotAfterItsDeadline)
 {
     open();
-    forward(callerPacket(kUpstreamFirst + 1, "GET / HTTP/1.1\r\nDeadline-Ms: 1500\r\n\r\n"));
+    forward(callerPacket(kUpstreamFirst + 1, "GET / HTTP/1.1\r\nTest-Left: 1500\r\n\r\n"));
     core.advance(now + seconds(2), &actions);
     EXPECT_EQ(core.busy(), 1U);
     core.advance(now + seconds(4), &actions);
@@ -78,7 +78,7 @@
     const auto request = [&](std::uint16_t port, const std::string &remaining) {
         packet_header header = callerPacket(kUpstreamFirst + 1).header;
         header.source.port = port;
-        const packet content = makePacket(header, "GET / HTTP/1.1\r\nDeadline-Ms: " + remaining + "\r\n\r\n");
+        const packet content = makePacket(header, "GET / HTTP/1.1\r\nTest-Left: " + remaining + "\r\n\r\n");
         packet_header opening = openingPacket().header;
         opening.source.port = port;
         for (const packet &next : {makePacket(opening), content}) {
@@ -118,7 +118,7 @@
 {
     open();
     forward(callerPacket(kUpstreamFirst + 1, "rest of the body", 200));
-    forward(callerPacket(kUpstreamFirst + 1, "POST / HTTP/1.1\r\nRequest-Id: 7f\r\n\r\n" + std::string(57, 'x'), 101));
+    forward(callerPacket(kUpstreamFirst + 1, "POST / HTTP/1.1\r\nTest-Id: 7f\r\n\r\n" + std::string(57, 'x'), 101));
     bool isLogged = false;
     for (const auto &line : actionsOf<log_decision>(actions))
         isLogged = isLogged || line.text.find("request=7f") != std::string::npos;
@@ -170,6 +170,7 @@
     packet_agent fresh{
         {.self = kAgentA, .service = kService, .upstream = kUpstream, .announcementPeriod = milliseconds(770)},
         decodeTestHeader,
+        readTestHead,
         now};
 };
 
--- a/src/libplane/packet_agent_test.cpp
+++ b/src/libplane/packet_agent_test.cpp
@@ -37,7 +37,7 @@
 {
     packet_agent fresh(
         {.self = kAgentA, .service = kService, .upstream = kUpstream, .announcementPeriod = milliseconds(770)},
-        decodeTestHeader, now);
+        decodeTestHeader, readTestHead, now);
     const auto open = [&](std::vector<host_address> alternates) {
         actions.clear();
         fresh.message(kBalancer,
@@ -183,7 +183,7 @@
                         .upstream = kUpstream,
                         .announcementPeriod = milliseconds(770),
                         .flowLifetime = seconds(60)},
-                       decodeTestHeader, now);
+                       decodeTestHeader, readTestHead, now);
     early.announce({.id = "i-1", .service = kService, .address = kUpstream, .slots = 2, .number = 1, .startedAtMs = 5},
                    now, &actions);
     actions.clear();
@@ -254,7 +254,7 @@
 {
     packet_agent lone(
         {.self = kAgentA, .service = kService, .upstream = kUpstream, .announcementPeriod = milliseconds(770)},
-        decodeTestHeader, now);
+        decodeTestHeader, readTestHead, now);
     lone.advance(now + seconds(2), &actions);
     EXPECT_EQ(lone.state(), agent_state::unconfirmed);
     lone.advance(now + seconds(3), &actions);
@@ -269,7 +269,7 @@
                         .upstream = kUpstream,
                         .seeds = {kBalancer},
                         .announcementPeriod = seconds(1)},
-                       decodeTestHeader, now);
+                       decodeTestHeader, readTestHead, now);
     actions.clear();
     fresh.advance(now, &actions);
     ASSERT_EQ(messagesOf<agent_hello>(actions).size(), 1U);
--- a/src/libplane/plane_fixture_test.h
+++ b/src/libplane/plane_fixture_test.h
@@ -49,6 +49,22 @@
                          .dataBytes = raw.dataBytes};
 }
 
+/// Reads "Test-Id: x" and "Test-Left: n" from the head of a request.
+inline request_head readTestHead(std::string_view data)
+{
+    const auto field = [&](std::string_view name) {
+        const auto at = data.find(name);
+        if (at == std::string_view::npos)
+            return std::string();
+        const auto from = at + name.size();
+        return std::string(data.substr(from, data.find("\r\n", from) - from));
+    };
+    request_head head{.id = field("\r\nTest-Id: "), .remainingMs = std::nullopt};
+    if (const std::string left = field("\r\nTest-Left: "); !left.empty())
+        head.remainingMs = std::uint32_t(std::stoul(left));
+    return head;
+}
+
 inline packet makePacket(packet_header header, const std::string &data = {})
 {
     header.dataBytes = std::uint16_t(data.size());
--- a/src/libplanenode/agent_node.cpp
+++ b/src/libplanenode/agent_node.cpp
@@ -2,6 +2,7 @@
 
 #include "documents.h"
 #include "packet_codec.h"
+#include "request_fields.h"
 
 #include <absl/strings/str_cat.h>
 #include <chrono>
@@ -44,7 +45,7 @@
 agent_node::agent_node(const packet_agent_file &file)
     : plane_node(file.node, "agent")
     , m_file(file)
-    , m_core(coreSettings(file, m_incarnation), platform::decodePacketHeader, monotonicNow())
+    , m_core(coreSettings(file, m_incarnation), platform::decodePacketHeader, platform::readRequestHead, monotonicNow())
     , m_http({.address = file.announcements, .furtherAddresses = {file.node.http}}, m_metrics,
              [] { return std::vector<std::string>(); })
     , m_nodes(
--- a/src/libplanenode/plane_node.cpp
+++ b/src/libplanenode/plane_node.cpp
@@ -1,6 +1,7 @@
 #include "citroncrank/plane_node.h"
 
 #include "citroncrank/version.h"
+#include "documents.h"
 #include "packet_codec.h"
 
 #include <CLI/CLI.hpp>
@@ -17,7 +18,6 @@
 
 // Lines wait this long at most; each flush is a system call.
 constexpr duration kLogFlushPeriod = milliseconds(100);
-constexpr const char *kSettingsVariable = "CITRONCRANK_BOOT";
 
 std::vector<std::string> decisionNames()
 {
@@ -113,7 +113,7 @@
 {
     CLI::App app(purpose, program);
     app.set_version_flag("--version", std::string(program) + " " + kVersion);
-    app.add_option("--settings", options->settingsFile, "Settings file (YAML)")->envname(kSettingsVariable);
+    app.add_option("--settings", options->settingsFile, "Settings file (YAML)")->envname(platform::kSettingsVariable);
     app.add_flag("--check", options->checkOnly, "Check the settings file and exit");
     app.add_flag("--describe-settings", options->describe, "Print the table of settings as Markdown and exit");
     try {
--- a/src/libproof/packet_world.cpp
+++ b/src/libproof/packet_world.cpp
@@ -1,6 +1,7 @@
 #include "packet_world_pvt.h"
 
 #include "packet_codec.h"
+#include "request_fields.h"
 
 #include <algorithm>
 #include <utility>
@@ -144,7 +145,7 @@
                                                                  .seeds = {balancerAddress(0), balancerAddress(1)},
                                                                  .announcementPeriod = kAnnouncePeriod,
                                                                  .flowLifetime = seconds(60)},
-                                           platform::decodePacketHeader, m_now);
+                                           platform::decodePacketHeader, platform::readRequestHead, m_now);
     }
 
     void startBalancer(std::size_t index)
