Packet programs: settings are read again on SIGHUP and after silent changes

Change: settings_watch reads the file again when asked and, each two seconds, when its stamp differs; a file with any fault changes nothing. Keys that a running process takes over (seeds, flow lifetime, stop time, announcement period) are marked in the table of keys and in the reference page; all others are named as waiting for the next start. Both cores take changed seeds over and greet them.

--- a/src/citroncrank-packet-agent/main.cpp
+++ b/src/citroncrank-packet-agent/main.cpp
@@ -7,5 +7,5 @@
     return planeMain<agent_node>(
         argc, argv,
         {.name = "citroncrank-packet-agent", .purpose = "Carries packets to and from the upstream beside it"},
-        packetAgentTable(), readPacketAgentFile);
+        packetAgentTable());
 }
--- a/src/citroncrank-packet-balancer/main.cpp
+++ b/src/citroncrank-packet-balancer/main.cpp
@@ -7,5 +7,5 @@
     return planeMain<balancer_node>(
         argc, argv,
         {.name = "citroncrank-packet-balancer", .purpose = "Hands callers' packets to the agents of their services"},
-        packetBalancerTable(), readPacketBalancerFile);
+        packetBalancerTable());
 }
--- a/src/include/citroncrank/agent_node.h
+++ b/src/include/citroncrank/agent_node.h
@@ -15,7 +15,7 @@
 class agent_node : public plane_node
 {
 public:
-    explicit agent_node(const packet_agent_file &file);
+    explicit agent_node(settings_watch settingsFile);
 
     /// Opens the sockets. Returns false and stores the cause.
     bool listen(std::error_code *lastReason);
@@ -26,6 +26,7 @@
     void onMessage(const host_address &from, plane_message message) override;
     void onDeliver(std::string packetBytes) override;
     void flush() override;
+    void applySettings(const settings_values &values) override;
     void onUpstreamDatagram(std::string_view datagram);
     void tick(time_point now);
     void showCount(const char *decision, std::uint64_t count);
--- a/src/include/citroncrank/balancer_node.h
+++ b/src/include/citroncrank/balancer_node.h
@@ -18,7 +18,7 @@
 class balancer_node : public plane_node
 {
 public:
-    explicit balancer_node(const packet_balancer_file &file);
+    explicit balancer_node(settings_watch settingsFile);
 
     /// Opens the sockets. Returns false and stores the cause.
     bool listen(std::error_code *lastReason);
@@ -28,6 +28,7 @@
 private:
     void onMessage(const host_address &from, plane_message message) override;
     void onDeliver(std::string packetBytes) override;
+    void applySettings(const settings_values &values) override;
     void onCallerDatagram(std::string_view datagram);
     void receiveRoutes(std::shared_ptr<const route_set> routes, std::string text);
     void applyRoutes(const std::shared_ptr<const route_set> &routes, const std::string &text);
@@ -40,7 +41,7 @@
     http_reply readiness() const;
     http_reply routesText() const;
 
-    host_address m_packetsAddress;
+    packet_balancer_file m_file;
     packet_balancer m_core;
     datagram_socket m_packets;
     http_endpoint m_http;
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -98,6 +98,8 @@
     void assumeSlots(std::uint32_t slots);
     /// Balancers that the store lists.
     void applyBalancers(const std::vector<host_address> &balancers, time_point now, plane_actions *out);
+    /// Takes over the seeds, the announcement period and the flow lifetime. All else stays as it was at the start.
+    void changeSettings(const packet_agent_settings &changed);
     /// The process is about to end.
     void stop(time_point now, plane_actions *out);
     /// Periodic work. Call about every kAgentTick.
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -66,6 +66,8 @@
     void applyRoutes(std::shared_ptr<const route_set> routes, time_point now, plane_actions *out);
     /// All nodes that the store lists.
     void applyListing(const std::vector<listed_node> &nodes, time_point now, plane_actions *out);
+    /// Takes over the seeds and the flow lifetime. All else stays as it was at the start.
+    void changeSettings(const packet_balancer_settings &changed);
     /// Periodic work: hellos, held packets, forgotten flows. Call about every kBalancerTick.
     void advance(time_point now, plane_actions *out);
 
--- a/src/include/citroncrank/plane_main.h
+++ b/src/include/citroncrank/plane_main.h
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <string>
 #include <system_error>
+#include <utility>
 #include <vector>
 
 namespace citroncrank {
@@ -19,8 +20,8 @@
 };
 
 /// Parses the command line, reads the settings and runs a node. Returns the exit code.
-template<typename node_type, typename read_file>
-int planeMain(int argc, char **argv, const plane_program &program, const settings_table &table, read_file readFile)
+template<typename node_type>
+int planeMain(int argc, char **argv, const plane_program &program, const settings_table &table)
 {
     plane_options options;
     if (const auto exitCode = parsePlaneOptions(argc, argv, program.name, program.purpose, &options))
@@ -30,8 +31,8 @@
         return plane_ok;
     }
     std::vector<settings_fault> faults;
-    const auto file = readFile(options.settingsFile, &faults);
-    if (!file) {
+    auto settingsFile = settings_watch::open(options.settingsFile, table, &faults);
+    if (!settingsFile) {
         printSettingsFaults(faults);
         return plane_bad_settings;
     }
@@ -39,7 +40,7 @@
         std::cout << options.settingsFile << ": settings are valid\n";
         return plane_ok;
     }
-    node_type node(*file);
+    node_type node(std::move(*settingsFile));
     std::error_code reason;
     if (!node.listen(&reason)) {
         std::cerr << program.name << ": cannot listen: " << reason.message() << "\n";
--- a/src/include/citroncrank/plane_node.h
+++ b/src/include/citroncrank/plane_node.h
@@ -10,6 +10,7 @@
 #include "citroncrank/plane_action.h"
 #include "citroncrank/plane_loop.h"
 #include "citroncrank/plane_settings.h"
+#include "citroncrank/settings_watch.h"
 
 #include <atomic>
 #include <functional>
@@ -25,7 +26,7 @@
 class plane_node
 {
 public:
-    plane_node(plane_settings settings, const std::string &component);
+    plane_node(settings_watch settingsFile, const std::string &component);
     virtual ~plane_node() = default;
     plane_node(const plane_node &) = delete;
     plane_node &operator=(const plane_node &) = delete;
@@ -38,6 +39,10 @@
     /// Called for each message of another node.
     virtual void onMessage(const host_address &from, plane_message message) = 0;
     virtual void onDeliver(std::string packetBytes) = 0;
+    /// Reads the settings file again on SIGHUP and after changes without a signal. SIGTERM calls `onStop`.
+    void watchSignalsAndSettings(std::function<void()> onStop);
+    /// Takes over changed values of a settings file without faults.
+    virtual void applySettings(const settings_values &values);
     /// Sends what waits in the sockets and the log.
     virtual void flush();
 
@@ -45,6 +50,7 @@
     /// Thread-safe writer for the store's threads.
     std::function<void(const std::string &)> storeLog();
 
+    settings_watch m_settingsFile;
     plane_settings m_settings;
     std::uint64_t m_incarnation;
     event_log m_log;
@@ -55,6 +61,8 @@
     std::vector<timer_subscription> m_timers;
 
 private:
+    void noteReading(const settings_reading &reading, const char *cause);
+
     metric_counter &m_forwarded;
     metric_counter &m_toCallers;
     metric_counter &m_resets;
--- a/src/include/citroncrank/plane_settings.h
+++ b/src/include/citroncrank/plane_settings.h
@@ -7,7 +7,6 @@
 #include "citroncrank/settings.h"
 #include "citroncrank/time.h"
 
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,9 +49,9 @@
 settings_table packetBalancerTable();
 settings_table packetAgentTable();
 
-/// Reads and checks a settings file. Returns nullopt and stores all faults if there is any.
-std::optional<packet_balancer_file> readPacketBalancerFile(const std::string &path,
-                                                           std::vector<settings_fault> *faults);
-std::optional<packet_agent_file> readPacketAgentFile(const std::string &path, std::vector<settings_fault> *faults);
+/// Settings from the checked values of a file.
+plane_settings parsePlaneSettings(const settings_values &values);
+packet_balancer_file parsePacketBalancerFile(const settings_values &values);
+packet_agent_file parsePacketAgentFile(const settings_values &values);
 
 } // namespace citroncrank
--- a/src/include/citroncrank/settings.h
+++ b/src/include/citroncrank/settings.h
@@ -42,6 +42,7 @@
     std::string unit = {}; ///< Unit of an integer, for messages and the reference page.
     bool isList = false;
     std::vector<std::string> choices = {}; ///< Accepted texts. Empty accepts all.
+    bool isReloadable = false;             ///< A running process takes a changed value over.
 };
 using settings_table = std::vector<settings_key>;
 
@@ -94,12 +95,27 @@
     const std::vector<std::string> &getTexts(std::string_view path) const;
     const std::vector<host_address> &getAddresses(std::string_view path) const;
 
+    /// Paths of all keys whose values differ, in order.
+    std::vector<std::string> differingKeys(const settings_values &other) const;
+
     bool operator==(const settings_values &) const = default;
 
 private:
     std::map<std::string, settings_value, std::less<>> m_values;
 };
 
+/// Changes of a settings file under a running process.
+struct settings_changes
+{
+    std::vector<std::string> applied;     ///< Keys that a running process takes over.
+    std::vector<std::string> atNextStart; ///< Keys whose changes wait for the next start.
+    bool operator==(const settings_changes &) const = default;
+};
+
+/// Sorts the keys that differ by whether a running process takes them over.
+settings_changes compareSettings(const settings_table &table, const settings_values &before,
+                                 const settings_values &after);
+
 /// Largest accepted settings file.
 constexpr std::size_t kMaxSettingsBytes = 256 * 1024;
 
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -62,6 +62,14 @@
     , m_meanAt(now)
 {}
 
+void packet_agent::changeSettings(const packet_agent_settings &changed)
+{
+    m_settings.seeds = changed.seeds;
+    m_settings.announcementPeriod = changed.announcementPeriod;
+    m_settings.flowLifetime = changed.flowLifetime;
+    m_nextSeedHello = std::nullopt;
+}
+
 void packet_agent::log(decision_kind kind, std::string text, plane_actions *out) const
 {
     out->emplace_back(log_decision{kind, std::move(text)});
--- a/src/libplane/packet_agent_test.cpp
+++ b/src/libplane/packet_agent_test.cpp
@@ -279,3 +279,16 @@
     EXPECT_TRUE(messagesOf<agent_hello>(actions).empty());
     EXPECT_EQ(messagesOf<agent_report>(actions).size(), 2U);
 }
+
+// Guards against an agent that keeps to the seeds of its start, which may all be gone by now.
+TEST_F(PacketAgent, AsksTheSeedsOfChangedSettings)
+{
+    core.advance(now, &actions);
+    core.changeSettings(
+        {.seeds = {kOtherBalancer}, .announcementPeriod = milliseconds(770), .flowLifetime = seconds(60)});
+    actions.clear();
+    core.advance(now, &actions);
+    const auto hellos = messagesOf<agent_hello>(actions);
+    ASSERT_EQ(hellos.size(), 1U);
+    EXPECT_EQ(hellos[0].first, kOtherBalancer);
+}
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -47,7 +47,15 @@
     , m_startedAt(now)
     , m_random(m_settings.randomSeed)
 {
+    changeSettings(m_settings);
+}
+
+void packet_balancer::changeSettings(const packet_balancer_settings &changed)
+{
+    m_settings.seeds = changed.seeds;
     std::erase(m_settings.seeds, m_settings.self);
+    m_settings.flowLifetime = changed.flowLifetime;
+    m_helloRound = 0; // The next round of hellos goes to all seeds.
 }
 
 void packet_balancer::log(decision_kind kind, std::string text, plane_actions *out) const
--- a/src/libplane/packet_balancer_test.cpp
+++ b/src/libplane/packet_balancer_test.cpp
@@ -408,3 +408,19 @@
     core.applyRoutes(makeRoutes(9), now, &actions);
     EXPECT_FALSE(core.newerRoutes());
 }
+
+// Guards against a balancer that keeps to the seeds of its start, which may all be gone by now.
+TEST(PacketBalancerSettings, GreetsTheSeedsOfChangedSettings)
+{
+    time_point now{};
+    plane_actions actions;
+    packet_balancer core({.self = kBalancer, .domain = "nbi-west", .flowLifetime = seconds(60)}, decodeTestHeader, now);
+    core.advance(now, &actions);
+    EXPECT_TRUE(messagesOf<balancer_hello>(actions).empty());
+    core.changeSettings({.seeds = {kBalancer, kOtherBalancer}, .flowLifetime = seconds(60)});
+    now += kHelloPeriod;
+    core.advance(now, &actions);
+    const auto hellos = messagesOf<balancer_hello>(actions);
+    ASSERT_EQ(hellos.size(), 1U);
+    EXPECT_EQ(hellos[0].first, kOtherBalancer);
+}
--- a/src/libplanenode/agent_node.cpp
+++ b/src/libplanenode/agent_node.cpp
@@ -42,14 +42,15 @@
 
 } // namespace
 
-agent_node::agent_node(const packet_agent_file &file)
-    : plane_node(file.node, "agent")
-    , m_file(file)
-    , m_core(coreSettings(file, m_incarnation), platform::decodePacketHeader, platform::readRequestHead, monotonicNow())
-    , m_http({.address = file.announcements, .furtherAddresses = {file.node.http}}, m_metrics,
+agent_node::agent_node(settings_watch settingsFile)
+    : plane_node(std::move(settingsFile), "agent")
+    , m_file(parsePacketAgentFile(m_settingsFile.values()))
+    , m_core(coreSettings(m_file, m_incarnation), platform::decodePacketHeader, platform::readRequestHead,
+             monotonicNow())
+    , m_http({.address = m_file.announcements, .furtherAddresses = {m_settings.http}}, m_metrics,
              [] { return std::vector<std::string>(); })
     , m_nodes(
-          file.node.platform, file.node.name, selfOf(file), false,
+          m_settings.platform, m_settings.name, selfOf(m_file), false,
           [this](const std::vector<listed_node> &nodes) {
               std::vector<host_address> balancers;
               std::uint32_t ownSlots = 0;
@@ -69,7 +70,7 @@
     , m_upstreamPackets(m_metrics.counter("citroncrank_agent_upstream_packets_total", "Packets sent by the upstream."))
     , m_latency(m_metrics.histogram("citroncrank_agent_request_seconds",
                                     "From the first packet of a request to the first packet of its answer.",
-                                    {{"service", file.service}}))
+                                    {{"service", m_file.service}}))
     , m_busy(m_metrics.gauge("citroncrank_agent_busy", "Requests at work at the upstream."))
     , m_flows(m_metrics.gauge("citroncrank_agent_flows", "Flows known to the agent."))
 {}
@@ -95,8 +96,7 @@
 
 void agent_node::run()
 {
-    m_loop.catchSignals([this] { m_loop.stop(); },
-                        [this] { log(decision_kind::lifecycle, "reload asked for, settings are read at the start"); });
+    watchSignalsAndSettings([this] { m_loop.stop(); });
     log(decision_kind::lifecycle,
         absl::StrCat("started, node=", m_settings.name, " incarnation=", m_incarnation, " service=", m_file.service,
                      " upstream=", toString(m_file.upstream), " plane=", toString(m_settings.plane)));
@@ -115,6 +115,12 @@
     m_http.stop();
 }
 
+void agent_node::applySettings(const settings_values &values)
+{
+    plane_node::applySettings(values);
+    m_core.changeSettings(coreSettings(parsePacketAgentFile(values), m_incarnation));
+}
+
 void agent_node::onMessage(const host_address &from, plane_message message)
 {
     m_core.message(from, std::move(message), monotonicNow(), &m_actions);
--- a/src/libplanenode/balancer_node.cpp
+++ b/src/libplanenode/balancer_node.cpp
@@ -39,13 +39,13 @@
 
 } // namespace
 
-balancer_node::balancer_node(const packet_balancer_file &file)
-    : plane_node(file.node, "balancer")
-    , m_packetsAddress(file.packets)
-    , m_core(coreSettings(file, m_incarnation), platform::decodePacketHeader, monotonicNow())
-    , m_http({.address = file.node.http}, m_metrics, [this] { return notReadyReasons(); })
+balancer_node::balancer_node(settings_watch settingsFile)
+    : plane_node(std::move(settingsFile), "balancer")
+    , m_file(parsePacketBalancerFile(m_settingsFile.values()))
+    , m_core(coreSettings(m_file, m_incarnation), platform::decodePacketHeader, monotonicNow())
+    , m_http({.address = m_settings.http}, m_metrics, [this] { return notReadyReasons(); })
     , m_config(
-          file.node.platform,
+          m_settings.platform,
           [this](std::shared_ptr<const route_set> routes, std::string text) {
               receiveRoutes(std::move(routes), std::move(text));
           },
@@ -54,7 +54,7 @@
                           std::string text) { receiveRoutes(std::move(routes), std::move(text)); },
                    [this] { return newerRoutes(); }, storeLog())
     , m_nodes(
-          file.node.platform, file.node.name, listed_node{file.node.plane, false, {}, file.node.domain}, true,
+          m_settings.platform, m_settings.name, listed_node{m_settings.plane, false, {}, m_settings.domain}, true,
           [this](std::vector<listed_node> nodes) {
               m_loop.post([this, nodes = std::move(nodes)] {
                   m_core.applyListing(nodes, monotonicNow(), &m_actions);
@@ -69,7 +69,7 @@
 
 bool balancer_node::listen(std::error_code *lastReason)
 {
-    if (!m_packets.open(m_packetsAddress, lastReason) || !openPlane(lastReason))
+    if (!m_packets.open(m_file.packets, lastReason) || !openPlane(lastReason))
         return false;
     m_loop.watch(m_packets.descriptor(), [this] {
         m_packets.receiveWaiting(
@@ -86,8 +86,7 @@
 
 void balancer_node::run()
 {
-    m_loop.catchSignals([this] { beginStop(); },
-                        [this] { log(decision_kind::lifecycle, "reload asked for, settings are read at the start"); });
+    watchSignalsAndSettings([this] { beginStop(); });
     log(decision_kind::lifecycle, absl::StrCat("started, node=", m_settings.name, " incarnation=", m_incarnation,
                                                " plane=", toString(m_settings.plane)));
     m_nodes.allowEntry(0);
@@ -105,6 +104,12 @@
     m_http.stop();
 }
 
+void balancer_node::applySettings(const settings_values &values)
+{
+    plane_node::applySettings(values);
+    m_core.changeSettings(coreSettings(parsePacketBalancerFile(values), m_incarnation));
+}
+
 void balancer_node::onMessage(const host_address &from, plane_message message)
 {
     m_core.message(from, std::move(message), monotonicNow(), &m_actions);
--- a/src/libplanenode/plane_node.cpp
+++ b/src/libplanenode/plane_node.cpp
@@ -5,6 +5,8 @@
 #include "packet_codec.h"
 
 #include <CLI/CLI.hpp>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <chrono>
 #include <cstdlib>
 #include <iostream>
@@ -18,6 +20,8 @@
 
 // Lines wait this long at most; each flush is a system call.
 constexpr duration kLogFlushPeriod = milliseconds(100);
+// A changed settings file is in force this long after the change at the latest.
+constexpr duration kSettingsCheckPeriod = std::chrono::seconds(2);
 
 std::vector<std::string> decisionNames()
 {
@@ -31,8 +35,9 @@
 
 } // namespace
 
-plane_node::plane_node(plane_settings settings, const std::string &component)
-    : m_settings(std::move(settings))
+plane_node::plane_node(settings_watch settingsFile, const std::string &component)
+    : m_settingsFile(std::move(settingsFile))
+    , m_settings(parsePlaneSettings(m_settingsFile.values()))
     , m_incarnation(wallMilliseconds())
     , m_log({.descriptor = 1, .component = component, .classNames = decisionNames()})
     , m_forwarded(m_metrics.counter("citroncrank_plane_datagrams_total", "Datagrams sent to other nodes."))
@@ -98,6 +103,37 @@
     return [this](const std::string &text) { m_log.write(std::size_t(decision_kind::lifecycle), text); };
 }
 
+void plane_node::watchSignalsAndSettings(std::function<void()> onStop)
+{
+    m_loop.catchSignals(std::move(onStop), [this] { noteReading(m_settingsFile.read(), "signal"); });
+    m_timers.push_back(m_loop.timers().subscribe(kSettingsCheckPeriod, [this](time_point) {
+        if (const auto reading = m_settingsFile.readIfChanged())
+            noteReading(*reading, "file_changed");
+    }));
+}
+
+void plane_node::noteReading(const settings_reading &reading, const char *cause)
+{
+    if (!reading.faults.empty()) {
+        log(decision_kind::lifecycle, absl::StrCat("settings not taken over, cause=", cause, " faults=",
+                                                   reading.faults.size(), " first=", toString(reading.faults.front())));
+        return;
+    }
+    log(decision_kind::lifecycle,
+        absl::StrCat("settings read again, cause=", cause, " applied=", absl::StrJoin(reading.changes.applied, ","),
+                     " at_next_start=", absl::StrJoin(reading.changes.atNextStart, ",")));
+    applySettings(m_settingsFile.values());
+}
+
+// Values that need a new start, such as addresses, stay as they are.
+void plane_node::applySettings(const settings_values &values)
+{
+    const plane_settings changed = parsePlaneSettings(values);
+    m_settings.seeds = changed.seeds;
+    m_settings.flowLifetime = changed.flowLifetime;
+    m_settings.stopTime = changed.stopTime;
+}
+
 void plane_node::flush()
 {
     m_plane.flush();
--- a/src/libplanenode/plane_settings.cpp
+++ b/src/libplanenode/plane_settings.cpp
@@ -38,37 +38,21 @@
         {.path = "seeds",
          .type = settings_type::address,
          .description = "Balancers that may be up. The port is ignored: each uses the port of listen.plane.",
-         .isList = true},
+         .isList = true,
+         .isReloadable = true},
         {.path = "flow-lifetime",
          .type = settings_type::duration,
          .description = "A flow older than this may be forgotten.",
-         .defaultValue = "60s"},
+         .defaultValue = "60s",
+         .isReloadable = true},
         {.path = "stop-time",
          .type = settings_type::duration,
          .description = "Time between SIGTERM and SIGKILL.",
-         .defaultValue = "6s"},
+         .defaultValue = "6s",
+         .isReloadable = true},
     };
 }
 
-plane_settings readCommon(const settings_values &values)
-{
-    plane_settings node{.name = values.getText("name"),
-                        .region = values.getText("region"),
-                        .domain = values.getText("domain"),
-                        .plane = values.getAddress("listen.plane"),
-                        .http = values.getAddress("listen.http"),
-                        .callerPort = values.getAddress("caller-address").port,
-                        .platform = values.getAddress("platform"),
-                        .seeds = {},
-                        .flowLifetime = values.getDuration("flow-lifetime"),
-                        .stopTime = values.getDuration("stop-time")};
-    if (values.has("seeds")) {
-        for (const host_address &seed : values.getAddresses("seeds"))
-            node.seeds.push_back({seed.ip, node.plane.port});
-    }
-    return node;
-}
-
 } // namespace
 
 settings_table packetBalancerTable()
@@ -104,29 +88,43 @@
     table.push_back({.path = "upstream.announcement-period",
                      .type = settings_type::duration,
                      .description = "Expected time between two announcements of the upstream.",
-                     .defaultValue = "1s"});
+                     .defaultValue = "1s",
+                     .isReloadable = true});
     return table;
 }
 
-std::optional<packet_balancer_file> readPacketBalancerFile(const std::string &path, std::vector<settings_fault> *faults)
+plane_settings parsePlaneSettings(const settings_values &values)
+{
+    plane_settings node{.name = values.getText("name"),
+                        .region = values.getText("region"),
+                        .domain = values.getText("domain"),
+                        .plane = values.getAddress("listen.plane"),
+                        .http = values.getAddress("listen.http"),
+                        .callerPort = values.getAddress("caller-address").port,
+                        .platform = values.getAddress("platform"),
+                        .seeds = {},
+                        .flowLifetime = values.getDuration("flow-lifetime"),
+                        .stopTime = values.getDuration("stop-time")};
+    if (values.has("seeds")) {
+        for (const host_address &seed : values.getAddresses("seeds"))
+            node.seeds.push_back({seed.ip, node.plane.port});
+    }
+    return node;
+}
+
+packet_balancer_file parsePacketBalancerFile(const settings_values &values)
 {
-    const auto values = readSettings(path, packetBalancerTable(), faults);
-    if (!values)
-        return std::nullopt;
-    return packet_balancer_file{readCommon(*values), values->getAddress("listen.packets")};
+    return {parsePlaneSettings(values), values.getAddress("listen.packets")};
 }
 
-std::optional<packet_agent_file> readPacketAgentFile(const std::string &path, std::vector<settings_fault> *faults)
+packet_agent_file parsePacketAgentFile(const settings_values &values)
 {
-    const auto values = readSettings(path, packetAgentTable(), faults);
-    if (!values)
-        return std::nullopt;
-    return packet_agent_file{.node = readCommon(*values),
-                             .upstreamPackets = values->getAddress("listen.upstream-packets"),
-                             .announcements = values->getAddress("listen.announcements"),
-                             .upstream = values->getAddress("upstream.address"),
-                             .service = values->getText("upstream.service"),
-                             .announcementPeriod = values->getDuration("upstream.announcement-period")};
+    return {.node = parsePlaneSettings(values),
+            .upstreamPackets = values.getAddress("listen.upstream-packets"),
+            .announcements = values.getAddress("listen.announcements"),
+            .upstream = values.getAddress("upstream.address"),
+            .service = values.getText("upstream.service"),
+            .announcementPeriod = values.getDuration("upstream.announcement-period")};
 }
 
 } // namespace citroncrank
--- a/src/libruntime/settings_test.cpp
+++ b/src/libruntime/settings_test.cpp
@@ -196,6 +196,10 @@
     EXPECT_NE(page.find("| `flows.limit` | integer (flows) | 1 to 5000 flows | `100` | Open flows. |\n"),
               std::string::npos);
     EXPECT_NE(page.find("| `flows.offer_timeout` | duration | at least 1ms | `1s` |"), std::string::npos);
+    EXPECT_EQ(page.find("Changes apply"), std::string::npos);
+    settings_table reloadable = testTable();
+    reloadable.front().isReloadable = true;
+    EXPECT_NE(describeSettings(reloadable).find("Changes apply to a running process. |"), std::string::npos);
     EXPECT_NE(page.find("| `tags` | list of texts | at most 2 items | empty |"), std::string::npos);
 }
 
--- a/src/libruntime/settings_text.cpp
+++ b/src/libruntime/settings_text.cpp
@@ -117,7 +117,8 @@
     std::string page = "| Key | Type | Allowed | Default | Description |\n| --- | --- | --- | --- | --- |\n";
     for (const auto &key : table)
         absl::StrAppend(&page, "| `", cell(key.path), "` | ", cell(typeText(key)), " | ", cell(allowedText(key)), " | ",
-                        cell(defaultText(key)), " | ", cell(key.description), " |\n");
+                        cell(defaultText(key)), " | ", cell(key.description),
+                        key.isReloadable ? " Changes apply to a running process." : "", " |\n");
     return page;
 }
 
--- a/testsuite/packet-lib.sh
+++ b/testsuite/packet-lib.sh
@@ -3,7 +3,7 @@
 packets_port=27172
 http_port=27167
 
-# packet_settings NAME IP: the settings that both programs have.
+# packet_settings NAME IP [SEEDS]: the settings that both programs have.
 packet_settings() {
     cat <<YAML
 name: $1
@@ -11,7 +11,7 @@
 domain: rvk-a
 caller-address: "127.0.77.1:$packets_port"
 platform: "$store"
-seeds: ["127.0.71.1:27166", "127.0.71.2:27166"]
+seeds: [${3:-127.0.71.1:27166, 127.0.71.2:27166}]
 listen:
   plane: "$2:27200"
   http: "$2:$http_port"
@@ -27,10 +27,10 @@
     start "balancer$1" "$bin/citroncrank-packet-balancer" --settings "$work/balancer$1.yaml"
 }
 
-start_packet_agent() { # N SERVICE
+start_packet_agent() { # N SERVICE [SEEDS]
     local ip=127.0.72.$1
     {
-        packet_settings "agent$1" "$ip"
+        packet_settings "agent$1" "$ip" "${3:-}"
         cat <<YAML
   upstream-packets: "$ip:27162"
   announcements: "$ip:27166"
