Membership: seeds that become known later are contacted at once

Traced: the start of its 13 nodes beside 24 busy processes, 19 runs: in 8 of them the balancers knew all members only after 9.9 to 18.1 s, in the others after 1.1 to 2.1 s. Nodes that start together read the roster before all are in it, find one neighbour and count as joined; a seed learned later was contacted by the upkeep alone, one at random each 10 s, so three groups need up to 30 s. Ruled out: load itself (the slow runs stand at multiples of the upkeep period); a lost write of the roster (all nodes were in it). Change: a seed that no live member has is contacted as soon as it is learned and each second for eight times, then each 10 s as before.

--- a/src/libmembership/membership.cpp
+++ b/src/libmembership/membership.cpp
@@ -48,7 +48,10 @@
         if (seeds.size() < kMaxSeeds && address != m_state->local.address
             && std::find(seeds.begin(), seeds.end(), address) == seeds.end())
             seeds.push_back(address);
-    if (seeds.size() > before && reachableCount() == 0)
+    if (seeds.size() == before)
+        return;
+    m_state->contactSeedsSoon();
+    if (reachableCount() == 0)
         m_state->joinSoon();
 }
 
--- a/src/libmembership/membership_group_test.cpp
+++ b/src/libmembership/membership_group_test.cpp
@@ -64,6 +64,23 @@
     EXPECT_LE(group.largestDatagram, kMaxGossipDatagramBytes);
 }
 
+// A started node counts as a change, which is in force everywhere within 11 s (docs/design.md, P8).
+constexpr duration kChangeKnownTime = seconds(11);
+
+// Guards against nodes that start while others are slow to start and then know a part of the members for tens of seconds
+// (scripts/quickstart.sh under load: "timed out after 30s: balancer1 to know all members").
+TEST(MembershipGroup, GroupsThatFormedApartAtTheStartMergeSoon)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        lossy_group group(13, seed);
+        group.conditions.cut = [](std::size_t from, std::size_t to) { return (from < 4) != (to < 4); };
+        group.run(seconds(3));
+        EXPECT_FALSE(group.agrees());
+        group.conditions.cut = [](std::size_t, std::size_t) { return false; };
+        EXPECT_TRUE(group.await([&] { return group.agrees(); }, kChangeKnownTime)) << "seed " << seed;
+    }
+}
+
 // Guards against a failure that stays unnoticed by some member. Bound: 25 s for 200 members.
 TEST(MembershipGroup, DeadMemberIsKnownEverywhereInTime)
 {
--- a/src/libmembership/membership_state_pvt.h
+++ b/src/libmembership/membership_state_pvt.h
@@ -29,6 +29,7 @@
     void receive(const gossip_message &message, const host_address &from, time_point now);
     /// Contacts a seed at the next tick. A node may start before it knows any seed.
     void joinSoon();
+    void contactSeedsSoon();
     /// Compares the roster with the table at the next tick.
     void checkRosterSoon() { m_upkeepAt = time_point(); }
     void tick(time_point now);
@@ -153,6 +154,8 @@
     time_point m_flushAt;
     time_point m_syncAt;
     time_point m_upkeepAt;
+    int m_seedContacts = 0; ///< Since the start or since a seed was added.
+    time_point m_seedContactAt;
     time_point m_unreachableProbeAt;
     time_point m_nextSuspicionAt = time_point::max();
     time_point m_nextNoticeAt;
--- a/src/libmembership/membership_test.cpp
+++ b/src/libmembership/membership_test.cpp
@@ -54,6 +54,26 @@
     return result;
 }
 
+// Guards against nodes that start together and know a part of the members for 10 s or more (scripts/quickstart.sh under load:
+// "timed out after 30s: balancer1 to know all members"): a seed that becomes known later is contacted at once, and again
+// each second while it is new.
+TEST(Membership, ContactsASeedThatBecomesKnownLater)
+{
+    constexpr host_address kSeedAddress{0x0A000003, 7000};
+    auto member = newMember();
+    member.onTick(kStart);
+    member.onMessage(from("peer", kPeerAddress, {record("peer", kPeerAddress)}), kPeerAddress, kStart);
+    member.takeActions();
+    member.addSeeds({kPeerAddress, kSeedAddress});
+    for (int second = 1; second <= 5; ++second) {
+        member.onTick(kStart + std::chrono::seconds(second));
+        const auto sent = actionsOf<send_gossip>(member);
+        EXPECT_TRUE(std::any_of(sent.begin(), sent.end(), [&](const send_gossip &action) {
+            return action.to == kSeedAddress && action.message.kind == gossip_kind::sync_digest;
+        })) << second;
+    }
+}
+
 // Guards against a rumour that takes a running process out of service.
 TEST(Membership, RefutesItsOwnDeathWithAHigherVersion)
 {
--- a/src/libmembership/probing.cpp
+++ b/src/libmembership/probing.cpp
@@ -142,6 +142,7 @@
     const auto later = [now](time_point &deadline) { deadline = std::max(deadline, now); };
     later(m_syncAt);
     later(m_upkeepAt);
+    later(m_seedContactAt);
     later(m_unreachableProbeAt);
     later(m_flushAt);
 }
--- a/src/libmembership/state.cpp
+++ b/src/libmembership/state.cpp
@@ -14,6 +14,9 @@
 constexpr duration kUpkeepPeriod = std::chrono::seconds(10);
 /// Wait for the first answer of a seed; doubled at each try, since a table of thousands of members takes a while.
 constexpr duration kJoinPeriod = std::chrono::seconds(1);
+/// Nodes that start together are up within this many contacts of seeds that no live member has; later ones are rarer.
+constexpr int kQuickSeedContacts = 8;
+constexpr duration kSeedContactPeriod = std::chrono::seconds(10);
 
 } // namespace
 
@@ -30,6 +33,7 @@
     , m_flushAt(now)
     , m_syncAt(now)
     , m_upkeepAt(now + kUpkeepPeriod)
+    , m_seedContactAt(now + kJoinPeriod)
     , m_unreachableProbeAt(now + settings.unreachableProbePeriod)
     , m_nextNoticeAt(now)
     , m_rosterAt(now)
@@ -69,6 +73,10 @@
         m_syncAt =
             now + (m_joined ? settings.syncPeriod / 2 + jitter : kJoinPeriod * (1 << std::min(m_syncAttempts, 5)));
     }
+    if (now >= m_seedContactAt) {
+        contactLostSeed();
+        m_seedContactAt = now + (++m_seedContacts < kQuickSeedContacts ? kJoinPeriod : kSeedContactPeriod);
+    }
     if (now >= m_upkeepAt) {
         upkeep(now);
         m_upkeepAt = now + kUpkeepPeriod;
@@ -84,9 +92,17 @@
     m_syncAt = time_point();
 }
 
+// Nodes that start at the same time read the roster before all of them are in it, and groups form apart.
+void membership::state::contactSeedsSoon()
+{
+    m_seedContacts = 0;
+    m_seedContactAt = time_point();
+}
+
 time_point membership::state::nextDeadline() const
 {
-    auto result = std::min({m_periodAt, m_nextSuspicionAt, m_syncAt, m_upkeepAt, m_unreachableProbeAt});
+    auto result =
+        std::min({m_periodAt, m_nextSuspicionAt, m_syncAt, m_upkeepAt, m_seedContactAt, m_unreachableProbeAt});
     if (m_probe && !m_probe->repeated)
         result = std::min(result, m_probe->startedAt + settings.probeTimeout);
     if (m_queue.hasUrgent())
--- a/src/libmembership/upkeep.cpp
+++ b/src/libmembership/upkeep.cpp
@@ -17,7 +17,6 @@
     removeExpired(now);
     if (local.state == member_state::left)
         return;
-    contactLostSeed();
     checkRoster(now);
 }
 
@@ -50,7 +49,7 @@
         if (entry == nullptr || entry->unreachable)
             lost.push_back(address);
     }
-    if (m_joined && !lost.empty())
+    if (m_joined && local.state != member_state::left && !lost.empty())
         sendDigest(lost[m_random() % lost.size()], {});
 }
 
