Agent: an upstream that fails requests gets new flows only as trials

Change: upstream_health judges by answers, resets and silence, weighed with age and number; a rejection counts only while slots are free. An agent of a failing upstream passes new flows on, says so in its reports, and takes one trial each 0.2 s; five answered ones bring the upstream back. Balancers put failing upstreams behind all others, so the last ones keep their flows. A copy of an opening packet is placed anew when its first agent is failing.

--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -21,6 +21,7 @@
 enum class agent_standing : std::uint8_t {
     ready,
     unconfirmed, ///< Its upstream has not announced itself to it yet.
+    failing,     ///< Its upstream fails requests.
     silent,      ///< Listed or reported once, but no report arrives.
     excluded,    ///< Its upstream is leaving, silent or gone, or it is about to restart.
 };
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -8,6 +8,7 @@
 #include "citroncrank/request_head.h"
 #include "citroncrank/request_queue.h"
 #include "citroncrank/time.h"
+#include "citroncrank/upstream_health.h"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
@@ -164,6 +165,7 @@
     void turnAway(forwarded_packet arrived, not_taken_reason reason, plane_actions *out);
     void passOn(forwarded_packet arrived, const char *reason, const flow_key &flow, plane_actions *out);
     std::optional<not_taken_reason> openingRefusal(const std::string &service) const;
+    const char *reasonToPassOn(time_point now) const;
     bool hasFreeSlot() const;
     bool isOverloaded(const request_limits &limits) const;
     bool mayBeOf(const agent_flow &flow, const packet_header &header) const;
@@ -178,6 +180,9 @@
     std::optional<flow_key> takeNextWaiting(time_point now, plane_actions *out);
     void dropRequest(const flow_key &key, agent_flow *flow, plane_actions *out);
     void dropExpired(time_point now, plane_actions *out);
+    void noteOutcome(upstream_outcome outcome, const flow_key &key, time_point now, plane_actions *out);
+    void noteReset(const flow_key &key, const agent_flow &flow, time_point now, plane_actions *out);
+    void findUnanswered(time_point now, plane_actions *out);
     std::uint32_t slots() const;
     std::size_t capacity() const;
     std::size_t inTimeLimit() const;
@@ -213,6 +218,9 @@
     absl::btree_map<host_address, time_point> m_balancers; ///< And when each was last heard of.
     std::vector<request_observation> m_observations;
     packet_agent_counts m_counts;
+    upstream_health m_health;
+    std::deque<std::pair<time_point, flow_key>> m_openingsSent; ///< Opening packets, by the time of delivery.
+    std::deque<std::pair<time_point, flow_key>> m_requestsSent; ///< Requests, by the time of delivery.
     request_queue m_queue;
     std::deque<flow_key> m_waitingProbes; ///< Requests on flows that the upstream may not hold, in order of arrival.
     std::size_t m_working = 0;
--- a/src/include/citroncrank/plane_message.h
+++ b/src/include/citroncrank/plane_message.h
@@ -118,6 +118,7 @@
     std::uint32_t meanBusyMilli = 0;      ///< Thousandths: `busy` averaged over about a second.
     std::uint32_t coldMilliseconds = 0;   ///< How much longer the upstream is slow after its start.
     std::uint32_t periodMilliseconds = 0; ///< Time to the next report.
+    bool isFailing = false;               ///< The upstream fails requests; other upstreams should get new flows.
     auto operator<=>(const agent_report &) const = default;
 };
 
--- a/src/libplane/agent_directory.cpp
+++ b/src/libplane/agent_directory.cpp
@@ -101,7 +101,9 @@
     case agent_state::stopping:
         return agent_standing::excluded;
     case agent_state::ready:
-        return isFresh(agent, now) ? agent_standing::ready : agent_standing::silent;
+        if (!isFresh(agent, now))
+            return agent_standing::silent;
+        return agent.report.isFailing ? agent_standing::failing : agent_standing::ready;
     case agent_state::unconfirmed:
         break;
     }
--- a/src/libplane/agent_directory_test.cpp
+++ b/src/libplane/agent_directory_test.cpp
@@ -57,6 +57,22 @@
     EXPECT_EQ(candidatesOf(agents, now).front(), kAgentA);
 }
 
+// Guards against flows that go to an upstream which fails requests while another is well, and against a service that is
+// refused because all look ill.
+TEST(AgentDirectory, FailingUpstreamsComeBehindTheOthers)
+{
+    agent_directory agents;
+    const time_point now{};
+    agent_report failing = makeReport(1);
+    failing.isFailing = true;
+    agents.reported(kAgentA, failing, now);
+    agents.reported(kAgentB, makeReport(1, agent_state::ready, 2), now);
+    EXPECT_EQ(candidatesOf(agents, now), std::vector{kAgentB});
+    failing.number = 2;
+    agents.reported(kAgentB, failing, now);
+    EXPECT_EQ(candidatesOf(agents, now).size(), 2U);
+}
+
 // Guards against silent or unconfirmed agents that get flows while others are ready, and against a service that is refused
 // though agents are listed.
 TEST(AgentDirectory, TakesTheBestStandingThereIs)
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -137,6 +137,17 @@
     return std::nullopt;
 }
 
+// Why another upstream should get a new flow if there is one. Null without a reason.
+const char *packet_agent::reasonToPassOn(time_point now) const
+{
+    // Before its upstream's first announcement an agent cannot know that the upstream is not leaving.
+    if (m_state == agent_state::unconfirmed)
+        return "unconfirmed";
+    if (m_health.isFailing() && !m_health.isTrialDue(now))
+        return "failing";
+    return hasFreeSlot() ? nullptr : "no_free_slot";
+}
+
 void packet_agent::turnAway(forwarded_packet arrived, not_taken_reason reason, plane_actions *out)
 {
     ++m_counts.turnedAway;
@@ -179,11 +190,10 @@
             turnAway(std::move(arrived), *refusal, out);
         return;
     }
-    // Before its upstream's first announcement an agent cannot know that the upstream is not leaving.
-    const bool isUnconfirmed = m_state == agent_state::unconfirmed;
-    if ((isUnconfirmed || !hasFreeSlot()) && !arrived.alternates.empty()) {
+    const char *const reason = reasonToPassOn(now);
+    if (reason != nullptr && !arrived.alternates.empty()) {
         arrived.packetBytes = std::move(content.bytes);
-        passOn(std::move(arrived), isUnconfirmed ? "unconfirmed" : "no_free_slot", key, out);
+        passOn(std::move(arrived), reason, key, out);
         return;
     }
     if (m_flows.size() >= kMaxFlows || isOverloaded(arrived.limits)) {
@@ -201,6 +211,9 @@
     flow.service = std::move(arrived.service);
     flow.limits = arrived.limits;
     expectRequest(key, &flow, now);
+    m_openingsSent.emplace_back(now, key);
+    if (m_health.isFailing())
+        m_health.noteTrial(now);
     log(decision_kind::placement,
         absl::StrCat("took flow, flow=", toString(key), " busy=", busy(), " flows=", m_flows.size(),
                      " state=", toString(m_state), " announcement=", m_upstream ? m_upstream->number : 0),
@@ -330,6 +343,8 @@
             return;
         }
         flow.lastSeen = now;
+        if (arrived.header.reset)
+            noteReset(key, flow, now, out);
         // An opening answer shows only that the upstream would take the flow; the caller may have opened it elsewhere.
         if (flow.phase == flow_phase::probing && flow.origin != host_address{} && !arrived.header.open)
             out->emplace_back(send_to_node{flow.origin, owner_notice{key}});
@@ -390,6 +405,7 @@
 void packet_agent::advance(time_point now, plane_actions *out)
 {
     dropExpired(now, out);
+    findUnanswered(now, out);
     dispatch(now, out);
     while (!m_expectations.empty() && m_expectations.front().first <= now) {
         const auto found = m_flows.find(m_expectations.front().second);
--- /dev/null
+++ b/src/libplane/packet_agent_health.cpp
@@ -0,0 +1,78 @@
+#include "citroncrank/packet_agent.h"
+
+#include "packet_agent_pvt.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace citroncrank {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// An upstream answers an opening packet at once; by then its first copy is unanswered as well.
+constexpr duration kOpeningAnswerTime = milliseconds(300);
+// Requests of known deployments take a quarter of a second at most.
+constexpr duration kShortestAnswerTime = milliseconds(1000);
+// Times the mean: for deployments with longer requests.
+constexpr double kAnswerTimeFactor = 8;
+
+constexpr std::uint32_t kStatusTooManyRequests = 429;
+constexpr std::uint32_t kStatusMisdirected = 421;
+constexpr std::uint32_t kStatusUnavailable = 503;
+constexpr std::uint32_t kFirstErrorStatus = 500;
+
+} // namespace
+
+upstream_outcome outcomeOf(std::uint32_t status)
+{
+    if (status == kStatusUnavailable || status == kStatusTooManyRequests || status == kStatusMisdirected)
+        return upstream_outcome::rejected;
+    return status >= kFirstErrorStatus ? upstream_outcome::failed : upstream_outcome::answered;
+}
+
+void packet_agent::noteOutcome(upstream_outcome outcome, const flow_key &key, time_point now, plane_actions *out)
+{
+    const bool wasFailing = m_health.isFailing();
+    m_health.note(outcome, m_working < slots(), now);
+    if (m_health.isFailing() == wasFailing)
+        return;
+    log(decision_kind::belief,
+        absl::StrCat(wasFailing ? "upstream is well again" : "upstream is failing", ", outcome=", toString(outcome),
+                     " flow=", toString(key), " failures=", int(m_health.failures()),
+                     " outcomes=", int(m_health.outcomes()), " working=", m_working),
+        out);
+    sendReports(now, out);
+}
+
+// A reset ends a request at work, or is the answer to an opening packet. Any other one ends an idle flow.
+void packet_agent::noteReset(const flow_key &key, const agent_flow &flow, time_point now, plane_actions *out)
+{
+    if (flow.phase == flow_phase::opening || (flow.phase == flow_phase::open && flow.request == request_phase::working))
+        noteOutcome(upstream_outcome::failed, key, now, out);
+}
+
+void packet_agent::findUnanswered(time_point now, plane_actions *out)
+{
+    const bool isServing = m_state == agent_state::ready;
+    while (!m_openingsSent.empty() && now - m_openingsSent.front().first >= kOpeningAnswerTime) {
+        const auto found = m_flows.find(m_openingsSent.front().second);
+        if (isServing && found != m_flows.end() && found->second.phase == flow_phase::opening
+            && !found->second.callerFinished)
+            noteOutcome(upstream_outcome::unanswered, found->first, now, out);
+        m_openingsSent.pop_front();
+    }
+    const duration answerTime =
+        std::max(kShortestAnswerTime, duration(std::int64_t(kAnswerTimeFactor * m_meanWorkMs * 1000)));
+    while (!m_requestsSent.empty() && now - m_requestsSent.front().first >= answerTime) {
+        const auto [since, key] = m_requestsSent.front();
+        const auto found = m_flows.find(key);
+        if (isServing && found != m_flows.end() && found->second.phase == flow_phase::open
+            && found->second.request == request_phase::working && found->second.workSince == since)
+            noteOutcome(upstream_outcome::unanswered, key, now, out);
+        m_requestsSent.pop_front();
+    }
+}
+
+} // namespace citroncrank
--- a/src/libplane/packet_agent_pvt.h
+++ b/src/libplane/packet_agent_pvt.h
@@ -5,6 +5,7 @@
 
 #include "citroncrank/packet.h"
 #include "citroncrank/time.h"
+#include "citroncrank/upstream_health.h"
 
 #include <chrono>
 #include <cstdint>
@@ -33,6 +34,9 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
 
+/// What the status of an answer says of the upstream.
+upstream_outcome outcomeOf(std::uint32_t status);
+
 /// Until the upstream's first announcement its slots are unknown; no known deployment has fewer.
 constexpr std::uint32_t kAssumedSlots = 2;
 
--- a/src/libplane/packet_agent_requests.cpp
+++ b/src/libplane/packet_agent_requests.cpp
@@ -170,6 +170,7 @@
     // The caller has acknowledged all earlier answers.
     flow->answerFrom = flow->knowsUpstreamEnd ? flow->upstreamEnd : flow->callerAcknowledged;
     flow->workSince = now;
+    m_requestsSent.emplace_back(now, key);
     ++m_working;
     logRequest(key, *flow, "request passed", out);
 }
@@ -280,6 +281,7 @@
     if (status == 0)
         return;
     flow->awaitsHead = false;
+    noteOutcome(outcomeOf(status), key, now, out);
     const request_observation observed{now - flow->requestSince, status};
     m_observations.push_back(observed);
     log(decision_kind::request,
--- a/src/libplane/packet_agent_upstream.cpp
+++ b/src/libplane/packet_agent_upstream.cpp
@@ -37,6 +37,7 @@
                          " before=", m_upstream->startedAtMs, " flows=", m_flows.size(), " working=", m_working),
             out);
         forgetWork(now);
+        m_health.reset();
         m_sawUpstreamStart = true;
     }
     // An upstream announces itself as soon as it starts, so an agent that gets its first announcement has run since then.
@@ -131,7 +132,8 @@
             .flows = std::uint32_t(m_flows.size()),
             .meanBusyMilli = std::uint32_t(m_meanBusy * 1000),
             .coldMilliseconds = std::uint32_t(wholeMilliseconds(cold)),
-            .periodMilliseconds = std::uint32_t(wholeMilliseconds(reportPeriod()))};
+            .periodMilliseconds = std::uint32_t(wholeMilliseconds(reportPeriod())),
+            .isFailing = m_health.isFailing() && !m_health.isTrialDue(now)};
 }
 
 void packet_agent::sendReports(time_point now, plane_actions *out)
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -128,8 +128,8 @@
     }
 }
 
-// The copy of an opening packet goes where the first one went while that agent lives, so that the flow opens at one
-// upstream only.
+// The copy of an opening packet goes where the first one went while that agent lives and its upstream answers, so that the
+// flow opens at one upstream only.
 packet_balancer::placement packet_balancer::place(const flow_key &key, const packet_route &route, time_point now) const
 {
     const std::string &service = chooseService(route, key);
@@ -138,7 +138,7 @@
         return {service, m_agents.candidates(service, m_settings.domain, {}, kAlternates + 1, now)};
     const balancer_flow &flow = known->second;
     const agent_record *const agent = m_agents.find(flow.owner);
-    if (agent != nullptr && m_agents.standing(*agent, now) < agent_standing::silent)
+    if (agent != nullptr && m_agents.standing(*agent, now) < agent_standing::failing)
         return {flow.service, {flow.owner}};
     if (agent != nullptr && agent->report.state == agent_state::draining && m_agents.isFresh(*agent, now))
         return {flow.service, {flow.owner}};
--- a/src/libplane/plane_message.cpp
+++ b/src/libplane/plane_message.cpp
@@ -88,7 +88,7 @@
     const auto domain = out->CreateString(report.domain);
     return wire::CreateReport(*out, service, domain, report.incarnation, report.number, std::uint8_t(report.state),
                               report.slots, report.busy, report.flows, report.meanBusyMilli, report.coldMilliseconds,
-                              report.periodMilliseconds);
+                              report.periodMilliseconds, report.isFailing);
 }
 
 flatbuffers::Offset<void> encodeBody(builder *out, const agent_report &message)
@@ -198,7 +198,8 @@
                         .flows = source->flows(),
                         .meanBusyMilli = source->mean_busy_milli(),
                         .coldMilliseconds = source->cold_ms(),
-                        .periodMilliseconds = source->period_ms()};
+                        .periodMilliseconds = source->period_ms(),
+                        .isFailing = source->failing()};
 }
 
 std::optional<plane_message> decodeBody(const wire::Report &source)
--- /dev/null
+++ b/src/libplane/upstream_health.cpp
@@ -0,0 +1,76 @@
+#include "citroncrank/upstream_health.h"
+
+#include <chrono>
+#include <cmath>
+
+namespace citroncrank {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Time constant with which outcomes lose weight; longer than a burst of errors, shorter than a typical fault.
+constexpr double kMemorySeconds = 2.0;
+// With fewer recent failures a single caller's bad request could take an upstream out.
+constexpr double kLeastFailures = 2.5;
+// A deployment's retries cover a share of failures below this one.
+constexpr double kFailingShare = 0.2;
+// An upstream that fails half of its requests passes this many trials once in 32 times.
+constexpr std::uint32_t kTrialsToReturn = 5;
+constexpr duration kTrialPeriod = milliseconds(200);
+
+} // namespace
+
+const char *toString(upstream_outcome outcome)
+{
+    switch (outcome) {
+    case upstream_outcome::answered:
+        return "answered";
+    case upstream_outcome::rejected:
+        return "rejected";
+    case upstream_outcome::failed:
+        return "failed";
+    case upstream_outcome::unanswered:
+        return "unanswered";
+    }
+    return "unknown";
+}
+
+void upstream_health::age(time_point now)
+{
+    if (m_agedAt) {
+        const double kept = std::exp(-std::chrono::duration<double>(now - *m_agedAt).count() / kMemorySeconds);
+        m_failures *= kept;
+        m_outcomes *= kept;
+    }
+    m_agedAt = now;
+}
+
+void upstream_health::note(upstream_outcome outcome, bool hasRoom, time_point now)
+{
+    if (outcome == upstream_outcome::rejected && !hasRoom)
+        return; // It is full, which is no illness.
+    age(now);
+    m_outcomes += 1;
+    if (outcome != upstream_outcome::answered) {
+        m_failures += 1;
+        m_answeredInRow = 0;
+        m_isFailing = m_isFailing || (m_failures >= kLeastFailures && m_failures >= kFailingShare * m_outcomes);
+        return;
+    }
+    ++m_answeredInRow;
+    if (m_isFailing && m_answeredInRow >= kTrialsToReturn)
+        reset();
+}
+
+void upstream_health::reset()
+{
+    *this = upstream_health{};
+}
+
+bool upstream_health::isTrialDue(time_point now) const
+{
+    return m_isFailing && (!m_lastTrial || now - *m_lastTrial >= kTrialPeriod);
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libplane/upstream_health_test.cpp
@@ -0,0 +1,90 @@
+#include "citroncrank/upstream_health.h"
+
+#include <chrono>
+#include <gtest/gtest.h>
+
+using namespace citroncrank;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Outcomes that arrive every 20 ms, as from an upstream with two slots.
+class UpstreamHealth : public ::testing::Test
+{
+public:
+    void note(upstream_outcome outcome, int count, bool hasRoom = true)
+    {
+        for (int i = 0; i < count; ++i) {
+            now += milliseconds(20);
+            health.note(outcome, hasRoom, now);
+        }
+    }
+
+    upstream_health health;
+    time_point now{};
+};
+
+} // namespace
+
+// Guards against an upstream that fails part of its requests, while its announcements are good, and keeps its share of the
+// flows (srv_grey with errors, x = 0.4).
+TEST_F(UpstreamHealth, ShareOfFailedRequestsMakesItFailing)
+{
+    for (int i = 0; i < 8 && !health.isFailing(); ++i) {
+        note(upstream_outcome::answered, 3);
+        note(upstream_outcome::failed, 2);
+    }
+    EXPECT_TRUE(health.isFailing());
+    EXPECT_LE(now - time_point{}, seconds(1));
+}
+
+// Guards against an upstream that is taken out because of one caller's bad requests.
+TEST_F(UpstreamHealth, FewFailuresAreTolerated)
+{
+    note(upstream_outcome::failed, 2);
+    EXPECT_FALSE(health.isFailing());
+    for (int i = 0; i < 50; ++i) {
+        note(upstream_outcome::answered, 9);
+        note(upstream_outcome::failed, 1);
+    }
+    EXPECT_FALSE(health.isFailing());
+}
+
+// Guards against a flood that makes full upstreams look ill, and against one that rejects work though it has room.
+TEST_F(UpstreamHealth, RejectionsCountOnlyWhileThereIsRoom)
+{
+    note(upstream_outcome::rejected, 50, false);
+    EXPECT_FALSE(health.isFailing());
+    note(upstream_outcome::rejected, 4, true);
+    EXPECT_TRUE(health.isFailing());
+}
+
+// Guards against an upstream that stays out after it has recovered, and against one that is back after one good answer.
+TEST_F(UpstreamHealth, TrialsBringItBack)
+{
+    note(upstream_outcome::unanswered, 4);
+    ASSERT_TRUE(health.isFailing());
+    for (int trial = 0; trial < 5; ++trial) {
+        EXPECT_TRUE(health.isFailing()) << trial;
+        now += milliseconds(200);
+        ASSERT_TRUE(health.isTrialDue(now));
+        health.noteTrial(now);
+        EXPECT_FALSE(health.isTrialDue(now));
+        note(upstream_outcome::answered, 1);
+    }
+    EXPECT_FALSE(health.isFailing());
+    EXPECT_FALSE(health.isTrialDue(now));
+    note(upstream_outcome::failed, 1);
+    EXPECT_FALSE(health.isFailing()) << "failures of before the recovery no longer count";
+}
+
+// Guards against failures of long ago that add up.
+TEST_F(UpstreamHealth, OldFailuresLoseWeight)
+{
+    for (int i = 0; i < 10; ++i) {
+        note(upstream_outcome::failed, 2);
+        now += seconds(6);
+    }
+    EXPECT_FALSE(health.isFailing());
+}
