--- a/src/include/citroncrank/plane_message.h
+++ b/src/include/citroncrank/plane_message.h
@@ -122,6 +122,19 @@
     auto operator<=>(const agent_report &) const = default;
 };
 
+/// Questions of one service for one agent. Many flows lose their balancer at the same time.
+struct owner_question_list
+{
+    std::vector<owner_question> questions; ///< At most kMaxOwnersPerMessage, all of the same service.
+    auto operator<=>(const owner_question_list &) const = default;
+};
+
+struct owner_denial_list
+{
+    std::vector<owner_denial> denials; ///< At most kMaxOwnersPerMessage.
+    auto operator<=>(const owner_denial_list &) const = default;
+};
+
 /// Owner of one flow.
 struct flow_owner_entry
 {
@@ -157,8 +170,9 @@
     auto operator<=>(const agent_hello &) const = default;
 };
 
-using plane_message = std::variant<forwarded_packet, owner_notice, not_taken_notice, agent_report, balancer_hello,
-                                   agent_hello, flow_owner_list, owner_question, owner_denial>;
+using plane_message =
+    std::variant<forwarded_packet, owner_notice, not_taken_notice, agent_report, balancer_hello, agent_hello,
+                 flow_owner_list, owner_question, owner_denial, owner_question_list, owner_denial_list>;
 
 /// Encodes a message as one datagram.
 std::string encodePlaneMessage(const plane_message &message);
--- a/src/include/citroncrank/plane_node.h
+++ b/src/include/citroncrank/plane_node.h
@@ -7,6 +7,7 @@
 #include "citroncrank/event_log.h"
 #include "citroncrank/http_endpoint.h"
 #include "citroncrank/metrics.h"
+#include "citroncrank/owner_message_bundle.h"
 #include "citroncrank/plane_action.h"
 #include "citroncrank/plane_loop.h"
 #include "citroncrank/plane_settings.h"
@@ -61,12 +62,14 @@
     std::vector<timer_subscription> m_timers;
 
 private:
+    void sendToNode(const host_address &to, const plane_message &message);
     void noteReading(const settings_reading &reading, const char *cause);
 
     metric_counter &m_forwarded;
     metric_counter &m_toCallers;
     metric_counter &m_resets;
     metric_counter &m_malformed;
+    owner_message_bundle m_ownerMessages;
     std::optional<time_point> m_nextLogFlush;
 };
 
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -85,6 +85,11 @@
         answerQuestion(from, *question, now, out);
         return;
     }
+    if (const auto *const list = std::get_if<owner_question_list>(&arrived)) {
+        for (const owner_question &question : list->questions)
+            answerQuestion(from, question, now, out);
+        return;
+    }
     const auto *const hello = std::get_if<balancer_hello>(&arrived);
     if (hello == nullptr) {
         log(decision_kind::refusal, absl::StrCat("dropped unexpected message, from=", toString(from)), out);
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -238,7 +238,14 @@
             out->emplace_back(send_to_node{from, self->hello()});
         }
         void operator()(const owner_denial &denial) const { self->denied(from, denial, now, out); }
-        void operator()(const owner_question &) const
+        void operator()(const owner_denial_list &list) const
+        {
+            for (const owner_denial &denial : list.denials)
+                self->denied(from, denial, now, out);
+        }
+        void operator()(const owner_question &) const { dropQuestion(); }
+        void operator()(const owner_question_list &) const { dropQuestion(); }
+        void dropQuestion() const
         {
             self->log(decision_kind::refusal, absl::StrCat("dropped question, from=", toString(from)), out);
         }
--- a/src/libplane/plane_message.cpp
+++ b/src/libplane/plane_message.cpp
@@ -133,6 +133,28 @@
     return wire::CreateDenial(*out, &flow, message.isUnsure).Union();
 }
 
+flatbuffers::Offset<void> encodeBody(builder *out, const owner_question_list &message)
+{
+    const auto service = out->CreateString(message.questions.empty() ? "" : message.questions.front().service);
+    const auto entries = out->CreateVectorOfStructs<wire::AskedFlow>(
+        message.questions.size(), [&](std::size_t index, wire::AskedFlow *target) {
+            const owner_question &question = message.questions[index];
+            *target = {wire::Flow(toWire(question.flow.caller), toWire(question.flow.service)), question.acknowledged,
+                       question.hasAcknowledged};
+        });
+    return wire::CreateQuestionList(*out, service, entries).Union();
+}
+
+flatbuffers::Offset<void> encodeBody(builder *out, const owner_denial_list &message)
+{
+    const auto entries = out->CreateVectorOfStructs<wire::DeniedFlow>(
+        message.denials.size(), [&](std::size_t index, wire::DeniedFlow *target) {
+            const owner_denial &denial = message.denials[index];
+            *target = {wire::Flow(toWire(denial.flow.caller), toWire(denial.flow.service)), denial.isUnsure};
+        });
+    return wire::CreateDenialList(*out, entries).Union();
+}
+
 template<typename message_type>
 constexpr wire::Body bodyType()
 {
@@ -152,6 +174,10 @@
         return wire::Body::Question;
     else if constexpr (std::is_same_v<message_type, owner_denial>)
         return wire::Body::Denial;
+    else if constexpr (std::is_same_v<message_type, owner_question_list>)
+        return wire::Body::QuestionList;
+    else if constexpr (std::is_same_v<message_type, owner_denial_list>)
+        return wire::Body::DenialList;
     else
         return wire::Body::AgentHello;
 }
@@ -251,6 +277,30 @@
     return owner_denial{{fromWire(&source.flow()->caller()), fromWire(&source.flow()->service())}, source.unsure()};
 }
 
+std::optional<plane_message> decodeBody(const wire::QuestionList &source)
+{
+    if (source.entries() == nullptr || source.entries()->size() > kMaxOwnersPerMessage)
+        return std::nullopt;
+    owner_question_list result;
+    for (const wire::AskedFlow *entry : *source.entries())
+        result.questions.push_back({{fromWire(&entry->flow().caller()), fromWire(&entry->flow().service())},
+                                    fromWire(source.service()),
+                                    entry->has_acknowledged(),
+                                    entry->acknowledged()});
+    return result;
+}
+
+std::optional<plane_message> decodeBody(const wire::DenialList &source)
+{
+    if (source.entries() == nullptr || source.entries()->size() > kMaxOwnersPerMessage)
+        return std::nullopt;
+    owner_denial_list result;
+    for (const wire::DeniedFlow *entry : *source.entries())
+        result.denials.push_back(
+            {{fromWire(&entry->flow().caller()), fromWire(&entry->flow().service())}, entry->unsure()});
+    return result;
+}
+
 } // namespace
 
 const char *toString(not_taken_reason reason)
@@ -337,6 +387,10 @@
         return decodeBody(*message->body_as_Question());
     case wire::Body::Denial:
         return decodeBody(*message->body_as_Denial());
+    case wire::Body::QuestionList:
+        return decodeBody(*message->body_as_QuestionList());
+    case wire::Body::DenialList:
+        return decodeBody(*message->body_as_DenialList());
     case wire::Body::NONE:
         break;
     }
--- a/src/libplane/plane_message_test.cpp
+++ b/src/libplane/plane_message_test.cpp
@@ -15,6 +15,14 @@
     flow_owner_list owners;
     for (std::uint16_t port = 0; port < kMaxOwnersPerMessage; ++port)
         owners.entries.push_back({{{1, port}, kServiceAddress}, kAgentA});
+    owner_question_list questions;
+    owner_denial_list denials;
+    for (std::uint16_t port = 0; port < kMaxOwnersPerMessage; ++port) {
+        questions.questions.push_back({{{1, port}, kServiceAddress}, kService, port % 2 == 0, port});
+        denials.denials.push_back({{{1, port}, kServiceAddress}, port % 2 == 0});
+    }
+    agent_report failing = makeReport(4);
+    failing.isFailing = true;
     return {forwarded_packet{.purpose = forward_purpose::ask,
                              .service = kService,
                              .origin = kBalancer,
@@ -29,7 +37,10 @@
             agent_hello{makeReport(3)},
             owner_question{kFlow, kService, true, 77},
             owner_denial{kFlow, true},
-            owners};
+            owners,
+            failing,
+            questions,
+            denials};
 }
 
 } // namespace
--- a/src/libplanenode/plane_node.cpp
+++ b/src/libplanenode/plane_node.cpp
@@ -71,8 +71,8 @@
 
         void operator()(const send_to_node &action) const
         {
-            self->m_forwarded.increment();
-            self->m_plane.queue(action.to, encodePlaneMessage(action.message));
+            if (!self->m_ownerMessages.add(action.to, action.message))
+                self->sendToNode(action.to, action.message);
         }
         void operator()(deliver_to_upstream &action) const { self->onDeliver(std::move(action.packetBytes)); }
         void operator()(send_to_caller &action) const
@@ -93,6 +93,12 @@
     actions->clear();
 }
 
+void plane_node::sendToNode(const host_address &to, const plane_message &message)
+{
+    m_forwarded.increment();
+    m_plane.queue(to, encodePlaneMessage(message));
+}
+
 void plane_node::log(decision_kind kind, const std::string &text)
 {
     m_log.write(std::size_t(kind), text);
@@ -136,6 +142,7 @@
 
 void plane_node::flush()
 {
+    m_ownerMessages.flush([this](const host_address &to, const plane_message &message) { sendToNode(to, message); });
     m_plane.flush();
     const time_point now = monotonicNow();
     if (m_nextLogFlush && now < *m_nextLogFlush)
