platform: the stand-ins' words of the platform lie in platform/standin

Cause: names, paths and layouts of the platform stood in libstandin, in the stand-in of an upstream and in two test scripts, outside platform/. No change of behaviour; the cases of the stand-ins, the template and the schedules pass.

--- a/src/include/citroncrank/standin_platform.h
+++ b/src/include/citroncrank/standin_platform.h
@@ -19,7 +19,7 @@
     std::chrono::milliseconds delayWatches{0}; ///< Answers to watches are held back for this time.
 };
 
-/// Serves docs/platform-api.md, and the calls of the users' metadata store below /-/objects/ over the same objects. Single
+/// Serves docs/platform-api.md, and the calls of the users' store over the same objects. Single
 /// threaded: everything runs in the io_context.
 class standin_platform
 {
--- a/src/libplanenode/plane_node.cpp
+++ b/src/libplanenode/plane_node.cpp
@@ -1,7 +1,7 @@
 #include "citroncrank/plane_node.h"
 
 #include "citroncrank/version.h"
-#include "documents.h"
+#include "names.h"
 #include "packet_codec.h"
 
 #include <CLI/CLI.hpp>
--- a/src/libstandin/platform.cpp
+++ b/src/libstandin/platform.cpp
@@ -1,5 +1,6 @@
 #include "citroncrank/standin_platform.h"
 
+#include "names.h"
 #include "platform_pvt.h"
 
 #include <absl/strings/str_cat.h>
@@ -85,7 +86,7 @@
     const std::string &path = exchange->request().path;
     if (path.starts_with("/admin/")) {
         handleAdmin(exchange);
-    } else if (path.starts_with(kStorePath)) {
+    } else if (path.starts_with(platform::kObjectsPath)) {
         after(m_switches.slow, [this, exchange] { runStoreCall(exchange); });
     } else if (path.starts_with(kObjectsPath) || path == "/v1/list" || path == "/v1/watch") {
         after(m_switches.slow, [this, exchange] { run(exchange); });
--- a/src/libstandin/platform_pvt.h
+++ b/src/libstandin/platform_pvt.h
@@ -11,9 +11,6 @@
 
 namespace citroncrank {
 
-/// Path of the calls of the users' metadata store.
-inline const std::string kStorePath = "/-/objects/";
-
 struct standin_platform::waiting_watch
 {
     std::shared_ptr<standin_exchange> exchange;
--- a/src/standin-packet-upstream/main.cpp
+++ b/src/standin-packet-upstream/main.cpp
@@ -1,16 +1,12 @@
 #include "citroncrank/datagram_socket.h"
-#include "citroncrank/http_connection.h"
 #include "citroncrank/plane_loop.h"
 #include "citroncrank/standin_http_server.h"
 #include "citroncrank/standin_packet.h"
 
-#include "documents.h"
 #include "packet_codec.h"
+#include "standin/upstream_announcer.h"
 
 #include <CLI/CLI.hpp>
-#include <absl/strings/str_cat.h>
-#include <atomic>
-#include <boost/json.hpp>
 #include <chrono>
 #include <iostream>
 #include <thread>
@@ -21,11 +17,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kAnnouncementPeriod{300};
-constexpr milliseconds kAnnouncementDeadline{1000};
-// Goes on serving after its last announcement, so that packets on their way are answered.
-constexpr milliseconds kDrainTime{600};
-
 struct options
 {
     std::string address;
@@ -38,56 +29,6 @@
     std::uint32_t workMs = 5;
 };
 
-/// Announces the upstream until it has drained.
-class announcer
-{
-public:
-    announcer(const options &settings, const host_address &agent)
-        : m_settings(settings)
-        , m_connection({agent, kAnnouncementDeadline})
-        , m_startedAtMs(std::chrono::duration_cast<milliseconds>(wallNow().time_since_epoch()).count())
-    {}
-
-    void run()
-    {
-        while (!m_isDraining) {
-            announce("ready");
-            std::this_thread::sleep_for(kAnnouncementPeriod);
-        }
-        announce("draining");
-        std::this_thread::sleep_for(kDrainTime);
-        post(absl::StrCat(platform::kLeavePath, "/", m_settings.id), "{}");
-    }
-
-    void drain() { m_isDraining = true; }
-
-private:
-    void announce(const std::string &state)
-    {
-        const boost::json::object body{{"service", m_settings.service}, {"address", m_settings.address},
-                                       {"zone", m_settings.domain},     {"version", "v1"},
-                                       {"slots", m_settings.slots},     {"state", state},
-                                       {"cold-remaining-ms", 0},        {"seq-no", ++m_number},
-                                       {"born", m_startedAtMs}};
-        post(absl::StrCat(platform::kAnnouncementPath, "/", m_settings.id), boost::json::serialize(body));
-    }
-
-    void post(const std::string &path, const std::string &body)
-    {
-        http_call_failure failure = http_call_failure::not_sent;
-        const auto answer = m_connection.call({"POST", path, body, {}, false}, &failure);
-        constexpr unsigned kStatusOk = 200;
-        if (!answer || answer->status != kStatusOk)
-            std::cerr << "standin-packet-upstream: not confirmed, path=" << path << "\n";
-    }
-
-    options m_settings;
-    http_connection m_connection;
-    std::int64_t m_startedAtMs;
-    std::uint64_t m_number = 0;
-    std::atomic<bool> m_isDraining = false;
-};
-
 int serve(const options &settings)
 {
     const auto address = parseStandinAddress(settings.address);
@@ -106,7 +47,14 @@
     standin_packet_upstream upstream(
         {.id = settings.id, .slots = settings.slots, .workTime = milliseconds(settings.workMs), .seed = address->ip});
     plane_loop loop;
-    announcer sender(settings, *announcements);
+    platform::upstream_announcer sender(
+        {.id = settings.id,
+         .service = settings.service,
+         .address = settings.address,
+         .domain = settings.domain,
+         .slots = settings.slots,
+         .startedAtMs = std::chrono::duration_cast<milliseconds>(wallNow().time_since_epoch()).count()},
+        *announcements);
     std::thread announcerThread([&] {
         sender.run();
         loop.post([&] { loop.stop(); });
--- a/testsuite/packet-lib.sh
+++ b/testsuite/packet-lib.sh
@@ -1,5 +1,6 @@
 # Functions of the cases that run the packet programs on loopback, one address per node. Sourced after lib.sh.
 store=127.0.70.1:27169
+source "$(dirname "${BASH_SOURCE[0]}")/../platform/standin/put-routes.sh"
 packets_port=27172
 http_port=27167
 
@@ -46,17 +47,6 @@
         --announce-to "$ip:27166" --service "$2" --id "i-$1" --slots 2 --work-ms 5
 }
 
-# put_routes METHOD VERSION SERVICE: writes the configuration with one route.
-put_routes() {
-    local path=config
-    [ "$1" = PUT ] && path=config/main
-    curl -sf -m 5 -o /dev/null -X "$1" "http://$store/-/objects/$path" -H 'Content-Type: application/json' -d "{
-      \"meta\": {\"name\": \"main\"},
-      \"spec\": {\"version\": $2, \"routes\": [{\"name\": \"r1\", \"host\": \"198.18.0.1\", \"path-prefix\": \"/443/\",
-        \"route-type\": \"safe\", \"timeout-ms\": 3000, \"target-latency-ms\": 300, \"priority\": 1, \"service\": \"$3\"}],
-        \"services\": [], \"limits\": {\"idle-timeout-ms\": 15000}}}"
-}
-
 is_ready() { curl -sf -m 2 -o /dev/null "http://127.0.71.$1:$http_port/ready"; }
 # metric IP NAME: value of a metric of a node, 0 without it.
 metric() { curl -sf -m 2 "http://$1:$http_port/metrics" | awk -v n="$2" '$1 == n { v = $2 } END { print v + 0 }'; }
