--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -289,6 +289,11 @@
                 out);
             releaseWork(key, &found->second, now);
             found->second.lastSeen = now;
+        } else {
+            log(decision_kind::refusal,
+                absl::StrCat("turned packet away, flow=", toString(key), " reason=unknown_flow flows=", m_flows.size(),
+                             " asked_service=", arrived.service, " knows_all=", knowsAllFlows(now)),
+                out);
         }
         arrived.packetBytes = std::move(content.bytes);
         turnAway(std::move(arrived), not_taken_reason::unknown_flow, out);
--- a/src/libplane/packet_agent_test.cpp
+++ b/src/libplane/packet_agent_test.cpp
@@ -292,3 +292,15 @@
     ASSERT_EQ(hellos.size(), 1U);
     EXPECT_EQ(hellos[0].first, kOtherBalancer);
 }
+
+// Guards against a request that cannot be followed in the logs because an agent refused its packet without a line.
+TEST_F(PacketAgent, LogsPacketsOfFlowsThatItDoesNotHold)
+{
+    announce(1, false, 2000);
+    forward(callerPacket(77));
+    EXPECT_EQ(denials(), std::vector{not_taken_reason::unknown_flow});
+    bool isLogged = false;
+    for (const auto &line : actionsOf<log_decision>(actions))
+        isLogged = isLogged || line.text.find("turned packet away, flow=" + toString(kFlow)) != std::string::npos;
+    EXPECT_TRUE(isLogged);
+}
