--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -80,9 +80,9 @@
     {
         host_address owner;
         std::string service;
-        bool isOwnerKnown = false;    ///< False while the agents are asked.
-        bool isOpening = false;       ///< Only opening packets were seen.
-        std::uint32_t unanswered = 0; ///< Agents asked that have not answered.
+        bool isOwnerKnown = false;            ///< False while the agents are asked.
+        bool isOpening = false;               ///< Only opening packets were seen.
+        std::vector<host_address> notTakenBy; ///< Agents that do not hold the flow or would not take it.
         bool finished = false;
         time_point lastSeen;
         time_point firstSeen;
@@ -106,7 +106,8 @@
     void openingNotTaken(const host_address &agent, not_taken_reason reason, packet returned, time_point now,
                          plane_actions *out);
     void carriedNotTaken(const host_address &agent, packet returned, time_point now, plane_actions *out);
-    void askNotTaken(const packet &returned, time_point now, plane_actions *out);
+    void askNotTaken(const host_address &agent, const packet &returned, time_point now, plane_actions *out);
+    bool isDeniedByAll(const balancer_flow &flow, time_point now) const;
     void takeReport(const host_address &agent, const agent_report &report, time_point now, plane_actions *out);
     void takeHello(const host_address &from, const balancer_hello &hello, time_point now, plane_actions *out);
     void noteBalancer(const host_address &address, time_point now);
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -38,6 +38,12 @@
 constexpr duration kBalancerForgetTime = seconds(60);
 constexpr duration kAgentForgetTime = seconds(30);
 
+void noteNotTaken(const host_address &agent, std::vector<host_address> *agents)
+{
+    if (std::find(agents->begin(), agents->end(), agent) == agents->end())
+        agents->push_back(agent);
+}
+
 } // namespace
 
 packet_balancer::packet_balancer(packet_balancer_settings settings, packet_header_decoder decoder, time_point now)
@@ -217,12 +223,14 @@
                                   time_point now, plane_actions *out)
 {
     const auto agents = m_agents.ofService("");
+    if (flow->isOwnerKnown)
+        flow->notTakenBy.clear();
     flow->isOwnerKnown = false;
-    flow->unanswered = 0;
+    if (except)
+        noteNotTaken(*except, &flow->notTakenBy);
     for (const host_address &agent : agents) {
         if (agent == except)
             continue;
-        ++flow->unanswered;
         out->emplace_back(send_to_node{agent, forwarded_packet{.purpose = forward_purpose::ask,
                                                                .service = flow->service,
                                                                .origin = m_settings.self,
@@ -231,7 +239,7 @@
     }
     log(decision_kind::owner,
         absl::StrCat("asked agents for the owner, flow=", toString(flowFromCaller(arrived.header)),
-                     " agents=", flow->unanswered, " data=", arrived.header.dataBytes),
+                     " agents=", agents.size(), " data=", arrived.header.dataBytes),
         out);
 }
 
@@ -268,7 +276,7 @@
         return;
     found->second.owner = agent;
     found->second.isOwnerKnown = true;
-    found->second.unanswered = 0;
+    found->second.notTakenBy.clear();
     if (const agent_record *const record = m_agents.find(agent))
         found->second.service = record->report.service;
     log(decision_kind::owner, absl::StrCat("learned owner, flow=", toString(flow), " agent=", toString(agent)), out);
@@ -291,7 +299,7 @@
         carriedNotTaken(agent, std::move(returned), now, out);
         return;
     case forward_purpose::ask:
-        askNotTaken(returned, now, out);
+        askNotTaken(agent, returned, now, out);
         return;
     }
 }
@@ -303,11 +311,11 @@
     const auto found = m_flows.find(flowFromCaller(returned.header));
     if (found == m_flows.end() || !found->second.isOpening)
         return; // Answered by another agent meanwhile.
-    const host_address first = found->second.owner;
-    const auto order =
-        m_agents.candidates(found->second.service, m_settings.domain, std::vector{agent, first}, kAlternates + 1, now);
-    const bool wasMoved = first != agent && reason == not_taken_reason::full;
-    if (order.empty() || wasMoved) {
+    balancer_flow &flow = found->second;
+    noteNotTaken(agent, &flow.notTakenBy);
+    noteNotTaken(flow.owner, &flow.notTakenBy);
+    const auto order = m_agents.candidates(flow.service, m_settings.domain, flow.notTakenBy, kAlternates + 1, now);
+    if (order.empty()) {
         m_flows.erase(found);
         refuse(returned, toString(reason), out);
         return;
@@ -343,13 +351,23 @@
     askForOwner(std::move(returned), &found->second, agent, now, out);
 }
 
-// Only when every agent has said that it does not hold the flow, and no agent can be missing, nobody holds it.
-void packet_balancer::askNotTaken(const packet &returned, time_point now, plane_actions *out)
+// Only when every agent has said that it does not hold the flow, and no agent can be missing, nobody holds it. Agents
+// answer each packet, so the answers are told apart by agent.
+bool packet_balancer::isDeniedByAll(const balancer_flow &flow, time_point now) const
+{
+    const auto agents = m_agents.ofService("");
+    return knowsAllAgents(now) && std::all_of(agents.begin(), agents.end(), [&](const host_address &agent) {
+               return std::find(flow.notTakenBy.begin(), flow.notTakenBy.end(), agent) != flow.notTakenBy.end();
+           });
+}
+
+void packet_balancer::askNotTaken(const host_address &agent, const packet &returned, time_point now, plane_actions *out)
 {
     const auto found = m_flows.find(flowFromCaller(returned.header));
-    if (found == m_flows.end() || found->second.isOwnerKnown || found->second.unanswered == 0)
+    if (found == m_flows.end() || found->second.isOwnerKnown)
         return;
-    if (--found->second.unanswered > 0 || !knowsAllAgents(now) || returned.header.reset)
+    noteNotTaken(agent, &found->second.notTakenBy);
+    if (returned.header.reset || !isDeniedByAll(found->second, now))
         return;
     m_flows.erase(found);
     refuse(returned, "no_owner", out);
--- /dev/null
+++ b/src/libplane/packet_balancer_test.cpp
@@ -0,0 +1,239 @@
+#include "citroncrank/packet_balancer.h"
+
+#include "plane_fixture_test.h"
+
+#include <gtest/gtest.h>
+
+using namespace citroncrank;
+using namespace citroncrank::plane_test;
+
+namespace {
+
+/// A balancer with routes in force and two agents that report.
+class PacketBalancer : public ::testing::Test
+{
+protected:
+    PacketBalancer()
+    {
+        core.applyRoutes(makeRoutes(5), now, &actions);
+        core.applyListing({{kAgentA, true, kService, "nbi-west"}, {kAgentB, true, kService, "nbi-west"}}, now,
+                          &actions);
+        report();
+        advance(seconds(5));
+        report();
+        actions.clear();
+    }
+
+    void report()
+    {
+        ++number;
+        core.message(kAgentA, makeReport(number), now, &actions);
+        core.message(kAgentB, makeReport(number, agent_state::ready, 1), now, &actions);
+    }
+
+    void advance(duration time) { now += time; }
+
+    void fromCaller(packet content) { core.callerPacket(std::move(content), now, &actions); }
+
+    void deny(const host_address &agent, const packet &asked)
+    {
+        core.message(agent, not_taken_notice{not_taken_reason::unknown_flow, forward_purpose::ask, asked.bytes}, now,
+                     &actions);
+    }
+
+    std::vector<std::pair<host_address, forwarded_packet>> forwarded() const
+    {
+        return messagesOf<forwarded_packet>(actions);
+    }
+
+    std::size_t resets() const { return actionsOf<reset_flow>(actions).size(); }
+
+    time_point now{};
+    std::uint64_t number = 0;
+    packet_balancer core{{.self = kBalancer, .domain = "nbi-west", .flowLifetime = seconds(60)}, decodeTestHeader, now};
+    plane_actions actions;
+};
+
+} // namespace
+
+// Guards against a new flow that goes to the busier of two agents.
+TEST_F(PacketBalancer, OpeningPacketGoesToTheLeastLoadedAgent)
+{
+    fromCaller(openingPacket());
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_EQ(forwarded()[0].first, kAgentA);
+    EXPECT_EQ(forwarded()[0].second.alternates, std::vector{kAgentB});
+}
+
+// Guards against a flow that opens at two upstreams because a copy of its opening packet was placed anew.
+TEST_F(PacketBalancer, CopyOfAnOpeningPacketGoesToTheSameAgent)
+{
+    fromCaller(openingPacket());
+    core.message(kAgentA, makeReport(++number, agent_state::ready, 2), now, &actions);
+    actions.clear();
+    fromCaller(openingPacket(1));
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_EQ(forwarded()[0].first, kAgentA);
+}
+
+// Guards against a caller that waits out its copies at an agent that has died.
+TEST_F(PacketBalancer, CopyGoesElsewhereWhenTheFirstAgentIsSilent)
+{
+    fromCaller(openingPacket());
+    advance(milliseconds(800));
+    core.message(kAgentB, makeReport(++number, agent_state::ready, 1), now, &actions);
+    actions.clear();
+    fromCaller(openingPacket(1));
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_EQ(forwarded()[0].first, kAgentB);
+}
+
+// Guards against a flow that is lost when its packets move to a balancer that does not know it.
+TEST_F(PacketBalancer, PacketOfAnUnknownFlowGoesToAllAgents)
+{
+    fromCaller(callerPacket(1));
+    ASSERT_EQ(forwarded().size(), 2U);
+    EXPECT_EQ(forwarded()[0].second.purpose, forward_purpose::ask);
+    actions.clear();
+    core.message(kAgentB, owner_notice{kFlow}, now, &actions);
+    fromCaller(callerPacket(2));
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_EQ(forwarded()[0].first, kAgentB);
+    EXPECT_EQ(forwarded()[0].second.purpose, forward_purpose::carry);
+}
+
+// Guards against the reset of an open flow (fleetbench run ofnbokun quiet-1, FLOW at 20.973 s): the answers of one agent
+// to several packets were counted as the answers of several agents.
+TEST_F(PacketBalancer, SeveralDenialsOfOneAgentAreNoProofThatNobodyHoldsTheFlow)
+{
+    fromCaller(callerPacket(1));
+    fromCaller(callerPacket(2));
+    deny(kAgentA, callerPacket(1));
+    deny(kAgentA, callerPacket(2));
+    EXPECT_EQ(resets(), 0U);
+    core.message(kAgentB, owner_notice{kFlow}, now, &actions);
+    EXPECT_EQ(resets(), 0U);
+}
+
+// Guards against a caller that waits for its own timeout although no upstream holds its flow.
+TEST_F(PacketBalancer, FlowThatEveryAgentDeniesIsReset)
+{
+    fromCaller(callerPacket(77));
+    deny(kAgentA, callerPacket(77));
+    EXPECT_EQ(resets(), 0U);
+    deny(kAgentB, callerPacket(77));
+    ASSERT_EQ(resets(), 1U);
+    EXPECT_EQ(actionsOf<reset_flow>(actions)[0], (reset_flow{kFlow, 77}));
+}
+
+// Guards against the reset of a flow whose agent cannot be heard at present.
+TEST_F(PacketBalancer, DenialsProveNothingWhileAnAgentIsSilent)
+{
+    advance(seconds(1));
+    core.message(kAgentA, makeReport(++number), now, &actions);
+    fromCaller(callerPacket(77));
+    deny(kAgentA, callerPacket(77));
+    deny(kAgentB, callerPacket(77));
+    EXPECT_EQ(resets(), 0U);
+}
+
+// Guards against a caller that waits although its address has no route.
+TEST_F(PacketBalancer, OpeningPacketWithoutRouteIsResetAtOnce)
+{
+    packet stray = openingPacket();
+    stray.header.destination.port = 9;
+    fromCaller(makePacket(stray.header));
+    EXPECT_EQ(resets(), 1U);
+    EXPECT_TRUE(forwarded().empty());
+}
+
+// Guards against the reset of an open flow whose route is newer than the routes of this balancer.
+TEST_F(PacketBalancer, PacketOfAFlowWithoutAKnownRouteIsNotReset)
+{
+    packet stray = callerPacket(5);
+    stray.header.destination.port = 9;
+    fromCaller(makePacket(stray.header));
+    EXPECT_EQ(resets(), 0U);
+}
+
+// Guards against routes that revert when an earlier version arrives late.
+TEST_F(PacketBalancer, EarlierRoutesAreNotPutInForce)
+{
+    core.applyRoutes(makeRoutes(4, "receipts"), now, &actions);
+    fromCaller(openingPacket());
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_EQ(forwarded()[0].second.service, kService);
+}
+
+// Guards against a draining upstream that gets new flows.
+TEST_F(PacketBalancer, DrainingAgentGetsNoNewFlow)
+{
+    core.message(kAgentA, makeReport(++number, agent_state::draining), now, &actions);
+    fromCaller(openingPacket());
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_EQ(forwarded()[0].first, kAgentB);
+    EXPECT_TRUE(forwarded()[0].second.alternates.empty());
+}
+
+// Guards against a late report that brings a draining agent back.
+TEST_F(PacketBalancer, LateReportChangesNothing)
+{
+    core.message(kAgentA, makeReport(number + 2, agent_state::draining), now, &actions);
+    core.message(kAgentA, makeReport(number + 1), now, &actions);
+    fromCaller(openingPacket());
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_EQ(forwarded()[0].first, kAgentB);
+}
+
+// Guards against a caller that waits out its time although no agent takes its flow.
+TEST_F(PacketBalancer, FlowThatNoAgentTakesIsResetAtOnce)
+{
+    fromCaller(openingPacket());
+    actions.clear();
+    const auto full = [&](const host_address &agent) {
+        core.message(agent, not_taken_notice{not_taken_reason::full, forward_purpose::open, openingPacket().bytes}, now,
+                     &actions);
+    };
+    full(kAgentA);
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_EQ(forwarded()[0].first, kAgentB);
+    full(kAgentB);
+    EXPECT_EQ(resets(), 1U);
+}
+
+// Guards against packets that are lost while a balancer that has just started learns routes and agents.
+TEST(PacketBalancerStart, OpeningPacketWaitsForRoutesAndAgents)
+{
+    time_point now{};
+    plane_actions actions;
+    packet_balancer core({.self = kBalancer, .domain = "nbi-west", .flowLifetime = seconds(60)}, decodeTestHeader, now);
+    core.callerPacket(openingPacket(), now, &actions);
+    now += milliseconds(50);
+    core.applyRoutes(makeRoutes(5), now, &actions);
+    EXPECT_TRUE(messagesOf<forwarded_packet>(actions).empty());
+    now += milliseconds(50);
+    core.message(kAgentA, makeReport(1), now, &actions);
+    ASSERT_EQ(messagesOf<forwarded_packet>(actions).size(), 1U);
+    EXPECT_TRUE(actionsOf<reset_flow>(actions).empty());
+    EXPECT_TRUE(core.notReadyReasons(now).empty());
+}
+
+// Guards against callers that are sent to a balancer which cannot reach any agent.
+TEST_F(PacketBalancer, IsNotReadyWhenNoAgentReports)
+{
+    EXPECT_TRUE(core.notReadyReasons(now).empty());
+    advance(seconds(2));
+    EXPECT_EQ(core.notReadyReasons(now).size(), 1U);
+}
+
+// Guards against a balancer that stays at old routes while its own watch hangs.
+TEST_F(PacketBalancer, LearnsOfNewerRoutesFromOtherBalancers)
+{
+    EXPECT_FALSE(core.newerRoutes());
+    core.message(kOtherBalancer,
+                 balancer_hello{.incarnation = 1, .routesVersion = 9, .http = kOtherBalancer, .balancers = {}}, now,
+                 &actions);
+    EXPECT_EQ(core.newerRoutes(), (routes_offer{kOtherBalancer, 9}));
+    core.applyRoutes(makeRoutes(9), now, &actions);
+    EXPECT_FALSE(core.newerRoutes());
+}
