--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -124,8 +124,9 @@
         bool knowsUpstreamFirst = false;
         bool knowsUpstreamEnd = false;
         bool knowsCallerEnd = false;
-        bool isExpected = false; ///< Counts as a request that is on its way.
-        bool isWorking = false;  ///< A request was delivered and not answered.
+        bool isExpected = false;      ///< Counts as a request that is on its way.
+        bool isWorking = false;       ///< A request was delivered and not answered.
+        bool callerContinued = false; ///< The caller sent a packet behind its opening one that fits this upstream.
         bool callerFinished = false;
         bool upstreamFinished = false;
         std::string requestId;
@@ -142,6 +143,8 @@
     void passOn(forwarded_packet arrived, const char *reason, const flow_key &flow, plane_actions *out);
     std::optional<not_taken_reason> openingRefusal(const std::string &service) const;
     bool hasFreeSlot() const;
+    /// Whether the caller has opened the flow here, and not at another upstream that answered its opening packet too.
+    static bool isConfirmed(const agent_flow &flow);
     bool mayBeOf(const agent_flow &flow, const packet_header &header) const;
     void deliver(const flow_key &key, agent_flow *flow, packet content, time_point now, plane_actions *out);
     void noteCallerData(const flow_key &key, agent_flow *flow, const packet &content, time_point now,
--- a/src/include/citroncrank/store_worker.h
+++ b/src/include/citroncrank/store_worker.h
@@ -22,6 +22,8 @@
 
 namespace citroncrank {
 
+class watch_cursor;
+
 /// Writes a line about the store to the log. Called in the worker's thread.
 using store_log = std::function<void(const std::string &text)>;
 
@@ -73,7 +75,7 @@
     using fallback = std::function<std::optional<routes_offer>()>;
 
     config_worker(const host_address &store, receiver receive, fallback peer, store_log log);
-    ~config_worker() override { stop(); }
+    ~config_worker() override;
 
 protected:
     std::optional<duration> step() override;
@@ -86,7 +88,7 @@
 
     receiver m_receive;
     fallback m_peer;
-    std::optional<object_version> m_seen; ///< Changes up to here are known.
+    std::unique_ptr<watch_cursor> m_cursor;
 };
 
 /// Asks other balancers for a version that this one lacks.
@@ -103,6 +105,9 @@
 
 private:
     void run();
+    void fetch(const routes_offer &offer);
+    /// Returns false if the thread is to end.
+    bool waitFor(duration time);
 
     config_worker::receiver m_receive;
     config_worker::fallback m_peer;
@@ -122,7 +127,7 @@
 
     nodes_worker(const host_address &store, std::string nodeName, listed_node self, bool goesOnWatching,
                  receiver receive, store_log log);
-    ~nodes_worker() override { stop(); }
+    ~nodes_worker() override;
 
 protected:
     std::optional<duration> step() override;
@@ -138,7 +143,7 @@
     bool m_goesOnWatching;
     receiver m_receive;
     std::map<std::string, object_entry> m_entries;
-    std::optional<object_version> m_seen;
+    std::unique_ptr<watch_cursor> m_cursor;
     bool m_isOwnWritten = false;
 };
 
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -233,6 +233,11 @@
     return advanced <= sent + kAcknowledgementSlack;
 }
 
+bool packet_agent::isConfirmed(const agent_flow &flow)
+{
+    return flow.phase == flow_phase::open && flow.callerContinued;
+}
+
 // An agent that has run since before its upstream's start has seen every flow of it.
 bool packet_agent::knowsAllFlows(time_point now) const
 {
@@ -279,6 +284,7 @@
     flow->lastSeen = now;
     if (content.header.acknowledges)
         flow->callerAcknowledged = content.header.acknowledged;
+    flow->callerContinued = flow->callerContinued || !content.header.open;
     flow->callerFinished = flow->callerFinished || content.header.finish || content.header.reset;
     if (content.header.dataBytes > 0)
         noteCallerData(key, flow, content, now, out);
@@ -424,7 +430,7 @@
         passOn(std::move(returned), "returned", key, out);
         return;
     }
-    if (!content.header.open && flow.phase == flow_phase::open) {
+    if (!content.header.open && isConfirmed(flow)) {
         // The upstream held this flow and lost it, so no one else holds it.
         ++m_counts.resets;
         out->emplace_back(reset_flow{key, content.header.acknowledged});
@@ -485,7 +491,7 @@
 {
     std::size_t count = 0;
     for (auto &[key, flow] : m_flows) {
-        if (flow.phase != flow_phase::open)
+        if (!isConfirmed(flow))
             continue;
         releaseWork(&flow, now);
         flow.phase = flow_phase::ended;
--- /dev/null
+++ b/src/libplane/packet_agent_test.cpp
@@ -0,0 +1,270 @@
+#include "citroncrank/packet_agent.h"
+
+#include "plane_fixture_test.h"
+
+#include <gtest/gtest.h>
+
+using namespace citroncrank;
+using namespace citroncrank::plane_test;
+
+namespace {
+
+constexpr std::uint32_t kUpstreamFirst = 5000;
+
+/// An agent whose upstream has two slots and is ready.
+class PacketAgent : public ::testing::Test
+{
+protected:
+    PacketAgent() { announce(1); }
+
+    announcement_result announce(std::uint64_t number, bool isDraining = false, std::uint64_t startedAtMs = 1000)
+    {
+        return core.announce({.id = "i-1",
+                              .service = kService,
+                              .address = kUpstream,
+                              .version = "v1",
+                              .slots = 2,
+                              .isDraining = isDraining,
+                              .number = number,
+                              .startedAtMs = startedAtMs},
+                             now, &actions);
+    }
+
+    void forward(const packet &content, forward_purpose purpose = forward_purpose::carry,
+                 std::vector<host_address> alternates = {}, const std::string &service = kService)
+    {
+        actions.clear();
+        core.message(kBalancer,
+                     forwarded_packet{.purpose = purpose,
+                                      .service = service,
+                                      .origin = kBalancer,
+                                      .alternates = std::move(alternates),
+                                      .packetBytes = content.bytes},
+                     now, &actions);
+    }
+
+    void fromUpstream(packet content)
+    {
+        actions.clear();
+        core.upstreamPacket(std::move(content), now, &actions);
+    }
+
+    /// Opens kFlow at the upstream.
+    void open()
+    {
+        forward(openingPacket(), forward_purpose::open);
+        fromUpstream(upstreamPacket(kUpstreamFirst, {}, true));
+        forward(callerPacket(kUpstreamFirst + 1));
+    }
+
+    /// Opens flows of other callers until no slot is free.
+    void fillSlots()
+    {
+        for (std::uint16_t port = 1; port <= 2; ++port) {
+            packet_header header = openingPacket().header;
+            header.source.port = port;
+            forward(makePacket(header), forward_purpose::open);
+        }
+    }
+
+    std::size_t delivered() const { return actionsOf<deliver_to_upstream>(actions).size(); }
+    std::size_t resets() const { return actionsOf<reset_flow>(actions).size(); }
+    std::vector<not_taken_reason> denials() const
+    {
+        std::vector<not_taken_reason> reasons;
+        for (const auto &[to, notice] : messagesOf<not_taken_notice>(actions))
+            reasons.push_back(notice.reason);
+        return reasons;
+    }
+
+    time_point now{};
+    packet_agent core{{.self = kAgentA,
+                       .service = kService,
+                       .domain = "nbi-west",
+                       .incarnation = 1,
+                       .upstream = kUpstream,
+                       .announcementPeriod = milliseconds(770),
+                       .flowLifetime = seconds(60)},
+                      decodeTestHeader,
+                      now};
+    plane_actions actions;
+};
+
+} // namespace
+
+// Guards against packets that reach the upstream of another service.
+TEST_F(PacketAgent, RefusesPacketsOfAnotherService)
+{
+    forward(openingPacket(), forward_purpose::open, {}, "receipts");
+    EXPECT_EQ(delivered(), 0U);
+    EXPECT_EQ(denials(), std::vector{not_taken_reason::wrong_service});
+    forward(callerPacket(1), forward_purpose::ask, {}, "receipts");
+    EXPECT_EQ(delivered(), 0U);
+    EXPECT_EQ(denials(), std::vector{not_taken_reason::unknown_flow});
+}
+
+// Guards against a draining upstream that gets new flows, and against its open flows being cut off.
+TEST_F(PacketAgent, DrainingUpstreamKeepsItsFlowsAndTakesNoNewOne)
+{
+    open();
+    announce(2, true);
+    forward(callerPacket(kUpstreamFirst + 1, "GET / HTTP/1.1\r\n\r\n"));
+    EXPECT_EQ(delivered(), 1U);
+    packet_header other = openingPacket().header;
+    other.source.port = 1;
+    forward(makePacket(other), forward_purpose::open, {kAgentB});
+    EXPECT_EQ(delivered(), 0U);
+    ASSERT_EQ(messagesOf<forwarded_packet>(actions).size(), 1U);
+    EXPECT_EQ(messagesOf<forwarded_packet>(actions)[0].first, kAgentB);
+}
+
+// Guards against an upstream that gets more requests than it has slots while another has room.
+TEST_F(PacketAgent, PassesAFlowOnWhenNoSlotIsFree)
+{
+    fillSlots();
+    forward(openingPacket(), forward_purpose::open, {kAgentB});
+    EXPECT_EQ(delivered(), 0U);
+    ASSERT_EQ(messagesOf<forwarded_packet>(actions).size(), 1U);
+    EXPECT_EQ(messagesOf<forwarded_packet>(actions)[0].first, kAgentB);
+    forward(openingPacket(), forward_purpose::open);
+    EXPECT_EQ(delivered(), 1U);
+}
+
+// Guards against a busy count that does not go back when a request is answered.
+TEST_F(PacketAgent, CountsRequestsAtWork)
+{
+    open();
+    EXPECT_EQ(core.busy(), 1U);
+    forward(callerPacket(kUpstreamFirst + 1, "GET / HTTP/1.1\r\nRequest-Id: 7f\r\n\r\n"));
+    EXPECT_EQ(core.busy(), 1U);
+    fromUpstream(upstreamPacket(kUpstreamFirst + 1, "HTTP/1.1 200 OK\r\n"));
+    EXPECT_EQ(core.busy(), 0U);
+    const auto observed = core.takeObservations();
+    ASSERT_EQ(observed.size(), 1U);
+    EXPECT_EQ(observed[0].status, 200U);
+    // A retransmitted request is no new one.
+    forward(callerPacket(kUpstreamFirst + 1, "GET / HTTP/1.1\r\nRequest-Id: 7f\r\n\r\n"));
+    EXPECT_EQ(core.busy(), 0U);
+}
+
+// Guards against a flow that was opened at two upstreams by copies of its opening packet: the caller goes on with the
+// one whose sequence number it acknowledges.
+TEST_F(PacketAgent, DeniesAFlowThatTheCallerOpenedElsewhere)
+{
+    forward(openingPacket(), forward_purpose::open);
+    fromUpstream(upstreamPacket(kUpstreamFirst, {}, true));
+    forward(callerPacket(900'001), forward_purpose::carry);
+    EXPECT_EQ(delivered(), 0U);
+    EXPECT_EQ(denials(), std::vector{not_taken_reason::unknown_flow});
+}
+
+// Guards against the reset of a flow that is open at another upstream (fleetbench score mwangaza-returns scale-2, FLOW at
+// 25.988 s): this upstream had answered a copy of the opening packet, and then left.
+TEST_F(PacketAgent, LeavingUpstreamResetsOnlyFlowsThatTheCallerConfirmed)
+{
+    forward(openingPacket(), forward_purpose::open);
+    fromUpstream(upstreamPacket(kUpstreamFirst, {}, true));
+    core.leave("i-1", now, &actions);
+    now += seconds(1);
+    actions.clear();
+    core.advance(now, &actions);
+    EXPECT_EQ(resets(), 0U);
+}
+
+// Guards against callers that wait out their time on a flow whose upstream has left.
+TEST_F(PacketAgent, LeavingUpstreamResetsItsFlows)
+{
+    open();
+    core.leave("i-1", now, &actions);
+    actions.clear();
+    core.advance(now + milliseconds(100), &actions);
+    EXPECT_EQ(resets(), 0U) << "the upstream may still live";
+    core.advance(now + seconds(1), &actions);
+    ASSERT_EQ(resets(), 1U);
+    EXPECT_EQ(actionsOf<reset_flow>(actions)[0], (reset_flow{kFlow, kUpstreamFirst + 1}));
+}
+
+// Guards against an upstream that has started again being taken for the one that held the flows.
+TEST_F(PacketAgent, RestartedUpstreamEndsItsEarlierFlows)
+{
+    open();
+    actions.clear();
+    EXPECT_EQ(announce(1, false, 2000), announcement_result::accepted);
+    EXPECT_EQ(resets(), 1U);
+    EXPECT_EQ(announce(9, true, 1000), announcement_result::earlier_start);
+    EXPECT_EQ(core.state(), agent_state::ready);
+}
+
+// Guards against late, doubled and foreign announcements.
+TEST_F(PacketAgent, TakesOnlyNewerAnnouncementsOfItsUpstream)
+{
+    EXPECT_EQ(announce(3, true), announcement_result::accepted);
+    EXPECT_EQ(announce(2, false), announcement_result::out_of_order);
+    EXPECT_EQ(announce(3, false), announcement_result::out_of_order);
+    EXPECT_EQ(core.state(), agent_state::draining);
+    EXPECT_EQ(core.announce({.id = "i-9", .service = "receipts", .address = kUpstream, .number = 9}, now, &actions),
+              announcement_result::foreign);
+    EXPECT_EQ(core.announce({.id = "i-9", .service = kService, .address = kCaller, .number = 9}, now, &actions),
+              announcement_result::foreign);
+}
+
+// Guards against open flows that are lost when the agent restarts: the upstream's own packets and what it returns show
+// what it holds.
+TEST_F(PacketAgent, LearnsFlowsOfItsUpstreamAfterARestart)
+{
+    forward(callerPacket(kUpstreamFirst + 1), forward_purpose::ask);
+    EXPECT_EQ(delivered(), 1U);
+    EXPECT_TRUE(messagesOf<owner_notice>(actions).empty());
+    fromUpstream(upstreamPacket(kUpstreamFirst + 1, "HTTP/1.1 200 OK\r\n"));
+    ASSERT_EQ(messagesOf<owner_notice>(actions).size(), 1U);
+    EXPECT_EQ(messagesOf<owner_notice>(actions)[0].first, kBalancer);
+}
+
+// Guards against a flow that is taken as owned although the upstream returned its packet.
+TEST_F(PacketAgent, DeniesAFlowThatItsUpstreamDoesNotHold)
+{
+    forward(callerPacket(77), forward_purpose::ask);
+    EXPECT_EQ(delivered(), 1U);
+    fromUpstream(returned(callerPacket(77)));
+    EXPECT_EQ(denials(), std::vector{not_taken_reason::unknown_flow});
+    EXPECT_EQ(resets(), 0U);
+}
+
+// Guards against an opening packet that is lost when the upstream does not take it.
+TEST_F(PacketAgent, ReturnedOpeningPacketGoesToTheAlternate)
+{
+    forward(openingPacket(), forward_purpose::open, {kAgentB});
+    fromUpstream(returned(openingPacket()));
+    ASSERT_EQ(messagesOf<forwarded_packet>(actions).size(), 1U);
+    EXPECT_EQ(messagesOf<forwarded_packet>(actions)[0].first, kAgentB);
+    forward(openingPacket(), forward_purpose::open);
+    fromUpstream(returned(openingPacket()));
+    EXPECT_EQ(denials(), std::vector{not_taken_reason::full});
+}
+
+// Guards against new flows that go to an upstream which has stopped announcing itself.
+TEST_F(PacketAgent, SilentUpstreamTakesNoNewFlow)
+{
+    now += seconds(3);
+    core.advance(now, &actions);
+    EXPECT_EQ(core.state(), agent_state::gone);
+    forward(openingPacket(), forward_purpose::open);
+    EXPECT_EQ(denials(), std::vector{not_taken_reason::not_serving});
+    EXPECT_EQ(announce(5), announcement_result::accepted);
+    EXPECT_EQ(core.state(), agent_state::ready);
+}
+
+// Guards against an agent that no balancer knows after a restart.
+TEST_F(PacketAgent, AsksItsSeedsUntilABalancerAnswers)
+{
+    packet_agent fresh({.self = kAgentA, .service = kService, .upstream = kUpstream, .seeds = {kBalancer}},
+                       decodeTestHeader, now);
+    actions.clear();
+    fresh.advance(now, &actions);
+    ASSERT_EQ(messagesOf<agent_hello>(actions).size(), 1U);
+    fresh.message(kBalancer, balancer_hello{.incarnation = 1, .balancers = {kOtherBalancer}}, now, &actions);
+    actions.clear();
+    fresh.advance(now + seconds(1), &actions);
+    EXPECT_TRUE(messagesOf<agent_hello>(actions).empty());
+    EXPECT_EQ(messagesOf<agent_report>(actions).size(), 2U);
+}
--- a/src/libplanenode/store_worker.cpp
+++ b/src/libplanenode/store_worker.cpp
@@ -2,6 +2,7 @@
 
 #include "citroncrank/timer_service.h"
 #include "documents.h"
+#include "watch_cursor_pvt.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/json.hpp>
@@ -19,12 +20,13 @@
 using std::chrono::seconds;
 
 // Reads take a few milliseconds; a store that is slow by a factor of a hundred still answers in time.
-constexpr milliseconds kCallDeadline{1500};
+constexpr milliseconds kCallDeadline{800};
 constexpr duration kFirstRetryDelay = milliseconds(100);
 constexpr duration kMaxRetryDelay = seconds(1);
 constexpr std::uint32_t kMaxDoublings = 4;
-// A watch that hangs without notice is given up in time for a change to be in force within seconds.
-constexpr milliseconds kConfigWatchWait{4000};
+// A watch may hang without notice. With the deadline of a call this leaves time to read a change again before the
+// three seconds within which it must be in force.
+constexpr milliseconds kConfigWatchWait{1500};
 constexpr milliseconds kNodesWatchWait{25000};
 constexpr duration kPeerCheckPeriod = milliseconds(250);
 // How long a node waits for its own watch before it asks another balancer for a version.
@@ -113,11 +115,17 @@
     : store_worker("configuration", store, std::move(log))
     , m_receive(std::move(receive))
     , m_peer(std::move(peer))
+    , m_cursor(std::make_unique<watch_cursor>())
 {}
 
+config_worker::~config_worker()
+{
+    stop();
+}
+
 std::optional<duration> config_worker::step()
 {
-    return m_seen ? wait() : read();
+    return m_cursor->from() ? wait() : read();
 }
 
 std::optional<duration> config_worker::read()
@@ -133,17 +141,17 @@
         if (entry.key == platform::kConfigKey && entry.value)
             take(*entry.value);
     }
-    m_seen = list->version;
+    m_cursor->listed(list->version);
     return duration(0);
 }
 
 std::optional<duration> config_worker::wait()
 {
     platform_failure reason = platform_failure::unavailable;
-    const auto result = store().watch({platform::kConfigPrefix, *m_seen, kConfigWatchWait}, &reason);
+    const auto result = store().watch({platform::kConfigPrefix, *m_cursor->from(), kConfigWatchWait}, &reason);
     if (!result && reason == platform_failure::history_gone) {
         log("history is gone, reading again");
-        m_seen = std::nullopt;
+        m_cursor->historyGone();
         return duration(0);
     }
     const duration pause = noteCall(result.has_value(), reason);
@@ -153,7 +161,7 @@
         if (change.key == platform::kConfigKey && change.value)
             take(*change.value);
     }
-    m_seen = result->version;
+    m_cursor->answered(*result);
     return duration(0);
 }
 
@@ -206,41 +214,39 @@
         m_thread.join();
 }
 
+bool peer_routes_worker::waitFor(duration time)
+{
+    std::unique_lock lock(m_mutex);
+    return !m_wake.wait_for(lock, time, [this] { return m_isStopped; });
+}
+
 void peer_routes_worker::run()
 {
     blockSignals();
-    std::optional<time_point> missingSince;
-    for (;;) {
-        {
-            std::unique_lock lock(m_mutex);
-            if (m_wake.wait_for(lock, kPeerCheckPeriod, [this] { return m_isStopped; }))
-                return;
-        }
-        const auto offer = m_peer();
-        if (!offer) {
-            missingSince = std::nullopt;
+    while (waitFor(kPeerCheckPeriod)) {
+        if (!m_peer())
             continue;
-        }
-        const time_point now = monotonicNow();
-        if (!missingSince)
-            missingSince = now;
-        if (now - *missingSince < kPeerPatience)
-            continue;
-        const auto text = fetchRoutes(offer->http);
-        platform::document_fault fault{"no answer"};
-        auto routes = text ? platform::parseRoutes(*text, &fault) : nullptr;
-        if (routes) {
-            m_log(absl::StrCat("routes read from a balancer, balancer=", toString(offer->http),
-                               " version=", routes->version));
-            m_receive(std::move(routes), *text);
-        } else {
-            m_log(absl::StrCat("routes of a balancer cannot be read, balancer=", toString(offer->http),
-                               " reason=", fault.what));
-        }
-        missingSince = now;
+        if (!waitFor(kPeerPatience))
+            return;
+        if (const auto offer = m_peer())
+            fetch(*offer);
     }
 }
 
+void peer_routes_worker::fetch(const routes_offer &offer)
+{
+    const auto text = fetchRoutes(offer.http);
+    platform::document_fault fault{"no answer"};
+    auto routes = text ? platform::parseRoutes(*text, &fault) : nullptr;
+    if (!routes) {
+        m_log(absl::StrCat("routes of a balancer cannot be read, balancer=", toString(offer.http),
+                           " reason=", fault.what));
+        return;
+    }
+    m_log(absl::StrCat("routes read from a balancer, balancer=", toString(offer.http), " version=", routes->version));
+    m_receive(std::move(routes), *text);
+}
+
 std::string formatNode(const listed_node &node)
 {
     json::object entry{
@@ -278,11 +284,17 @@
     , m_self(std::move(self))
     , m_goesOnWatching(goesOnWatching)
     , m_receive(std::move(receive))
+    , m_cursor(std::make_unique<watch_cursor>())
 {}
 
+nodes_worker::~nodes_worker()
+{
+    stop();
+}
+
 std::optional<duration> nodes_worker::step()
 {
-    if (!m_seen)
+    if (!m_cursor->from())
         return readAll();
     if (!m_isOwnWritten)
         return writeOwn();
@@ -310,7 +322,7 @@
             after = list->entries.back().key;
     }
     m_entries = std::move(entries);
-    m_seen = seen;
+    m_cursor->listed(*seen);
     const auto own = m_entries.find(m_key);
     m_isOwnWritten = own != m_entries.end() && own->second.value && parseNode(*own->second.value) == m_self;
     publish();
@@ -335,17 +347,17 @@
         return std::nullopt;
     }
     // Reading again shows whether the write took effect.
-    m_seen = std::nullopt;
+    m_cursor->historyGone();
     return noteCall(reason == platform_failure::conflict, reason) + kFirstRetryDelay;
 }
 
 std::optional<duration> nodes_worker::wait()
 {
     platform_failure reason = platform_failure::unavailable;
-    const auto result = store().watch({platform::kNodesPrefix, *m_seen, kNodesWatchWait}, &reason);
+    const auto result = store().watch({platform::kNodesPrefix, *m_cursor->from(), kNodesWatchWait}, &reason);
     if (!result && reason == platform_failure::history_gone) {
         log("history is gone, reading again");
-        m_seen = std::nullopt;
+        m_cursor->historyGone();
         return duration(0);
     }
     const duration pause = noteCall(result.has_value(), reason);
@@ -357,7 +369,7 @@
         else
             m_entries.erase(change.key);
     }
-    m_seen = result->version;
+    m_cursor->answered(*result);
     if (!result->changes.empty())
         publish();
     return duration(0);
