--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -125,6 +125,8 @@
         bool knowsUpstreamEnd = false;
         bool knowsCallerEnd = false;
         bool isExpected = false;      ///< Counts as a request that is on its way.
+        bool awaitsHead = false;      ///< The head of the answer was not seen yet.
+        std::uint32_t answerFrom = 0; ///< Where the answer to the last request begins.
         bool isWorking = false;       ///< A request was delivered and not answered.
         bool callerContinued = false; ///< The caller sent a packet behind its opening one that fits this upstream.
         bool callerFinished = false;
@@ -149,8 +151,7 @@
     void deliver(const flow_key &key, agent_flow *flow, packet content, time_point now, plane_actions *out);
     void noteCallerData(const flow_key &key, agent_flow *flow, const packet &content, time_point now,
                         plane_actions *out);
-    void noteUpstreamData(const flow_key &key, agent_flow *flow, const packet &content, time_point now,
-                          plane_actions *out);
+    void noteAnswer(const flow_key &key, agent_flow *flow, const packet &content, time_point now, plane_actions *out);
     void noteUpstreamSequence(agent_flow *flow, const packet_header &header);
     void upstreamReturned(packet content, time_point now, plane_actions *out);
     void endFlows(const char *reason, time_point now, plane_actions *out);
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -309,6 +309,8 @@
         --m_expected;
     }
     flow->isWorking = true;
+    flow->awaitsHead = true;
+    flow->answerFrom = flow->upstreamEnd;
     ++m_working;
     ++m_counts.requests;
     flow->requestSince = now;
@@ -361,19 +363,26 @@
     flow->knowsUpstreamEnd = true;
 }
 
-void packet_agent::noteUpstreamData(const flow_key &key, agent_flow *flow, const packet &content, time_point now,
-                                    plane_actions *out)
+// Packets of the upstream may arrive out of order. Any of them behind the request's start of answer shows that the request
+// is no longer at work; the one with the status line tells how it ended.
+void packet_agent::noteAnswer(const flow_key &key, agent_flow *flow, const packet &content, time_point now,
+                              plane_actions *out)
 {
-    const bool isNew = !flow->knowsUpstreamEnd || sequenceDistance(flow->upstreamEnd, endOf(content.header)) > 0;
-    if (!isNew || !flow->isWorking)
+    const packet_header &header = content.header;
+    const bool hasNewData = header.dataBytes > 0 && sequenceDistance(flow->answerFrom, endOf(header)) > 0;
+    const bool isAnswer = hasNewData || header.finish || header.reset;
+    if (flow->isWorking && isAnswer)
+        releaseWork(flow, now);
+    const std::uint32_t status = flow->awaitsHead && isAnswer ? statusOf(dataOf(content)) : 0;
+    if (status == 0)
         return;
-    const request_observation observed{now - flow->requestSince, statusOf(dataOf(content))};
+    flow->awaitsHead = false;
+    const request_observation observed{now - flow->requestSince, status};
     m_observations.push_back(observed);
     log(decision_kind::request,
         absl::StrCat("request answered, request=", flow->requestId, " flow=", toString(key),
                      " status=", observed.status, " ms=", wholeMilliseconds(observed.latency)),
         out);
-    releaseWork(flow, now);
 }
 
 void packet_agent::upstreamPacket(packet arrived, time_point now, plane_actions *out)
@@ -397,8 +406,8 @@
             out->emplace_back(send_to_node{flow.origin, owner_notice{key}});
         flow.phase = flow_phase::open;
         flow.alternates.clear();
-        if (arrived.header.dataBytes > 0)
-            noteUpstreamData(key, &flow, arrived, now, out);
+        if (flow.isWorking || flow.awaitsHead)
+            noteAnswer(key, &flow, arrived, now, out);
         noteUpstreamSequence(&flow, arrived.header);
         flow.upstreamFinished = flow.upstreamFinished || arrived.header.finish || arrived.header.reset;
         if (arrived.header.reset)
--- a/src/libplane/packet_agent_test.cpp
+++ b/src/libplane/packet_agent_test.cpp
@@ -147,6 +147,31 @@
     EXPECT_EQ(core.busy(), 0U);
 }
 
+// Guards against a busy count that only grows (fleetbench run mwangaza-returns quiet-1: 27 requests at work at an upstream
+// with two slots): packets of the upstream arrive out of order, the end of the flow before the answer.
+TEST_F(PacketAgent, CountsAnAnswerThatArrivesBehindTheEndOfItsFlow)
+{
+    open();
+    forward(callerPacket(kUpstreamFirst + 1, "POST / HTTP/1.1\r\nRequest-Id: 7f\r\n\r\n"));
+    packet_header end = upstreamPacket(kUpstreamFirst + 301).header;
+    end.finish = true;
+    fromUpstream(makePacket(end));
+    fromUpstream(upstreamPacket(kUpstreamFirst + 1, "HTTP/1.1 201 Created\r\n" + std::string(278, 'x')));
+    EXPECT_EQ(core.busy(), 0U);
+    const auto observed = core.takeObservations();
+    ASSERT_EQ(observed.size(), 1U);
+    EXPECT_EQ(observed[0].status, 201U);
+}
+
+// Guards against a request that counts as answered when the upstream only acknowledges its first packet.
+TEST_F(PacketAgent, AcknowledgementIsNoAnswer)
+{
+    open();
+    forward(callerPacket(kUpstreamFirst + 1, "POST / HTTP/1.1\r\nRequest-Id: 7f\r\n\r\n"));
+    fromUpstream(upstreamPacket(kUpstreamFirst + 1));
+    EXPECT_EQ(core.busy(), 1U);
+}
+
 // Guards against a flow that was opened at two upstreams by copies of its opening packet: the caller goes on with the
 // one whose sequence number it acknowledges.
 TEST_F(PacketAgent, DeniesAFlowThatTheCallerOpenedElsewhere)
