--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -155,6 +155,7 @@
     void noteUpstreamSequence(agent_flow *flow, const packet_header &header);
     void upstreamReturned(packet content, time_point now, plane_actions *out);
     void endFlows(const char *reason, time_point now, plane_actions *out);
+    void logRequest(const flow_key &key, const agent_flow &flow, plane_actions *out) const;
     void releaseWork(agent_flow *flow, time_point now);
     void expectRequest(const flow_key &key, agent_flow *flow, time_point now);
     void updateMean(time_point now);
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -297,6 +297,12 @@
                                   plane_actions *out)
 {
     const std::uint32_t end = endOf(content.header);
+    if (flow->isWorking && flow->requestId.empty()) {
+        // The packet with the head arrived behind another one.
+        flow->requestId = requestIdOf(dataOf(content));
+        if (!flow->requestId.empty())
+            logRequest(key, *flow, out);
+    }
     if (flow->knowsCallerEnd && sequenceDistance(flow->callerEnd, end) <= 0)
         return;
     flow->callerEnd = end;
@@ -315,8 +321,14 @@
     ++m_counts.requests;
     flow->requestSince = now;
     flow->requestId = requestIdOf(dataOf(content));
+    logRequest(key, *flow, out);
+}
+
+void packet_agent::logRequest(const flow_key &key, const agent_flow &flow, plane_actions *out) const
+{
     log(decision_kind::request,
-        absl::StrCat("request passed, request=", flow->requestId, " flow=", toString(key), " busy=", m_working,
+        absl::StrCat("request passed, request=", flow.requestId, " flow=", toString(key),
+                     " held=", flow.phase == flow_phase::probing ? "unknown" : "yes", " busy=", m_working,
                      " state=", toString(m_state), " announcement=", m_upstream ? m_upstream->number : 0),
         out);
 }
@@ -401,6 +413,14 @@
     const auto known = m_flows.find(key);
     if (known != m_flows.end()) {
         agent_flow &flow = known->second;
+        if (flow.phase == flow_phase::probing && arrived.header.reset) {
+            // A reset does not show that the upstream held the flow; another one may.
+            log(decision_kind::refusal,
+                absl::StrCat("dropped reset of a flow not known to be held, flow=", toString(key)), out);
+            releaseWork(&flow, now);
+            m_flows.erase(known);
+            return;
+        }
         flow.lastSeen = now;
         if (flow.phase == flow_phase::probing && flow.origin != host_address{})
             out->emplace_back(send_to_node{flow.origin, owner_notice{key}});
--- a/src/libplane/packet_agent_test.cpp
+++ b/src/libplane/packet_agent_test.cpp
@@ -245,6 +245,31 @@
     EXPECT_EQ(messagesOf<owner_notice>(actions)[0].first, kBalancer);
 }
 
+// Guards against the reset of a flow that is open elsewhere (fleetbench run mwangaza-returns quiet-1 --seed 889653748070, FLOW
+// at 3.956 s): an upstream that was just starting answered a packet of a flow it does not hold with a reset.
+TEST_F(PacketAgent, ResetOfAnUpstreamThatMayNotHoldTheFlowIsNotPassedOn)
+{
+    forward(callerPacket(77, "GET / HTTP/1.1\r\n\r\n"), forward_purpose::ask);
+    packet_header reset = upstreamPacket(0).header;
+    reset.reset = true;
+    fromUpstream(makePacket(reset));
+    EXPECT_TRUE(actionsOf<send_to_caller>(actions).empty());
+    EXPECT_TRUE(messagesOf<owner_notice>(actions).empty());
+    EXPECT_EQ(core.busy(), 0U);
+}
+
+// Guards against a request whose id is missing in the log because its packets arrive out of order.
+TEST_F(PacketAgent, FindsTheRequestIdInALaterPacket)
+{
+    open();
+    forward(callerPacket(kUpstreamFirst + 1, "rest of the body", 200));
+    forward(callerPacket(kUpstreamFirst + 1, "POST / HTTP/1.1\r\nRequest-Id: 7f\r\n\r\n" + std::string(57, 'x'), 101));
+    bool isLogged = false;
+    for (const auto &line : actionsOf<log_decision>(actions))
+        isLogged = isLogged || line.text.find("request=7f") != std::string::npos;
+    EXPECT_TRUE(isLogged);
+}
+
 // Guards against a flow that is taken as owned although the upstream returned its packet.
 TEST_F(PacketAgent, DeniesAFlowThatItsUpstreamDoesNotHold)
 {
