--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -22,17 +22,19 @@
     ready,
     unconfirmed, ///< Its upstream has not announced itself to it yet.
     silent,      ///< Listed or reported once, but no report arrives.
-    excluded,    ///< Draining, gone or stopping.
+    excluded,    ///< Its upstream is leaving, silent or gone, or it is about to restart.
 };
 
 /// One agent.
 struct agent_record
 {
     host_address address;
-    agent_report report;               ///< Only service and domain are set before the first report.
-    std::optional<time_point> heardAt; ///< Of the last report.
-    std::uint32_t sentSinceReport = 0; ///< New flows sent there after the last report.
-    bool isListed = false;             ///< The platform's store has an entry of it.
+    agent_report report;                ///< Only service and domain are set before the first report.
+    std::optional<time_point> heardAt;  ///< Of the last report.
+    std::uint32_t sentSinceReport = 0;  ///< New flows sent there after the last report.
+    bool isListed = false;              ///< The platform's store has an entry of it.
+    std::optional<time_point> listedAt; ///< Since when.
+    bool isKnownSilent = false;         ///< takeNewlySilent() has named it since its last report.
     auto operator<=>(const agent_record &) const = default;
 };
 
@@ -43,7 +45,7 @@
     /// Takes a report. Returns false and changes nothing if it is older than the one known.
     bool reported(const host_address &address, const agent_report &report, time_point now);
     /// The store lists the agent. Keeps what its reports say.
-    void listed(const host_address &address, const std::string &service, const std::string &domain);
+    void listed(const host_address &address, const std::string &service, const std::string &domain, time_point now);
     /// The store's entry is gone.
     void unlisted(const host_address &address);
     /// A new flow was sent to the agent.
@@ -62,10 +64,16 @@
 
     /// All agents of the service; all agents if `service` is empty.
     std::vector<host_address> ofService(std::string_view service) const;
+    /// Agents that have turned silent since the last call.
+    std::vector<host_address> takeNewlySilent(time_point now);
+    /// Listed agents that were not heard for `age`. Empty while fewer than half of the listed ones are heard, since this host
+    /// may then be the one that is cut off.
+    std::vector<host_address> forgottenEntries(duration age, time_point now) const;
     /// Whether any agent was heard recently.
     bool hasFreshAgent(time_point now) const;
-    /// Whether each listed agent was heard recently, and there is one.
-    bool allListedAreFresh(time_point now) const;
+    /// Agents whose upstreams may hold a flow. Nullopt if one of them is not heard at present, so that what the others say
+    /// proves nothing.
+    std::optional<std::vector<host_address>> possibleOwners(time_point now) const;
     /// Agents that have neither an entry nor a report within `age`.
     void removeForgotten(duration age, time_point now);
     std::size_t size() const { return m_agents.size(); }
--- a/src/include/citroncrank/balancer_node.h
+++ b/src/include/citroncrank/balancer_node.h
@@ -36,6 +36,7 @@
     bool isDoneStopping(time_point now) const;
     std::vector<std::string> notReadyReasons() const;
     std::optional<routes_offer> newerRoutes() const;
+    std::vector<host_address> forgottenNodes() const;
     http_reply readiness() const;
     http_reply routesText() const;
 
@@ -55,6 +56,7 @@
     mutable std::mutex m_sharedMutex; ///< Guards what other threads read.
     std::vector<std::string> m_sharedReasons{"starting"};
     std::optional<routes_offer> m_sharedNewerRoutes;
+    std::vector<host_address> m_sharedForgotten;
     std::string m_sharedRoutesText;
 };
 
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -70,6 +70,8 @@
     std::vector<std::string> notReadyReasons(time_point now) const;
     /// Newest version that another balancer has and this one lacks.
     std::optional<routes_offer> newerRoutes() const;
+    /// Nodes whose entries in the store this balancer should remove, since they are gone.
+    std::vector<host_address> forgottenNodes(time_point now) const;
     std::uint64_t routesVersion() const { return m_routes ? m_routes->version : 0; }
     std::size_t flowCount() const { return m_flows.size(); }
     const agent_directory &agents() const { return m_agents; }
@@ -129,6 +131,7 @@
     absl::flat_hash_map<flow_key, balancer_flow> m_flows;
     std::vector<held_packet> m_held;
     std::optional<routes_offer> m_newerRoutes;
+    absl::flat_hash_map<host_address, time_point> m_listedBalancers; ///< Others, and since when.
     bool m_isListingKnown = false;
     std::uint64_t m_helloRound = 0;
     std::optional<time_point> m_nextHello;
--- a/src/include/citroncrank/plane_message.h
+++ b/src/include/citroncrank/plane_message.h
@@ -69,10 +69,11 @@
     unconfirmed, ///< Started, and its upstream has not announced itself yet.
     ready,
     draining, ///< The upstream leaves; open flows go on.
-    gone,     ///< The upstream has left or is silent.
+    silent,   ///< The upstream has stopped announcing itself.
+    left,     ///< The upstream has ended for good and holds no flow.
     stopping, ///< The agent is about to restart.
 };
-constexpr int kAgentStateCount = 5;
+constexpr int kAgentStateCount = 6;
 const char *toString(agent_state state);
 
 /// State and load of an agent and its upstream.
--- a/src/include/citroncrank/store_worker.h
+++ b/src/include/citroncrank/store_worker.h
@@ -124,17 +124,25 @@
 {
 public:
     using receiver = std::function<void(std::vector<listed_node> nodes)>;
+    /// Nodes whose entries are to be removed.
+    using forgotten_source = std::function<std::vector<host_address>()>;
 
     nodes_worker(const host_address &store, std::string nodeName, listed_node self, bool goesOnWatching,
                  receiver receive, store_log log);
     ~nodes_worker() override;
 
+    /// Lets the worker remove entries. Must be called before start().
+    void removeForgotten(forgotten_source source) { m_forgotten = std::move(source); }
+    /// Removes this node's entry, for a node that does not come back. Call after stop(). Waits for the store a short time.
+    void removeOwn();
+
 protected:
     std::optional<duration> step() override;
 
 private:
     std::optional<duration> readAll();
     std::optional<duration> writeOwn();
+    void removeEntries();
     std::optional<duration> wait();
     void publish();
 
@@ -142,9 +150,12 @@
     listed_node m_self;
     bool m_goesOnWatching;
     receiver m_receive;
+    forgotten_source m_forgotten;
     std::map<std::string, object_entry> m_entries;
     std::unique_ptr<watch_cursor> m_cursor;
     bool m_isOwnWritten = false;
+    object_version m_ownVersion = 0;
+    host_address m_storeAddress;
 };
 
 /// Entry of a node as JSON.
--- a/src/libplane/agent_directory.cpp
+++ b/src/libplane/agent_directory.cpp
@@ -39,13 +39,17 @@
     agent.report = report;
     agent.heardAt = now;
     agent.sentSinceReport = 0;
+    agent.isKnownSilent = false;
     return true;
 }
 
-void agent_directory::listed(const host_address &address, const std::string &service, const std::string &domain)
+void agent_directory::listed(const host_address &address, const std::string &service, const std::string &domain,
+                             time_point now)
 {
     agent_record &agent = m_agents[address];
     agent.address = address;
+    if (!agent.isListed)
+        agent.listedAt = now;
     agent.isListed = true;
     if (agent.heardAt)
         return;
@@ -85,7 +89,8 @@
 {
     switch (agent.report.state) {
     case agent_state::draining:
-    case agent_state::gone:
+    case agent_state::silent:
+    case agent_state::left:
     case agent_state::stopping:
         return agent_standing::excluded;
     case agent_state::ready:
@@ -150,22 +155,53 @@
     return result;
 }
 
+std::vector<host_address> agent_directory::takeNewlySilent(time_point now)
+{
+    std::vector<host_address> silent;
+    for (auto &[address, agent] : m_agents) {
+        if (!agent.heardAt || agent.isKnownSilent || isFresh(agent, now))
+            continue;
+        agent.isKnownSilent = true;
+        silent.push_back(address);
+    }
+    return silent;
+}
+
+std::vector<host_address> agent_directory::forgottenEntries(duration age, time_point now) const
+{
+    std::vector<host_address> forgotten;
+    std::size_t listed = 0;
+    std::size_t fresh = 0;
+    for (const auto &[address, agent] : m_agents) {
+        if (!agent.isListed)
+            continue;
+        ++listed;
+        if (isFresh(agent, now))
+            ++fresh;
+        else if (now - std::max(agent.heardAt.value_or(*agent.listedAt), *agent.listedAt) > age)
+            forgotten.push_back(address);
+    }
+    if (2 * fresh < listed)
+        return {};
+    return forgotten;
+}
+
 bool agent_directory::hasFreshAgent(time_point now) const
 {
     return std::any_of(m_agents.begin(), m_agents.end(), [&](const auto &entry) { return isFresh(entry.second, now); });
 }
 
-bool agent_directory::allListedAreFresh(time_point now) const
+std::optional<std::vector<host_address>> agent_directory::possibleOwners(time_point now) const
 {
-    bool any = false;
+    std::vector<host_address> owners;
     for (const auto &[address, agent] : m_agents) {
-        if (!agent.isListed)
+        if (agent.report.state == agent_state::left)
             continue;
-        any = true;
         if (!isFresh(agent, now))
-            return false;
+            return std::nullopt;
+        owners.push_back(address);
     }
-    return any;
+    return owners;
 }
 
 void agent_directory::removeForgotten(duration age, time_point now)
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -137,7 +137,8 @@
     switch (m_state) {
     case agent_state::draining:
         return not_taken_reason::draining;
-    case agent_state::gone:
+    case agent_state::silent:
+    case agent_state::left:
     case agent_state::stopping:
         return not_taken_reason::not_serving;
     case agent_state::unconfirmed:
@@ -499,7 +500,7 @@
     if (m_upstream && m_upstream->id != upstreamId)
         return announcement_result::foreign;
     m_leftAt = now;
-    setState(agent_state::gone, absl::StrCat("left upstream=", upstreamId), now, out);
+    setState(agent_state::left, absl::StrCat("left upstream=", upstreamId), now, out);
     return announcement_result::accepted;
 }
 
@@ -597,9 +598,12 @@
     }
     if (m_balancers.empty() && (!m_nextSeedHello || now >= *m_nextSeedHello))
         sendSeedHellos(now, out);
-    if (m_announcedAt && !m_leftAt && m_state != agent_state::gone
+    if (m_announcedAt && !m_leftAt && m_state != agent_state::silent
         && now - *m_announcedAt > kMissedAnnouncements * m_settings.announcementPeriod)
-        setState(agent_state::gone, "no announcement arrives", now, out);
+        setState(agent_state::silent, "no announcement arrives", now, out);
+    if (!m_announcedAt && m_state == agent_state::unconfirmed
+        && now - m_startedAt > kMissedAnnouncements * m_settings.announcementPeriod)
+        setState(agent_state::left, "no upstream has announced itself since the start", now, out);
     if (m_leftAt && now - *m_leftAt >= kLeaveLinger)
         endFlows("upstream_left", now, out);
     if (!m_nextReport || now >= *m_nextReport) {
@@ -617,7 +621,8 @@
 {
     if (m_leftAt)
         endFlows("upstream_left", now, out);
-    setState(agent_state::stopping, "process ends", now, out);
+    else
+        setState(agent_state::stopping, "process ends", now, out);
 }
 
 void packet_agent::forgetFlows(time_point now)
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -18,8 +18,8 @@
 constexpr std::size_t kMaxHeldPackets = 512;
 // While agents may still announce themselves, a missing agent is no reason to refuse.
 constexpr duration kStartTime = milliseconds(1500);
-// All agents are taken as known only after several reports of each could arrive.
-constexpr duration kSettleTime = seconds(3);
+// Agents that the store does not list yet make themselves known within this time of a balancer's start.
+constexpr duration kSettleTime = milliseconds(300);
 // Memory for flows; about 200 bytes each.
 constexpr std::size_t kMaxFlows = 100'000;
 // A flow whose caller has finished still gets the last acknowledgements.
@@ -36,6 +36,11 @@
 constexpr std::uint64_t kAgentHelloRounds = 10;
 constexpr std::size_t kMaxListedBalancers = 64;
 constexpr duration kBalancerForgetTime = seconds(60);
+// A node that is silent for this long has been replaced; one that lives writes its entry again.
+constexpr duration kEntryPatience = seconds(8);
+constexpr duration kEntryPatiencePerBalancer = seconds(2);
+// Chance of missing a living balancer in so many cycles of hellos: under one in 10,000.
+constexpr int kEntryHelloCycles = 10;
 constexpr duration kAgentForgetTime = seconds(30);
 
 void noteNotTaken(const host_address &agent, std::vector<host_address> *agents)
@@ -67,7 +72,7 @@
 
 bool packet_balancer::knowsAllAgents(time_point now) const
 {
-    return m_isListingKnown && now - m_startedAt > kSettleTime && m_agents.allListedAreFresh(now);
+    return m_isListingKnown && now - m_startedAt > kSettleTime;
 }
 
 void packet_balancer::callerPacket(packet arrived, time_point now, plane_actions *out)
@@ -140,8 +145,8 @@
     if (known != m_flows.end()) {
         // The copy goes where the first one went while that agent lives, so that the flow opens at one upstream only.
         const agent_record *const agent = m_agents.find(known->second.owner);
-        if (agent != nullptr && m_agents.isFresh(*agent, now) && agent->report.state != agent_state::gone
-            && agent->report.state != agent_state::stopping) {
+        if (agent != nullptr && m_agents.isFresh(*agent, now) && agent->report.state != agent_state::silent
+            && agent->report.state != agent_state::left && agent->report.state != agent_state::stopping) {
             order.push_back(known->second.owner);
             service = known->second.service;
         } else {
@@ -355,8 +360,10 @@
 // answer each packet, so the answers are told apart by agent.
 bool packet_balancer::isDeniedByAll(const balancer_flow &flow, time_point now) const
 {
-    const auto agents = m_agents.ofService("");
-    return knowsAllAgents(now) && std::all_of(agents.begin(), agents.end(), [&](const host_address &agent) {
+    if (!knowsAllAgents(now))
+        return false;
+    const auto owners = m_agents.possibleOwners(now);
+    return owners && !owners->empty() && std::all_of(owners->begin(), owners->end(), [&](const host_address &agent) {
                return std::find(flow.notTakenBy.begin(), flow.notTakenBy.end(), agent) != flow.notTakenBy.end();
            });
 }
@@ -437,14 +444,18 @@
 void packet_balancer::applyListing(const std::vector<listed_node> &nodes, time_point now, plane_actions *out)
 {
     absl::flat_hash_set<host_address> listedAgents;
+    absl::flat_hash_map<host_address, time_point> listedBalancers;
     for (const listed_node &node : nodes) {
         if (!node.isAgent) {
+            const auto known = m_listedBalancers.find(node.address);
+            if (node.address != m_settings.self)
+                listedBalancers.emplace(node.address, known == m_listedBalancers.end() ? now : known->second);
             noteBalancer(node.address, now);
             continue;
         }
         listedAgents.insert(node.address);
         const bool isNew = m_agents.find(node.address) == nullptr;
-        m_agents.listed(node.address, node.service, node.domain);
+        m_agents.listed(node.address, node.service, node.domain, now);
         if (isNew)
             out->emplace_back(send_to_node{node.address, hello()});
     }
@@ -452,6 +463,7 @@
         if (!listedAgents.contains(address))
             m_agents.unlisted(address);
     }
+    m_listedBalancers = std::move(listedBalancers);
     if (!m_isListingKnown) {
         m_isListingKnown = true;
         m_nextHello = now;
@@ -462,6 +474,25 @@
     replayHeld(now, out);
 }
 
+// Each balancer waits longer the later it stands in the order of addresses, so that one of them removes an entry and the
+// others find it gone.
+std::vector<host_address> packet_balancer::forgottenNodes(time_point now) const
+{
+    const auto before = std::count_if(m_balancers.begin(), m_balancers.end(),
+                                      [this](const auto &entry) { return entry.first < m_settings.self; });
+    const duration patience = kEntryPatience + before * kEntryPatiencePerBalancer;
+    auto forgotten = m_agents.forgottenEntries(patience, now);
+    // A balancer hears of each other one in every kHelloFanOut-th part of their number of rounds.
+    const duration helloCycle = kHelloPeriod * std::int64_t(1 + m_balancers.size() / kHelloFanOut);
+    for (const auto &[address, since] : m_listedBalancers) {
+        const auto heard = m_balancers.find(address);
+        const time_point last = heard == m_balancers.end() ? since : std::max(since, heard->second);
+        if (now - last > patience + kEntryHelloCycles * helloCycle)
+            forgotten.push_back(address);
+    }
+    return forgotten;
+}
+
 balancer_hello packet_balancer::hello() const
 {
     balancer_hello result{.incarnation = m_settings.incarnation,
@@ -503,6 +534,12 @@
     }
     if (!m_held.empty())
         replayHeld(now, out);
+    for (const host_address &agent : m_agents.takeNewlySilent(now)) {
+        log(decision_kind::belief,
+            absl::StrCat("agent is silent, agent=", toString(agent), " state=",
+                         toString(m_agents.find(agent)->report.state), " number=", m_agents.find(agent)->report.number),
+            out);
+    }
     if (!m_nextSweep || now >= *m_nextSweep) {
         forgetFlows(now);
         m_agents.removeForgotten(kAgentForgetTime, now);
--- a/src/libplane/packet_balancer_test.cpp
+++ b/src/libplane/packet_balancer_test.cpp
@@ -137,6 +137,32 @@
     EXPECT_EQ(resets(), 0U);
 }
 
+// Guards against callers that wait out their time after a total restart because an agent whose upstream left earlier is still
+// listed (fleetbench run ofnbokun trouble-1: 0.87 of the worth from second 36 on).
+TEST_F(PacketBalancer, AgentWhoseUpstreamLeftNeedNotDeny)
+{
+    core.message(kAgentB, makeReport(++number, agent_state::left), now, &actions);
+    advance(seconds(1));
+    core.message(kAgentA, makeReport(++number), now, &actions);
+    fromCaller(callerPacket(77));
+    deny(kAgentA, callerPacket(77));
+    EXPECT_EQ(resets(), 1U);
+}
+
+// Guards against entries of hosts that were replaced and stay in the store for good, and against the removal of entries by a
+// balancer that is cut off itself.
+TEST_F(PacketBalancer, NamesListedNodesThatStaySilent)
+{
+    for (int second = 0; second < 9; ++second) {
+        EXPECT_TRUE(core.forgottenNodes(now).empty());
+        advance(seconds(1));
+        core.message(kAgentA, makeReport(++number), now, &actions);
+    }
+    EXPECT_EQ(core.forgottenNodes(now), std::vector{kAgentB});
+    advance(seconds(20));
+    EXPECT_TRUE(core.forgottenNodes(now).empty());
+}
+
 // Guards against a caller that waits although its address has no route.
 TEST_F(PacketBalancer, OpeningPacketWithoutRouteIsResetAtOnce)
 {
--- a/src/libplane/plane_message.cpp
+++ b/src/libplane/plane_message.cpp
@@ -217,8 +217,10 @@
         return "ready";
     case agent_state::draining:
         return "draining";
-    case agent_state::gone:
-        return "gone";
+    case agent_state::silent:
+        return "silent";
+    case agent_state::left:
+        return "left";
     case agent_state::stopping:
         return "stopping";
     }
--- a/src/libplanenode/agent_node.cpp
+++ b/src/libplanenode/agent_node.cpp
@@ -105,6 +105,8 @@
     log(decision_kind::lifecycle, absl::StrCat("stopped, flows=", m_core.flowCount(), " busy=", m_core.busy()));
     flush();
     m_nodes.stop();
+    if (m_core.state() == agent_state::left)
+        m_nodes.removeOwn();
     m_http.stop();
 }
 
--- a/src/libplanenode/balancer_node.cpp
+++ b/src/libplanenode/balancer_node.cpp
@@ -88,6 +88,7 @@
                         [this] { log(decision_kind::lifecycle, "reload asked for, settings are read at the start"); });
     log(decision_kind::lifecycle, absl::StrCat("started, node=", m_settings.name, " incarnation=", m_incarnation,
                                                " plane=", toString(m_settings.plane)));
+    m_nodes.removeForgotten([this] { return forgottenNodes(); });
     m_config.start();
     m_nodes.start();
     m_peerRoutes.start();
@@ -159,6 +160,7 @@
                                               : absl::StrCat("not ready, reasons=", absl::StrJoin(reasons, "; ")));
         m_sharedReasons = std::move(reasons);
         m_sharedNewerRoutes = m_core.newerRoutes();
+        m_sharedForgotten = m_core.forgottenNodes(now);
     }
     if (m_stopAt && isDoneStopping(now))
         m_loop.stop();
@@ -192,6 +194,12 @@
     return m_sharedNewerRoutes;
 }
 
+std::vector<host_address> balancer_node::forgottenNodes() const
+{
+    const std::lock_guard lock(m_sharedMutex);
+    return m_sharedForgotten;
+}
+
 http_reply balancer_node::readiness() const
 {
     const auto reasons = notReadyReasons();
--- a/src/libplanenode/store_worker.cpp
+++ b/src/libplanenode/store_worker.cpp
@@ -27,11 +27,13 @@
 // A watch may hang without notice. With the deadline of a call this leaves time to read a change again before the
 // three seconds within which it must be in force.
 constexpr milliseconds kConfigWatchWait{1500};
-constexpr milliseconds kNodesWatchWait{25000};
+// Between two watches entries of nodes that are gone are removed.
+constexpr milliseconds kNodesWatchWait{8000};
 constexpr duration kPeerCheckPeriod = milliseconds(250);
 // How long a node waits for its own watch before it asks another balancer for a version.
 constexpr duration kPeerPatience = milliseconds(300);
 constexpr milliseconds kPeerCallDeadline{500};
+constexpr milliseconds kRemoveDeadline{500};
 constexpr const char *kRoutesPath = "/routes";
 
 std::optional<std::string> fetchRoutes(const host_address &peer)
@@ -285,6 +287,7 @@
     , m_goesOnWatching(goesOnWatching)
     , m_receive(std::move(receive))
     , m_cursor(std::make_unique<watch_cursor>())
+    , m_storeAddress(store)
 {}
 
 nodes_worker::~nodes_worker()
@@ -325,6 +328,7 @@
     m_cursor->listed(*seen);
     const auto own = m_entries.find(m_key);
     m_isOwnWritten = own != m_entries.end() && own->second.value && parseNode(*own->second.value) == m_self;
+    m_ownVersion = m_isOwnWritten ? own->second.version : 0;
     publish();
     return duration(0);
 }
@@ -339,6 +343,7 @@
                              : store().update(m_key, formatNode(m_self), own->second.version, &reason);
     if (version) {
         m_isOwnWritten = true;
+        m_ownVersion = *version;
         log(absl::StrCat("own entry written, version=", *version));
         return noteCall(true, reason);
     }
@@ -351,6 +356,19 @@
     return noteCall(reason == platform_failure::conflict, reason) + kFirstRetryDelay;
 }
 
+// An entry that stays is removed by a balancer later, so one attempt is enough.
+void nodes_worker::removeOwn()
+{
+    if (m_ownVersion == 0)
+        return;
+    platform::platform_store store({m_storeAddress, kRemoveDeadline});
+    platform_failure reason = platform_failure::unavailable;
+    if (store.remove(m_key, m_ownVersion, &reason))
+        log("own entry removed");
+    else
+        log(absl::StrCat("own entry not removed, reason=", toString(reason)));
+}
+
 std::optional<duration> nodes_worker::wait()
 {
     platform_failure reason = platform_failure::unavailable;
@@ -372,9 +390,26 @@
     m_cursor->answered(*result);
     if (!result->changes.empty())
         publish();
+    removeEntries();
     return duration(0);
 }
 
+// Removal is conditional on the version, so an entry that its node has written again stays.
+void nodes_worker::removeEntries()
+{
+    for (const host_address &address : m_forgotten ? m_forgotten() : std::vector<host_address>()) {
+        for (const auto &[key, entry] : m_entries) {
+            const auto node = entry.value ? parseNode(*entry.value) : std::nullopt;
+            if (!node || node->address != address || key == m_key)
+                continue;
+            platform_failure reason = platform_failure::unavailable;
+            const bool isRemoved = store().remove(key, entry.version, &reason).has_value();
+            log(absl::StrCat("entry of a silent node, key=", key, " removed=", isRemoved,
+                             " reason=", isRemoved ? "silent" : toString(reason)));
+        }
+    }
+}
+
 void nodes_worker::publish()
 {
     std::vector<listed_node> nodes;
