--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -82,9 +82,11 @@
     {
         host_address owner;
         std::string service;
-        bool isOwnerKnown = false;            ///< False while the agents are asked.
-        bool isOpening = false;               ///< Only opening packets were seen.
-        std::vector<host_address> notTakenBy; ///< Agents that do not hold the flow or would not take it.
+        bool isOwnerKnown = false;             ///< False while the agents are asked.
+        bool isOpening = false;                ///< Only opening packets were seen.
+        std::vector<host_address> askedAgents; ///< While the owner is unknown.
+        std::vector<host_address> notTakenBy;  ///< Agents that do not hold the flow or would not take it.
+        packet lastPacket;                     ///< While the owner is unknown, for agents that become known later.
         bool finished = false;
         time_point lastSeen;
         time_point firstSeen;
@@ -111,6 +113,8 @@
     void continueFlow(packet arrived, time_point now, plane_actions *out);
     void askForOwner(packet arrived, balancer_flow *flow, std::optional<host_address> except, time_point now,
                      plane_actions *out);
+    void askOthers(balancer_flow *flow, const flow_key &key, plane_actions *out);
+    void decideUndecided(time_point now, plane_actions *out);
     void withoutRoute(packet arrived, time_point now, plane_actions *out);
     void hold(packet arrived, time_point now, plane_actions *out);
     void replayHeld(time_point now, plane_actions *out);
@@ -141,6 +145,7 @@
     agent_directory m_agents;
     absl::flat_hash_map<host_address, time_point> m_balancers; ///< Others, and when each was last heard of.
     absl::flat_hash_map<flow_key, balancer_flow> m_flows;
+    absl::flat_hash_set<flow_key> m_undecided; ///< Flows whose agents are asked.
     std::vector<held_packet> m_held;
     std::optional<routes_offer> m_newerRoutes;
     absl::flat_hash_map<host_address, time_point> m_listedBalancers; ///< Others, and since when.
--- a/src/include/citroncrank/store_worker.h
+++ b/src/include/citroncrank/store_worker.h
@@ -9,6 +9,7 @@
 
 #include "platform_store.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <map>
@@ -39,6 +40,8 @@
     void start();
     /// Ends the call in progress and the thread.
     void stop();
+    /// Ends the wait between two steps.
+    void wake();
 
 protected:
     /// One step of the work. Returns how long to wait before the next, or nullopt when the work is done.
@@ -62,6 +65,7 @@
     std::mutex m_mutex;
     std::condition_variable m_wake;
     bool m_isStopped = false;
+    bool m_isWoken = false;
     std::thread m_thread;
 };
 
@@ -131,6 +135,8 @@
                  receiver receive, store_log log);
     ~nodes_worker() override;
 
+    /// Lets the worker write this node's entry. An agent is listed once its upstream has announced itself.
+    void allowEntry();
     /// Lets the worker remove entries. Must be called before start().
     void removeForgotten(forgotten_source source) { m_forgotten = std::move(source); }
     /// Removes this node's entry, for a node that does not come back. Call after stop(). Waits for the store a short time.
@@ -153,6 +159,7 @@
     forgotten_source m_forgotten;
     std::map<std::string, object_entry> m_entries;
     std::unique_ptr<watch_cursor> m_cursor;
+    std::atomic<bool> m_isEntryAllowed = false;
     bool m_isOwnWritten = false;
     object_version m_ownVersion = 0;
     host_address m_storeAddress;
--- a/src/libplane/agent_directory.cpp
+++ b/src/libplane/agent_directory.cpp
@@ -195,7 +195,9 @@
 {
     std::vector<host_address> owners;
     for (const auto &[address, agent] : m_agents) {
-        if (agent.report.state == agent_state::left)
+        // An agent has an entry from its upstream's first announcement on.
+        const bool isNew = !agent.isListed && agent.report.state == agent_state::unconfirmed;
+        if (agent.report.state == agent_state::left || isNew)
             continue;
         if (!isFresh(agent, now))
             return std::nullopt;
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -20,6 +20,8 @@
 constexpr duration kStartTime = milliseconds(1500);
 // Agents that the store does not list yet make themselves known within this time of a balancer's start.
 constexpr duration kSettleTime = milliseconds(300);
+// Flows whose owner is being asked for; each keeps a packet.
+constexpr std::size_t kMaxUndecided = 2000;
 // Memory for flows; about 200 bytes each.
 constexpr std::size_t kMaxFlows = 100'000;
 // A flow whose caller has finished still gets the last acknowledgements.
@@ -37,10 +39,13 @@
     return std::uint32_t(std::chrono::duration_cast<milliseconds>(value).count());
 }
 
-void noteNotTaken(const host_address &agent, std::vector<host_address> *agents)
+/// Returns false if the agent is in the list already.
+bool noteAgent(const host_address &agent, std::vector<host_address> *agents)
 {
-    if (std::find(agents->begin(), agents->end(), agent) == agents->end())
-        agents->push_back(agent);
+    if (std::find(agents->begin(), agents->end(), agent) != agents->end())
+        return false;
+    agents->push_back(agent);
+    return true;
 }
 
 } // namespace
@@ -220,21 +225,59 @@
 void packet_balancer::askForOwner(packet arrived, balancer_flow *flow, std::optional<host_address> except,
                                   time_point now, plane_actions *out)
 {
-    const auto agents = m_agents.ofService("");
+    const flow_key key = flowFromCaller(arrived.header);
     if (flow->isOwnerKnown)
         flow->notTakenBy.clear();
     flow->isOwnerKnown = false;
-    if (except)
-        noteNotTaken(*except, &flow->notTakenBy);
-    for (const host_address &agent : agents) {
-        if (agent == except)
+    flow->askedAgents.clear();
+    if (except) {
+        noteAgent(*except, &flow->notTakenBy);
+        flow->askedAgents.push_back(*except);
+    }
+    flow->lastPacket = std::move(arrived);
+    if (m_undecided.size() < kMaxUndecided)
+        m_undecided.insert(key);
+    askOthers(flow, key, out);
+}
+
+void packet_balancer::askOthers(balancer_flow *flow, const flow_key &key, plane_actions *out)
+{
+    std::size_t asked = 0;
+    for (const host_address &agent : m_agents.ofService("")) {
+        if (!noteAgent(agent, &flow->askedAgents))
             continue;
-        forward(agent, forward_purpose::ask, flow->service, flowFromCaller(arrived.header), arrived.bytes, {}, out);
+        ++asked;
+        forward(agent, forward_purpose::ask, flow->service, key, flow->lastPacket.bytes, {}, out);
     }
-    log(decision_kind::owner,
-        absl::StrCat("asked agents for the owner, flow=", toString(flowFromCaller(arrived.header)),
-                     " agents=", agents.size(), " data=", arrived.header.dataBytes),
-        out);
+    if (asked > 0)
+        log(decision_kind::owner,
+            absl::StrCat("asked agents for the owner, flow=", toString(key), " agents=", asked,
+                         " denied=", flow->notTakenBy.size(), " data=", flow->lastPacket.header.dataBytes),
+            out);
+}
+
+// Soon after a start agents become known one after the other, and what they denied proves something only once all are
+// known. Without this a caller would wait for its next retransmission.
+void packet_balancer::decideUndecided(time_point now, plane_actions *out)
+{
+    std::vector<flow_key> decided;
+    for (const flow_key &key : m_undecided) {
+        const auto found = m_flows.find(key);
+        if (found == m_flows.end() || found->second.isOwnerKnown) {
+            decided.push_back(key);
+            continue;
+        }
+        if (isDeniedByAll(found->second, now)) {
+            decided.push_back(key);
+            if (!found->second.lastPacket.header.reset)
+                refuse(found->second.lastPacket, "no_owner", out);
+            m_flows.erase(found);
+            continue;
+        }
+        askOthers(&found->second, key, out);
+    }
+    for (const flow_key &key : decided)
+        m_undecided.erase(key);
 }
 
 void packet_balancer::message(const host_address &from, plane_message arrived, time_point now, plane_actions *out)
@@ -271,6 +314,8 @@
     found->second.owner = agent;
     found->second.isOwnerKnown = true;
     found->second.notTakenBy.clear();
+    found->second.askedAgents.clear();
+    found->second.lastPacket = {};
     if (const agent_record *const record = m_agents.find(agent))
         found->second.service = record->report.service;
     log(decision_kind::owner, absl::StrCat("learned owner, flow=", toString(flow), " agent=", toString(agent)), out);
@@ -306,8 +351,8 @@
     if (found == m_flows.end() || !found->second.isOpening)
         return; // Answered by another agent meanwhile.
     balancer_flow &flow = found->second;
-    noteNotTaken(agent, &flow.notTakenBy);
-    noteNotTaken(flow.owner, &flow.notTakenBy);
+    noteAgent(agent, &flow.notTakenBy);
+    noteAgent(flow.owner, &flow.notTakenBy);
     const auto order = m_agents.candidates(flow.service, m_settings.domain, flow.notTakenBy, kAlternates + 1, now);
     if (order.empty()) {
         m_flows.erase(found);
@@ -356,7 +401,7 @@
     const auto found = m_flows.find(flowFromCaller(returned.header));
     if (found == m_flows.end() || found->second.isOwnerKnown)
         return;
-    noteNotTaken(agent, &found->second.notTakenBy);
+    noteAgent(agent, &found->second.notTakenBy);
     if (returned.header.reset || !isDeniedByAll(found->second, now))
         return;
     m_flows.erase(found);
@@ -408,6 +453,7 @@
     }
     if (!m_held.empty())
         replayHeld(now, out);
+    decideUndecided(now, out);
     for (const host_address &agent : m_agents.takeNewlySilent(now)) {
         log(decision_kind::belief,
             absl::StrCat("agent is silent, agent=", toString(agent), " state=",
--- a/src/libplane/packet_balancer_test.cpp
+++ b/src/libplane/packet_balancer_test.cpp
@@ -149,6 +149,46 @@
     EXPECT_EQ(resets(), 1U);
 }
 
+// Guards against callers that wait for their next retransmission after a restart of the balancer, since its agents become
+// known only after the first packet (fleetbench run mwangaza-returns trouble-1: 0.88 of the worth from second 36 on).
+TEST(PacketBalancerStart, AsksAgentsThatBecomeKnownLater)
+{
+    time_point now{};
+    plane_actions actions;
+    packet_balancer core({.self = kBalancer, .domain = "nbi-west", .flowLifetime = seconds(60)}, decodeTestHeader, now);
+    core.applyRoutes(makeRoutes(5), now, &actions);
+    core.message(kAgentA, makeReport(1), now, &actions);
+    core.callerPacket(callerPacket(77), now, &actions);
+    EXPECT_EQ(messagesOf<forwarded_packet>(actions).size(), 1U);
+    const auto deny = [&](const host_address &agent) {
+        core.message(agent,
+                     not_taken_notice{not_taken_reason::unknown_flow, forward_purpose::ask, callerPacket(77).bytes},
+                     now, &actions);
+    };
+    deny(kAgentA);
+    core.applyListing({{kAgentA, true, kService, "nbi-west"}, {kAgentB, true, kService, "nbi-west"}}, now, &actions);
+    core.message(kAgentB, makeReport(1), now, &actions);
+    actions.clear();
+    core.advance(now, &actions);
+    ASSERT_EQ(messagesOf<forwarded_packet>(actions).size(), 1U);
+    EXPECT_EQ(messagesOf<forwarded_packet>(actions)[0].first, kAgentB);
+    deny(kAgentB);
+    EXPECT_TRUE(actionsOf<reset_flow>(actions).empty()) << "further agents may still make themselves known";
+    now += milliseconds(400);
+    core.advance(now, &actions);
+    EXPECT_EQ(actionsOf<reset_flow>(actions).size(), 1U);
+}
+
+// Guards against an agent without an upstream that keeps a balancer from knowing who can hold a flow.
+TEST_F(PacketBalancer, NewAgentWithoutAnUpstreamNeedNotDeny)
+{
+    core.message(kAgentC, makeReport(1, agent_state::unconfirmed), now, &actions);
+    fromCaller(callerPacket(77));
+    deny(kAgentA, callerPacket(77));
+    deny(kAgentB, callerPacket(77));
+    EXPECT_EQ(resets(), 1U);
+}
+
 // Guards against entries of hosts that were replaced and stay in the store for good, and against the removal of entries by a
 // balancer that is cut off itself.
 TEST_F(PacketBalancer, NamesListedNodesThatStaySilent)
--- a/src/libplanenode/agent_node.cpp
+++ b/src/libplanenode/agent_node.cpp
@@ -190,8 +190,10 @@
         log(decision_kind::refusal, absl::StrCat("announcement not confirmed, id=", id, " reason=overloaded"));
         return {.status = kStatusUnavailable, .body = "overloaded\n"};
     }
-    if (*result == announcement_result::accepted)
+    if (*result == announcement_result::accepted) {
+        m_nodes.allowEntry();
         return {.status = kStatusOk, .contentType = "application/json", .body = platform::kConfirmation};
+    }
     log(decision_kind::refusal, absl::StrCat("announcement not taken, id=", id, " reason=", toString(*result)));
     return {.status = kStatusConflict, .body = absl::StrCat(toString(*result), "\n")};
 }
--- a/src/libplanenode/store_worker.cpp
+++ b/src/libplanenode/store_worker.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds kConfigWatchWait{1500};
 // Between two watches entries of nodes that are gone are removed.
 constexpr milliseconds kNodesWatchWait{8000};
+// allowEntry() ends this wait.
+constexpr duration kEntryWait = seconds(60);
 constexpr duration kPeerCheckPeriod = milliseconds(250);
 // How long a node waits for its own watch before it asks another balancer for a version.
 constexpr duration kPeerPatience = milliseconds(300);
@@ -85,13 +87,26 @@
         m_thread.join();
 }
 
+void store_worker::wake()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isWoken = true;
+    }
+    m_wake.notify_all();
+}
+
 void store_worker::run()
 {
     blockSignals();
     for (;;) {
         const auto pause = step();
         std::unique_lock lock(m_mutex);
-        if (!pause || m_isStopped || m_wake.wait_for(lock, *pause, [this] { return m_isStopped; }))
+        if (!pause || m_isStopped)
+            return;
+        m_wake.wait_for(lock, *pause, [this] { return m_isStopped || m_isWoken; });
+        m_isWoken = false;
+        if (m_isStopped)
             return;
     }
 }
@@ -300,10 +315,16 @@
     if (!m_cursor->from())
         return readAll();
     if (!m_isOwnWritten)
-        return writeOwn();
+        return m_isEntryAllowed ? writeOwn() : std::optional<duration>(kEntryWait);
     return m_goesOnWatching ? wait() : std::nullopt;
 }
 
+void nodes_worker::allowEntry()
+{
+    if (!m_isEntryAllowed.exchange(true))
+        wake();
+}
+
 std::optional<duration> nodes_worker::readAll()
 {
     std::map<std::string, object_entry> entries;
