--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -131,7 +131,8 @@
         std::uint32_t upstreamEnd = 0;   ///< Behind its last byte.
         std::uint32_t callerEnd = 0;     ///< Behind the caller's last byte.
         std::uint32_t callerAcknowledged = 0;
-        bool callerContinued = false; ///< The caller sent a packet behind its opening one that fits this upstream.
+        bool isConfirmed =
+            false; ///< The caller has opened the flow here, and not at another upstream that answered too.
         bool callerFinished = false;
         bool upstreamFinished = false;
         bool isExpected = false; ///< Counts as a request that is on its way.
@@ -156,7 +157,6 @@
     std::optional<not_taken_reason> openingRefusal(const std::string &service) const;
     bool hasFreeSlot() const;
     bool isOverloaded(const request_limits &limits) const;
-    static bool isConfirmed(const agent_flow &flow);
     bool mayBeOf(const agent_flow &flow, const packet_header &header) const;
     void deliver(const flow_key &key, agent_flow *flow, packet content, time_point now, plane_actions *out);
     bool startsRequest(agent_flow *flow, const packet &content);
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -203,11 +203,6 @@
     return advanced <= sent + kAcknowledgementSlack;
 }
 
-bool packet_agent::isConfirmed(const agent_flow &flow)
-{
-    return flow.phase == flow_phase::open && flow.callerContinued;
-}
-
 // An agent that has run since before its upstream's start has seen every flow of it.
 bool packet_agent::knowsAllFlows(time_point now) const
 {
@@ -227,7 +222,7 @@
                              " acknowledged=", content.header.acknowledged, " first=", found->second.upstreamFirst),
                 out);
             releaseWork(key, &found->second, now);
-            m_flows.erase(found);
+            found->second.lastSeen = now;
         }
         arrived.packetBytes = std::move(content.bytes);
         turnAway(std::move(arrived), not_taken_reason::unknown_flow, out);
@@ -291,8 +286,10 @@
             return;
         }
         flow.lastSeen = now;
-        if (flow.phase == flow_phase::probing && flow.origin != host_address{})
+        // An opening answer shows only that the upstream would take the flow; the caller may have opened it elsewhere.
+        if (flow.phase == flow_phase::probing && flow.origin != host_address{} && !arrived.header.open)
             out->emplace_back(send_to_node{flow.origin, owner_notice{key}});
+        flow.isConfirmed = flow.isConfirmed || (!arrived.header.open && !arrived.header.reset);
         flow.phase = flow_phase::open;
         flow.alternates.clear();
         if (flow.request == request_phase::working || flow.awaitsHead)
@@ -329,7 +326,7 @@
         passOn(std::move(returned), "returned", key, out);
         return;
     }
-    if (!content.header.open && isConfirmed(flow)) {
+    if (!content.header.open && flow.isConfirmed) {
         // The upstream held this flow and lost it, so no one else holds it.
         ++m_counts.resets;
         out->emplace_back(reset_flow{key, content.header.acknowledged});
--- a/src/libplane/packet_agent_requests.cpp
+++ b/src/libplane/packet_agent_requests.cpp
@@ -76,7 +76,7 @@
     flow->lastSeen = now;
     if (header.acknowledges)
         flow->callerAcknowledged = header.acknowledged;
-    flow->callerContinued = flow->callerContinued || !header.open;
+    flow->isConfirmed = flow->isConfirmed || (!header.open && flow->phase == flow_phase::open);
     flow->callerFinished = flow->callerFinished || header.finish || header.reset;
     if (header.reset)
         releaseWork(key, flow, now);
--- a/src/libplane/packet_agent_test.cpp
+++ b/src/libplane/packet_agent_test.cpp
@@ -337,6 +337,24 @@
     }
 }
 
+// Guards against packets of a flow that go to an upstream where it was opened too but not confirmed (fleetbench run
+// mwangaza-returns deploy/days/hosts-restarted.toml, FLOW at 25.837 s): the agent had restarted, and the upstream
+// repeated its answer to a copy of the opening packet.
+TEST_F(PacketAgent, KeepsDenyingAFlowThatTheCallerOpenedElsewhere)
+{
+    forward(callerPacket(900'001), forward_purpose::ask);
+    fromUpstream(upstreamPacket(kUpstreamFirst, {}, true));
+    EXPECT_TRUE(messagesOf<owner_notice>(actions).empty());
+    for (int i = 0; i < 3; ++i) {
+        forward(callerPacket(900'001), forward_purpose::ask);
+        EXPECT_EQ(delivered(), 0U);
+        EXPECT_EQ(denials(), std::vector{not_taken_reason::unknown_flow});
+    }
+    core.leave("i-1", now, &actions);
+    core.advance(now + seconds(1), &actions);
+    EXPECT_EQ(resets(), 0U);
+}
+
 // Guards against a flow that is taken as owned although the upstream returned its packet.
 TEST_F(PacketAgent, DeniesAFlowThatItsUpstreamDoesNotHold)
 {
--- a/src/libplane/packet_agent_upstream.cpp
+++ b/src/libplane/packet_agent_upstream.cpp
@@ -70,7 +70,7 @@
 {
     std::size_t count = 0;
     for (auto &[key, flow] : m_flows) {
-        if (!isConfirmed(flow))
+        if (!flow.isConfirmed)
             continue;
         releaseWork(key, &flow, now);
         flow.phase = flow_phase::ended;
