--- a/src/include/citroncrank/balancer_node.h
+++ b/src/include/citroncrank/balancer_node.h
@@ -48,6 +48,7 @@
     peer_routes_worker m_peerRoutes;
     nodes_worker m_nodes;
     std::optional<time_point> m_stopAt; ///< When SIGTERM arrived.
+    std::optional<time_point> m_handedOverAt;
     std::optional<time_point> m_lastPacket;
     metric_counter &m_callerPackets;
     metric_gauge &m_flows;
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -68,6 +68,8 @@
     /// Periodic work: hellos, held packets, forgotten flows. Call about every kBalancerTick.
     void advance(time_point now, plane_actions *out);
 
+    /// Tells the other balancers of this failure domain the owners of all flows, before callers are sent to them.
+    void handOver(plane_actions *out) const;
     /// Why callers should not be sent here, one reason an entry. Empty: ready.
     std::vector<std::string> notReadyReasons(time_point now) const;
     /// Newest version that another balancer has and this one lacks.
@@ -88,7 +90,9 @@
         bool isOpening = false;                ///< Only opening packets were seen.
         std::vector<host_address> askedAgents; ///< While the owner is unknown.
         std::vector<host_address> notTakenBy;  ///< Agents that do not hold the flow or would not take it.
-        packet lastPacket;                     ///< While the owner is unknown, for agents that become known later.
+        time_point askedAt;
+        std::vector<std::string> heldPackets; ///< Arrived after the question, sent once the owner is known.
+        packet lastPacket;                    ///< While the owner is unknown, for agents that become known later.
         bool finished = false;
         time_point lastSeen;
         time_point firstSeen;
@@ -130,6 +134,8 @@
     bool isDeniedByAll(const balancer_flow &flow, time_point now) const;
     void takeReport(const host_address &agent, const agent_report &report, time_point now, plane_actions *out);
     void takeHello(const host_address &from, const balancer_hello &hello, time_point now, plane_actions *out);
+    void takeOwners(const flow_owner_list &owners, time_point now);
+    void sendOwners(const host_address &balancer, plane_actions *out) const;
     void noteBalancer(const host_address &address, time_point now);
     balancer_hello hello() const;
     void sendHellos(time_point now, plane_actions *out);
@@ -145,7 +151,12 @@
     std::shared_ptr<const route_set> m_routes;
     absl::flat_hash_set<host_address> m_droppedRoutes; ///< Addresses whose route a later version dropped.
     agent_directory m_agents;
-    absl::btree_map<host_address, time_point> m_balancers; ///< Others, and when each was last heard of.
+    struct known_balancer
+    {
+        time_point heardAt;
+        std::string domain; ///< Empty until it said hello.
+    };
+    absl::btree_map<host_address, known_balancer> m_balancers; ///< Others.
     absl::flat_hash_map<flow_key, balancer_flow> m_flows;
     absl::btree_set<flow_key> m_undecided; ///< Flows whose agents are asked.
     std::vector<held_packet> m_held;
@@ -157,6 +168,8 @@
     std::optional<time_point> m_nextSweep;
 };
 
+/// Flows of which a balancer remembers the owner; about 300 bytes each.
+constexpr std::size_t kMaxFlows = 100'000;
 /// Period of the hellos to other balancers.
 constexpr duration kHelloPeriod = std::chrono::seconds(1);
 /// Period of packet_balancer::advance().
--- a/src/include/citroncrank/plane_message.h
+++ b/src/include/citroncrank/plane_message.h
@@ -103,10 +103,28 @@
     auto operator<=>(const agent_report &) const = default;
 };
 
+/// Owner of one flow.
+struct flow_owner_entry
+{
+    flow_key flow;
+    host_address owner;
+    auto operator<=>(const flow_owner_entry &) const = default;
+};
+
+/// Owners that a balancer knows, for one that takes over its flows.
+struct flow_owner_list
+{
+    std::vector<flow_owner_entry> entries; ///< At most kMaxOwnersPerMessage.
+    auto operator<=>(const flow_owner_list &) const = default;
+};
+/// Fits one datagram.
+constexpr std::size_t kMaxOwnersPerMessage = 40;
+
 /// A balancer makes itself known. Agents answer with a report, balancers learn the version of the routes in force.
 struct balancer_hello
 {
     std::uint64_t incarnation = 0;
+    std::string domain;                  ///< Failure domain.
     std::uint64_t routesVersion = 0;     ///< 0: none.
     host_address http;                   ///< Serves the routes in force to other balancers.
     std::vector<host_address> balancers; ///< Known balancers, this one left out.
@@ -120,8 +138,8 @@
     auto operator<=>(const agent_hello &) const = default;
 };
 
-using plane_message =
-    std::variant<forwarded_packet, owner_notice, not_taken_notice, agent_report, balancer_hello, agent_hello>;
+using plane_message = std::variant<forwarded_packet, owner_notice, not_taken_notice, agent_report, balancer_hello,
+                                   agent_hello, flow_owner_list>;
 
 /// Encodes a message as one datagram.
 std::string encodePlaneMessage(const plane_message &message);
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -20,10 +20,12 @@
 constexpr duration kStartTime = milliseconds(1500);
 // Agents that the store does not list yet make themselves known within this time of a balancer's start.
 constexpr duration kSettleTime = milliseconds(300);
+// An owner answers within a way between failure domains and back.
+constexpr duration kQuestionTime = milliseconds(50);
+// A caller has at most this many packets in flight.
+constexpr std::size_t kMaxHeldPerFlow = 16;
 // Flows whose owner is being asked for; each keeps a packet.
 constexpr std::size_t kMaxUndecided = 2000;
-// Memory for flows; about 200 bytes each.
-constexpr std::size_t kMaxFlows = 100'000;
 // A flow whose caller has finished still gets the last acknowledgements.
 constexpr duration kFinishedFlowTime = seconds(3);
 // A flow that never opened ends at its caller after 1.4 s.
@@ -214,7 +216,12 @@
     flow.isOpening = false;
     flow.finished = flow.finished || arrived.header.finish || arrived.header.reset;
     if (!flow.isOwnerKnown) {
-        askForOwner(std::move(arrived), &flow, std::nullopt, now, out);
+        // The answer to a question just sent is on its way; a question for each packet would fill small links.
+        const bool isAsked = !flow.askedAgents.empty() && now - flow.askedAt < kQuestionTime;
+        if (isAsked && flow.heldPackets.size() < kMaxHeldPerFlow)
+            flow.heldPackets.push_back(std::move(arrived.bytes));
+        else
+            askForOwner(std::move(arrived), &flow, std::nullopt, now, out);
         return;
     }
     forward(flow.owner, forward_purpose::carry, flow.service, key, std::move(arrived.bytes), {}, out);
@@ -235,6 +242,7 @@
         flow->askedAgents.push_back(*except);
     }
     flow->lastPacket = std::move(arrived);
+    flow->askedAt = now;
     if (m_undecided.size() < kMaxUndecided)
         m_undecided.insert(key);
     askOthers(flow, key, out);
@@ -298,6 +306,7 @@
             self->takeReport(from, hello.report, now, out);
             out->emplace_back(send_to_node{from, self->hello()});
         }
+        void operator()(const flow_owner_list &owners) const { self->takeOwners(owners, now); }
         void operator()(const forwarded_packet &) const
         {
             self->log(decision_kind::refusal, absl::StrCat("dropped forwarded packet, from=", toString(from)), out);
@@ -316,6 +325,8 @@
     found->second.notTakenBy.clear();
     found->second.askedAgents.clear();
     found->second.lastPacket = {};
+    for (std::string &held : std::exchange(found->second.heldPackets, {}))
+        forward(agent, forward_purpose::carry, found->second.service, flow, std::move(held), {}, out);
     if (const agent_record *const record = m_agents.find(agent))
         found->second.service = record->report.service;
     log(decision_kind::owner, absl::StrCat("learned owner, flow=", toString(flow), " agent=", toString(agent)), out);
@@ -463,7 +474,8 @@
     if (!m_nextSweep || now >= *m_nextSweep) {
         forgetFlows(now);
         m_agents.removeForgotten(kAgentForgetTime, now);
-        absl::erase_if(m_balancers, [&](const auto &entry) { return now - entry.second > kBalancerForgetTime; });
+        absl::erase_if(m_balancers,
+                       [&](const auto &entry) { return now - entry.second.heardAt > kBalancerForgetTime; });
         m_nextSweep = now + kSweepPeriod;
     }
 }
--- a/src/libplane/packet_balancer_nodes.cpp
+++ b/src/libplane/packet_balancer_nodes.cpp
@@ -40,14 +40,15 @@
 void packet_balancer::noteBalancer(const host_address &address, time_point now)
 {
     if (address != m_settings.self)
-        m_balancers.try_emplace(address, now);
+        m_balancers.try_emplace(address, known_balancer{now, {}});
 }
 
 void packet_balancer::takeHello(const host_address &from, const balancer_hello &hello, time_point now,
                                 plane_actions *out)
 {
-    const bool isNew = !m_balancers.contains(from);
-    m_balancers[from] = now;
+    const auto known = m_balancers.find(from);
+    const bool isNew = known == m_balancers.end() || known->second.domain.empty();
+    m_balancers[from] = {now, hello.domain};
     for (const host_address &other : hello.balancers)
         noteBalancer(other, now);
     if (hello.routesVersion > routesVersion() && (!m_newerRoutes || hello.routesVersion > m_newerRoutes->version))
@@ -57,6 +58,8 @@
     log(decision_kind::belief,
         absl::StrCat("balancer said hello, balancer=", toString(from), " routes=", hello.routesVersion), out);
     out->emplace_back(send_to_node{from, this->hello()});
+    if (hello.domain == m_settings.domain)
+        sendOwners(from, out);
 }
 
 std::optional<routes_offer> packet_balancer::newerRoutes() const
@@ -100,6 +103,7 @@
 balancer_hello packet_balancer::hello() const
 {
     balancer_hello result{.incarnation = m_settings.incarnation,
+                          .domain = m_settings.domain,
                           .routesVersion = routesVersion(),
                           .http = m_settings.http,
                           .balancers = {}};
@@ -142,11 +146,59 @@
     const duration helloCycle = kHelloPeriod * std::int64_t(1 + m_balancers.size() / kHelloFanOut);
     for (const auto &[address, since] : m_listedBalancers) {
         const auto heard = m_balancers.find(address);
-        const time_point last = heard == m_balancers.end() ? since : std::max(since, heard->second);
+        const time_point last = heard == m_balancers.end() ? since : std::max(since, heard->second.heardAt);
         if (now - last > patience + kEntryHelloCycles * helloCycle)
             forgotten.push_back(address);
     }
     return forgotten;
 }
 
+void packet_balancer::sendOwners(const host_address &balancer, plane_actions *out) const
+{
+    flow_owner_list list;
+    const auto send = [&] {
+        if (!list.entries.empty())
+            out->emplace_back(send_to_node{balancer, std::exchange(list, {})});
+    };
+    for (const auto &[key, flow] : m_flows) {
+        if (!flow.isOwnerKnown || flow.finished)
+            continue;
+        list.entries.push_back({key, flow.owner});
+        if (list.entries.size() == kMaxOwnersPerMessage)
+            send();
+    }
+    send();
+}
+
+void packet_balancer::handOver(plane_actions *out) const
+{
+    std::size_t count = 0;
+    for (const auto &[address, balancer] : m_balancers) {
+        if (balancer.domain != m_settings.domain)
+            continue;
+        sendOwners(address, out);
+        ++count;
+    }
+    log(decision_kind::owner, absl::StrCat("handed flows over, flows=", m_flows.size(), " balancers=", count), out);
+}
+
+// What this balancer learned from an agent is newer than what another one remembers.
+void packet_balancer::takeOwners(const flow_owner_list &owners, time_point now)
+{
+    for (const flow_owner_entry &entry : owners.entries) {
+        if (m_flows.size() >= kMaxFlows)
+            return;
+        const auto [found, isNew] = m_flows.try_emplace(entry.flow);
+        if (!isNew)
+            continue;
+        balancer_flow &flow = found->second;
+        flow.owner = entry.owner;
+        flow.isOwnerKnown = true;
+        flow.firstSeen = now;
+        flow.lastSeen = now;
+        if (const agent_record *const agent = m_agents.find(entry.owner))
+            flow.service = agent->report.service;
+    }
+}
+
 } // namespace citroncrank
--- a/src/libplane/packet_balancer_test.cpp
+++ b/src/libplane/packet_balancer_test.cpp
@@ -115,6 +115,46 @@
     EXPECT_EQ(resets(), 0U);
 }
 
+// Guards against a question to every agent for each flow that moves when a balancer is replaced (fleetbench run
+// ofnbokun-grown quiet-1: 15 flows whose packets were lost on small links filled by such questions).
+TEST_F(PacketBalancer, HandsFlowsOverToBalancersOfItsDomain)
+{
+    fromCaller(openingPacket());
+    core.message(kOtherBalancer, balancer_hello{.incarnation = 1, .domain = "nbi-west"}, now, &actions);
+    const auto sent = messagesOf<flow_owner_list>(actions);
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent[0].first, kOtherBalancer);
+    EXPECT_EQ(sent[0].second.entries, (std::vector{flow_owner_entry{kFlow, kAgentA}}));
+    actions.clear();
+    core.handOver(&actions);
+    EXPECT_EQ(messagesOf<flow_owner_list>(actions).size(), 1U);
+    // The one that takes over sends packets to the owner at once.
+    packet_balancer other({.self = kOtherBalancer, .domain = "nbi-west", .flowLifetime = seconds(60)}, decodeTestHeader,
+                          now);
+    other.applyRoutes(makeRoutes(5), now, &actions);
+    other.message(kAgentA, makeReport(number + 1), now, &actions);
+    other.message(kBalancer, sent[0].second, now, &actions);
+    actions.clear();
+    other.callerPacket(callerPacket(1), now, &actions);
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_EQ(forwarded()[0].first, kAgentA);
+    EXPECT_EQ(forwarded()[0].second.purpose, forward_purpose::carry);
+}
+
+// Guards against a question to every agent for each of several packets of one flow.
+TEST_F(PacketBalancer, AsksOnceForPacketsInQuickSuccession)
+{
+    fromCaller(callerPacket(1));
+    EXPECT_EQ(forwarded().size(), 2U);
+    actions.clear();
+    fromCaller(callerPacket(2));
+    EXPECT_TRUE(forwarded().empty());
+    core.message(kAgentB, owner_notice{kFlow}, now, &actions);
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_EQ(forwarded()[0].first, kAgentB);
+    EXPECT_EQ(forwarded()[0].second.packetBytes, callerPacket(2).bytes);
+}
+
 // Guards against a caller that waits for its own timeout although no upstream holds its flow.
 TEST_F(PacketBalancer, FlowThatEveryAgentDeniesIsReset)
 {
--- a/src/libplane/plane_message.cpp
+++ b/src/libplane/plane_message.cpp
@@ -100,7 +100,9 @@
 {
     const auto balancers = toWire(out, message.balancers);
     const auto http = toWire(message.http);
-    return wire::CreateBalancerHello(*out, message.incarnation, message.routesVersion, &http, balancers).Union();
+    const auto domain = out->CreateString(message.domain);
+    return wire::CreateBalancerHello(*out, domain, message.incarnation, message.routesVersion, &http, balancers)
+        .Union();
 }
 
 flatbuffers::Offset<void> encodeBody(builder *out, const agent_hello &message)
@@ -108,6 +110,16 @@
     return wire::CreateAgentHello(*out, encodeReport(out, message.report)).Union();
 }
 
+flatbuffers::Offset<void> encodeBody(builder *out, const flow_owner_list &message)
+{
+    const auto entries = out->CreateVectorOfStructs<wire::OwnedFlow>(
+        message.entries.size(), [&](std::size_t index, wire::OwnedFlow *target) {
+            const flow_owner_entry &entry = message.entries[index];
+            *target = {wire::Flow(toWire(entry.flow.caller), toWire(entry.flow.service)), toWire(entry.owner)};
+        });
+    return wire::CreateOwnerList(*out, entries).Union();
+}
+
 template<typename message_type>
 constexpr wire::Body bodyType()
 {
@@ -121,6 +133,8 @@
         return wire::Body::Report;
     else if constexpr (std::is_same_v<message_type, balancer_hello>)
         return wire::Body::BalancerHello;
+    else if constexpr (std::is_same_v<message_type, flow_owner_list>)
+        return wire::Body::OwnerList;
     else
         return wire::Body::AgentHello;
 }
@@ -179,6 +193,7 @@
 std::optional<plane_message> decodeBody(const wire::BalancerHello &source)
 {
     return balancer_hello{.incarnation = source.incarnation(),
+                          .domain = fromWire(source.domain()),
                           .routesVersion = source.routes_version(),
                           .http = fromWire(source.http()),
                           .balancers = fromWire(source.balancers())};
@@ -190,6 +205,17 @@
     return report ? std::optional<plane_message>(agent_hello{*report}) : std::nullopt;
 }
 
+std::optional<plane_message> decodeBody(const wire::OwnerList &source)
+{
+    flow_owner_list result;
+    if (source.entries() == nullptr || source.entries()->size() > kMaxOwnersPerMessage)
+        return std::nullopt;
+    for (const wire::OwnedFlow *entry : *source.entries())
+        result.entries.push_back(
+            {{fromWire(&entry->flow().caller()), fromWire(&entry->flow().service())}, fromWire(&entry->owner())});
+    return result;
+}
+
 } // namespace
 
 const char *toString(not_taken_reason reason)
@@ -270,6 +296,8 @@
         return decodeBody(*message->body_as_BalancerHello());
     case wire::Body::AgentHello:
         return decodeBody(*message->body_as_AgentHello());
+    case wire::Body::OwnerList:
+        return decodeBody(*message->body_as_OwnerList());
     case wire::Body::NONE:
         break;
     }
--- a/src/libplanenode/balancer_node.cpp
+++ b/src/libplanenode/balancer_node.cpp
@@ -19,6 +19,8 @@
 constexpr duration kRotationTime = milliseconds(1600);
 // Without a packet for this long the routers have turned away.
 constexpr duration kQuietTime = milliseconds(300);
+// Flows opened since the last hand-over are handed over as well.
+constexpr duration kHandOverPeriod = milliseconds(700);
 // Left of the stop time for the end of the process itself.
 constexpr duration kStopMargin = milliseconds(1000);
 constexpr unsigned kStatusOk = 200;
@@ -163,6 +165,11 @@
         m_sharedNewerRoutes = m_core.newerRoutes();
         m_sharedForgotten = m_core.forgottenNodes(now);
     }
+    if (m_stopAt && (!m_handedOverAt || now - *m_handedOverAt >= kHandOverPeriod)) {
+        m_core.handOver(&m_actions);
+        perform(&m_actions);
+        m_handedOverAt = now;
+    }
     if (m_stopAt && isDoneStopping(now))
         m_loop.stop();
 }
