--- a/src/libplane/packet_agent_upstream.cpp
+++ b/src/libplane/packet_agent_upstream.cpp
@@ -12,6 +12,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::uint64_t kFirstAnnouncement = 1;
 constexpr duration kReportPeriod = milliseconds(200);
 // Reports of one agent stay under this many a second however many balancers there are.
 constexpr std::int64_t kMaxReportsPerSecond = 40;
@@ -38,6 +39,8 @@
         forgetWork(now);
         m_sawUpstreamStart = true;
     }
+    // An upstream announces itself as soon as it starts, so an agent that gets its first announcement has run since then.
+    m_sawUpstreamStart = m_sawUpstreamStart || (!m_upstream && announcement.number == kFirstAnnouncement);
     m_upstream = announcement;
     m_announcedAt = now;
     m_leftAt = std::nullopt;
