--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -151,6 +151,7 @@
     using flow_map = absl::flat_hash_map<flow_key, agent_flow>;
 
     void take(forwarded_packet arrived, time_point now, plane_actions *out);
+    void answerQuestion(const host_address &from, const owner_question &question, time_point now, plane_actions *out);
     void takeOpening(forwarded_packet arrived, packet content, time_point now, plane_actions *out);
     void takeFlowPacket(forwarded_packet arrived, packet content, time_point now, plane_actions *out);
     void turnAway(forwarded_packet arrived, not_taken_reason reason, plane_actions *out);
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -90,6 +90,7 @@
         bool isOpening = false;                ///< Only opening packets were seen.
         std::vector<host_address> askedAgents; ///< While the owner is unknown.
         std::vector<host_address> notTakenBy;  ///< Agents that do not hold the flow or would not take it.
+        std::vector<host_address> sentTo;      ///< Agents that got lastPacket to find out.
         time_point askedAt;
         std::vector<std::string> heldPackets; ///< Arrived after the question, sent once the owner is known.
         packet lastPacket;                    ///< While the owner is unknown, for agents that become known later.
@@ -130,7 +131,7 @@
     void openingNotTaken(const host_address &agent, not_taken_reason reason, packet returned, time_point now,
                          plane_actions *out);
     void carriedNotTaken(const host_address &agent, packet returned, time_point now, plane_actions *out);
-    void askNotTaken(const host_address &agent, const packet &returned, time_point now, plane_actions *out);
+    void denied(const host_address &agent, const owner_denial &denial, time_point now, plane_actions *out);
     bool isDeniedByAll(const balancer_flow &flow, time_point now) const;
     void takeReport(const host_address &agent, const agent_report &report, time_point now, plane_actions *out);
     void takeHello(const host_address &from, const balancer_hello &hello, time_point now, plane_actions *out);
--- a/src/include/citroncrank/plane_message.h
+++ b/src/include/citroncrank/plane_message.h
@@ -53,6 +53,24 @@
     auto operator<=>(const owner_notice &) const = default;
 };
 
+/// Asks an agent whether it owns a flow. Small, since it goes to many agents.
+struct owner_question
+{
+    flow_key flow;
+    std::string service;
+    bool hasAcknowledged = false;
+    std::uint32_t acknowledged = 0; ///< What the caller acknowledged last.
+    auto operator<=>(const owner_question &) const = default;
+};
+
+/// An agent does not own a flow, or cannot tell without handing a packet of it to its upstream.
+struct owner_denial
+{
+    flow_key flow;
+    bool isUnsure = false;
+    auto operator<=>(const owner_denial &) const = default;
+};
+
 /// Why an agent did not take a packet.
 enum class not_taken_reason : std::uint8_t {
     wrong_service, ///< Its upstream belongs to another service.
@@ -139,7 +157,7 @@
 };
 
 using plane_message = std::variant<forwarded_packet, owner_notice, not_taken_notice, agent_report, balancer_hello,
-                                   agent_hello, flow_owner_list>;
+                                   agent_hello, flow_owner_list, owner_question, owner_denial>;
 
 /// Encodes a message as one datagram.
 std::string encodePlaneMessage(const plane_message &message);
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -70,6 +70,10 @@
         take(std::move(*forwarded), now, out);
         return;
     }
+    if (const auto *const question = std::get_if<owner_question>(&arrived)) {
+        answerQuestion(from, *question, now, out);
+        return;
+    }
     const auto *const hello = std::get_if<balancer_hello>(&arrived);
     if (hello == nullptr) {
         log(decision_kind::refusal, absl::StrCat("dropped unexpected message, from=", toString(from)), out);
@@ -211,6 +215,31 @@
     return m_sawUpstreamStart || now - m_startedAt > m_settings.flowLifetime;
 }
 
+void packet_agent::answerQuestion(const host_address &from, const owner_question &question, time_point now,
+                                  plane_actions *out)
+{
+    const auto found = m_flows.find(question.flow);
+    const packet_header header{.acknowledges = question.hasAcknowledged, .acknowledged = question.acknowledged};
+    if (found == m_flows.end() || found->second.phase == flow_phase::probing) {
+        const bool isDenied = knowsAllFlows(now) || question.service != m_settings.service;
+        out->emplace_back(send_to_node{from, owner_denial{question.flow, !isDenied}});
+        return;
+    }
+    if (found->second.phase == flow_phase::ended) {
+        ++m_counts.resets;
+        out->emplace_back(reset_flow{question.flow, question.acknowledged});
+        return;
+    }
+    if (!mayBeOf(found->second, header)) {
+        releaseWork(question.flow, &found->second, now);
+        out->emplace_back(send_to_node{from, owner_denial{question.flow, false}});
+        return;
+    }
+    found->second.origin = from;
+    found->second.lastSeen = now;
+    out->emplace_back(send_to_node{from, owner_notice{question.flow}});
+}
+
 void packet_agent::takeFlowPacket(forwarded_packet arrived, packet content, time_point now, plane_actions *out)
 {
     const flow_key key = flowFromCaller(content.header);
--- a/src/libplane/packet_agent_test.cpp
+++ b/src/libplane/packet_agent_test.cpp
@@ -418,6 +418,23 @@
     EXPECT_EQ(denials(), std::vector{not_taken_reason::unknown_flow});
 }
 
+// Guards against answers to questions that do not fit what the upstream holds.
+TEST_F(PacketAgent, AnswersQuestionsFromFact)
+{
+    const auto ask = [&](std::uint32_t acknowledged, const std::string &service) {
+        actions.clear();
+        core.message(kOtherBalancer, owner_question{kFlow, service, true, acknowledged}, now, &actions);
+        EXPECT_EQ(delivered(), 0U);
+        return messagesOf<owner_denial>(actions);
+    };
+    EXPECT_EQ(ask(1, kService), (std::vector{std::pair{kOtherBalancer, owner_denial{kFlow, true}}}));
+    EXPECT_EQ(ask(1, "receipts"), (std::vector{std::pair{kOtherBalancer, owner_denial{kFlow, false}}}));
+    open();
+    EXPECT_TRUE(ask(kUpstreamFirst + 1, kService).empty());
+    EXPECT_EQ(messagesOf<owner_notice>(actions).size(), 1U);
+    EXPECT_EQ(ask(900'001, kService), (std::vector{std::pair{kOtherBalancer, owner_denial{kFlow, false}}}));
+}
+
 // Guards against a flow that is taken as owned although the upstream returned its packet.
 TEST_F(PacketAgent, DeniesAFlowThatItsUpstreamDoesNotHold)
 {
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -237,6 +237,7 @@
         flow->notTakenBy.clear();
     flow->isOwnerKnown = false;
     flow->askedAgents.clear();
+    flow->sentTo.clear();
     if (except) {
         noteAgent(*except, &flow->notTakenBy);
         flow->askedAgents.push_back(*except);
@@ -248,19 +249,28 @@
     askOthers(flow, key, out);
 }
 
+// The agents of the flow's service are asked first; the others only when all of those have denied it.
 void packet_balancer::askOthers(balancer_flow *flow, const flow_key &key, plane_actions *out)
 {
+    auto agents = m_agents.ofService(flow->service);
+    const bool isDeniedByService = std::all_of(agents.begin(), agents.end(), [&](const host_address &agent) {
+        return std::find(flow->notTakenBy.begin(), flow->notTakenBy.end(), agent) != flow->notTakenBy.end();
+    });
+    if (isDeniedByService)
+        agents = m_agents.ofService("");
     std::size_t asked = 0;
-    for (const host_address &agent : m_agents.ofService("")) {
+    const packet_header &header = flow->lastPacket.header;
+    for (const host_address &agent : agents) {
         if (!noteAgent(agent, &flow->askedAgents))
             continue;
         ++asked;
-        forward(agent, forward_purpose::ask, flow->service, key, flow->lastPacket.bytes, {}, out);
+        out->emplace_back(
+            send_to_node{agent, owner_question{key, flow->service, header.acknowledges, header.acknowledged}});
     }
     if (asked > 0)
         log(decision_kind::owner,
             absl::StrCat("asked agents for the owner, flow=", toString(key), " agents=", asked,
-                         " denied=", flow->notTakenBy.size(), " data=", flow->lastPacket.header.dataBytes),
+                         " denied=", flow->notTakenBy.size(), " data=", header.dataBytes),
             out);
 }
 
@@ -306,6 +316,11 @@
             self->takeReport(from, hello.report, now, out);
             out->emplace_back(send_to_node{from, self->hello()});
         }
+        void operator()(const owner_denial &denial) const { self->denied(from, denial, now, out); }
+        void operator()(const owner_question &) const
+        {
+            self->log(decision_kind::refusal, absl::StrCat("dropped question, from=", toString(from)), out);
+        }
         void operator()(const flow_owner_list &owners) const { self->takeOwners(owners, now); }
         void operator()(const forwarded_packet &) const
         {
@@ -324,7 +339,11 @@
     found->second.isOwnerKnown = true;
     found->second.notTakenBy.clear();
     found->second.askedAgents.clear();
-    found->second.lastPacket = {};
+    packet last = std::exchange(found->second.lastPacket, {});
+    const bool isDelivered =
+        std::find(found->second.sentTo.begin(), found->second.sentTo.end(), agent) != found->second.sentTo.end();
+    if (!isDelivered && !last.bytes.empty())
+        forward(agent, forward_purpose::carry, found->second.service, flow, std::move(last.bytes), {}, out);
     for (std::string &held : std::exchange(found->second.heldPackets, {}))
         forward(agent, forward_purpose::carry, found->second.service, flow, std::move(held), {}, out);
     if (const agent_record *const record = m_agents.find(agent))
@@ -349,7 +368,7 @@
         carriedNotTaken(agent, std::move(returned), now, out);
         return;
     case forward_purpose::ask:
-        askNotTaken(agent, returned, now, out);
+        denied(agent, {flowFromCaller(returned.header), false}, now, out);
         return;
     }
 }
@@ -407,16 +426,27 @@
            });
 }
 
-void packet_balancer::askNotTaken(const host_address &agent, const packet &returned, time_point now, plane_actions *out)
+void packet_balancer::denied(const host_address &agent, const owner_denial &denial, time_point now, plane_actions *out)
 {
-    const auto found = m_flows.find(flowFromCaller(returned.header));
+    const auto found = m_flows.find(denial.flow);
     if (found == m_flows.end() || found->second.isOwnerKnown)
         return;
-    noteAgent(agent, &found->second.notTakenBy);
-    if (returned.header.reset || !isDeniedByAll(found->second, now))
+    balancer_flow &flow = found->second;
+    if (denial.isUnsure) {
+        // Only its upstream can tell, by answering or returning a packet of the flow.
+        if (noteAgent(agent, &flow.sentTo))
+            forward(agent, forward_purpose::ask, flow.service, denial.flow, flow.lastPacket.bytes, {}, out);
         return;
+    }
+    noteAgent(agent, &flow.notTakenBy);
+    if (!isDeniedByAll(flow, now)) {
+        askOthers(&flow, denial.flow, out);
+        return;
+    }
+    const packet last = std::move(flow.lastPacket);
     m_flows.erase(found);
-    refuse(returned, "no_owner", out);
+    if (!last.header.reset)
+        refuse(last, "no_owner", out);
 }
 
 void packet_balancer::applyRoutes(std::shared_ptr<const route_set> routes, time_point now, plane_actions *out)
--- a/src/libplane/plane_message.cpp
+++ b/src/libplane/plane_message.cpp
@@ -120,6 +120,19 @@
     return wire::CreateOwnerList(*out, entries).Union();
 }
 
+flatbuffers::Offset<void> encodeBody(builder *out, const owner_question &message)
+{
+    const auto service = out->CreateString(message.service);
+    const wire::Flow flow(toWire(message.flow.caller), toWire(message.flow.service));
+    return wire::CreateQuestion(*out, &flow, service, message.hasAcknowledged, message.acknowledged).Union();
+}
+
+flatbuffers::Offset<void> encodeBody(builder *out, const owner_denial &message)
+{
+    const wire::Flow flow(toWire(message.flow.caller), toWire(message.flow.service));
+    return wire::CreateDenial(*out, &flow, message.isUnsure).Union();
+}
+
 template<typename message_type>
 constexpr wire::Body bodyType()
 {
@@ -135,6 +148,10 @@
         return wire::Body::BalancerHello;
     else if constexpr (std::is_same_v<message_type, flow_owner_list>)
         return wire::Body::OwnerList;
+    else if constexpr (std::is_same_v<message_type, owner_question>)
+        return wire::Body::Question;
+    else if constexpr (std::is_same_v<message_type, owner_denial>)
+        return wire::Body::Denial;
     else
         return wire::Body::AgentHello;
 }
@@ -216,6 +233,23 @@
     return result;
 }
 
+std::optional<plane_message> decodeBody(const wire::Question &source)
+{
+    if (source.flow() == nullptr)
+        return std::nullopt;
+    return owner_question{{fromWire(&source.flow()->caller()), fromWire(&source.flow()->service())},
+                          fromWire(source.service()),
+                          source.has_acknowledged(),
+                          source.acknowledged()};
+}
+
+std::optional<plane_message> decodeBody(const wire::Denial &source)
+{
+    if (source.flow() == nullptr)
+        return std::nullopt;
+    return owner_denial{{fromWire(&source.flow()->caller()), fromWire(&source.flow()->service())}, source.unsure()};
+}
+
 } // namespace
 
 const char *toString(not_taken_reason reason)
@@ -298,6 +332,10 @@
         return decodeBody(*message->body_as_AgentHello());
     case wire::Body::OwnerList:
         return decodeBody(*message->body_as_OwnerList());
+    case wire::Body::Question:
+        return decodeBody(*message->body_as_Question());
+    case wire::Body::Denial:
+        return decodeBody(*message->body_as_Denial());
     case wire::Body::NONE:
         break;
     }
--- a/src/libplane/plane_message_test.cpp
+++ b/src/libplane/plane_message_test.cpp
@@ -27,6 +27,8 @@
             balancer_hello{
                 .incarnation = 4, .domain = "a", .routesVersion = 7, .http = kBalancer, .balancers = {kOtherBalancer}},
             agent_hello{makeReport(3)},
+            owner_question{kFlow, kService, true, 77},
+            owner_denial{kFlow, true},
             owners};
 }
 
