--- a/src/citroncrank-packet-agent/main.cpp
+++ b/src/citroncrank-packet-agent/main.cpp
@@ -1,35 +1,11 @@
 #include "citroncrank/agent_node.h"
-
-#include <iostream>
-
-using namespace citroncrank;
+#include "citroncrank/plane_main.h"
 
 int main(int argc, char **argv)
 {
-    plane_options options;
-    if (const auto exitCode = parsePlaneOptions(argc, argv, "citroncrank-packet-agent",
-                                                "Carries packets to and from the upstream beside it", &options))
-        return *exitCode;
-    if (options.describe) {
-        std::cout << describeSettings(packetAgentTable());
-        return plane_ok;
-    }
-    std::vector<settings_fault> faults;
-    const auto file = readPacketAgentFile(options.settingsFile, &faults);
-    if (!file) {
-        printSettingsFaults(faults);
-        return plane_bad_settings;
-    }
-    if (options.checkOnly) {
-        std::cout << options.settingsFile << ": settings are valid\n";
-        return plane_ok;
-    }
-    agent_node node(*file);
-    std::error_code reason;
-    if (!node.listen(&reason)) {
-        std::cerr << "agent: cannot listen: " << reason.message() << "\n";
-        return plane_cannot_listen;
-    }
-    node.run();
-    return plane_ok;
+    using namespace citroncrank;
+    return planeMain<agent_node>(
+        argc, argv,
+        {.name = "citroncrank-packet-agent", .purpose = "Carries packets to and from the upstream beside it"},
+        packetAgentTable(), readPacketAgentFile);
 }
--- a/src/include/citroncrank/store_worker.h
+++ b/src/include/citroncrank/store_worker.h
@@ -28,25 +28,46 @@
 /// Writes a line about the store to the log. Called in the worker's thread.
 using store_log = std::function<void(const std::string &text)>;
 
-/// Thread with a store client of its own. Reports the store as lost and back, and waits between failed calls.
-class store_worker
+/// Thread that repeats a step with pauses between.
+class worker_thread
 {
 public:
-    store_worker(std::string name, const host_address &store, store_log log);
-    virtual ~store_worker();
-    store_worker(const store_worker &) = delete;
-    store_worker &operator=(const store_worker &) = delete;
+    worker_thread() = default;
+    /// A derived class calls stop() in its own destructor, before its members end.
+    virtual ~worker_thread() = default;
+    worker_thread(const worker_thread &) = delete;
+    worker_thread &operator=(const worker_thread &) = delete;
 
     void start();
-    /// Ends the call in progress and the thread.
+    /// Ends the step in progress and the thread.
     void stop();
-    /// Ends the wait between two steps.
+    /// Ends the pause between two steps.
     void wake();
 
 protected:
-    /// One step of the work. Returns how long to wait before the next, or nullopt when the work is done.
+    /// Returns how long to pause before the next step, or nullopt when the work is done.
     virtual std::optional<duration> step() = 0;
+    /// Lets a step that waits for another process end. Called in the thread of stop().
+    virtual void interrupt() {}
+
+private:
+    void run();
+
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_isStopped = false;
+    bool m_isWoken = false;
+    std::thread m_thread;
+};
+
+/// Worker with a store client of its own. Reports the store as lost and back, and waits between failed calls.
+class store_worker : public worker_thread
+{
+public:
+    store_worker(std::string name, const host_address &store, store_log log);
 
+protected:
+    void interrupt() override { m_store.stop(); }
     object_store &store() { return m_store; }
     /// Notes the outcome of a call. Returns the wait before the next call: none after a success, growing with each
     /// failure in a row.
@@ -54,19 +75,12 @@
     void log(const std::string &text) const { m_log(m_name + ": " + text); }
 
 private:
-    void run();
-
     std::string m_name;
     store_log m_log;
     platform::platform_store m_store;
     std::minstd_rand m_random;
     std::uint32_t m_failuresInRow = 0;
     bool m_isLost = false;
-    std::mutex m_mutex;
-    std::condition_variable m_wake;
-    bool m_isStopped = false;
-    bool m_isWoken = false;
-    std::thread m_thread;
 };
 
 /// Watches the operator's configuration.
@@ -96,30 +110,22 @@
 };
 
 /// Asks other balancers for a version that this one lacks.
-class peer_routes_worker
+class peer_routes_worker : public worker_thread
 {
 public:
     peer_routes_worker(config_worker::receiver receive, config_worker::fallback peer, store_log log);
-    ~peer_routes_worker();
-    peer_routes_worker(const peer_routes_worker &) = delete;
-    peer_routes_worker &operator=(const peer_routes_worker &) = delete;
+    ~peer_routes_worker() override { stop(); }
 
-    void start();
-    void stop();
+protected:
+    std::optional<duration> step() override;
 
 private:
-    void run();
     void fetch(const routes_offer &offer);
-    /// Returns false if the thread is to end.
-    bool waitFor(duration time);
 
     config_worker::receiver m_receive;
     config_worker::fallback m_peer;
     store_log m_log;
-    std::mutex m_mutex;
-    std::condition_variable m_wake;
-    bool m_isStopped = false;
-    std::thread m_thread;
+    bool m_isMissing = false; ///< A newer version was seen at the last step.
 };
 
 /// Keeps this node's entry in the store and reads the others'. A balancer goes on watching them; an agent stops once both
--- /dev/null
+++ b/src/libplane/packet_agent_fixture_test.h
@@ -0,0 +1,94 @@
+#pragma once
+
+/// @file
+/// Agent that the tests of the packet agent share.
+
+#include "plane_fixture_test.h"
+
+#include <gtest/gtest.h>
+
+namespace citroncrank::plane_test {
+
+inline constexpr std::uint32_t kUpstreamFirst = 5000;
+
+/// An agent whose upstream has two slots and is ready.
+class PacketAgent : public ::testing::Test
+{
+public:
+    /// The agent has restarted: the first announcement that it gets is not the first one of the upstream.
+    PacketAgent() { announce(2); }
+
+    announcement_result announce(std::uint64_t number, bool isDraining = false, std::uint64_t startedAtMs = 1000)
+    {
+        return core.announce({.id = "i-1",
+                              .service = kService,
+                              .address = kUpstream,
+                              .version = "v1",
+                              .slots = 2,
+                              .isDraining = isDraining,
+                              .number = number,
+                              .startedAtMs = startedAtMs},
+                             now, &actions);
+    }
+
+    void forward(const packet &content, forward_purpose purpose = forward_purpose::carry,
+                 std::vector<host_address> alternates = {}, const std::string &service = kService)
+    {
+        actions.clear();
+        core.message(kBalancer,
+                     forwarded_packet{.purpose = purpose,
+                                      .service = service,
+                                      .origin = kBalancer,
+                                      .alternates = std::move(alternates),
+                                      .packetBytes = content.bytes},
+                     now, &actions);
+    }
+
+    void fromUpstream(packet content)
+    {
+        actions.clear();
+        core.upstreamPacket(std::move(content), now, &actions);
+    }
+
+    /// Opens kFlow at the upstream.
+    void open()
+    {
+        forward(openingPacket(), forward_purpose::open);
+        fromUpstream(upstreamPacket(kUpstreamFirst, {}, true));
+        forward(callerPacket(kUpstreamFirst + 1));
+    }
+
+    /// Opens flows of other callers until no slot is free.
+    void fillSlots()
+    {
+        for (std::uint16_t port = 1; port <= 2; ++port) {
+            packet_header header = openingPacket().header;
+            header.source.port = port;
+            forward(makePacket(header), forward_purpose::open);
+        }
+    }
+
+    std::size_t delivered() const { return actionsOf<deliver_to_upstream>(actions).size(); }
+    std::size_t resets() const { return actionsOf<reset_flow>(actions).size(); }
+    std::vector<not_taken_reason> denials() const
+    {
+        std::vector<not_taken_reason> reasons;
+        for (const auto &[to, notice] : messagesOf<not_taken_notice>(actions))
+            reasons.push_back(notice.reason);
+        return reasons;
+    }
+
+    time_point now{};
+    packet_agent core{{.self = kAgentA,
+                       .service = kService,
+                       .domain = "nbi-west",
+                       .incarnation = 1,
+                       .upstream = kUpstream,
+                       .announcementPeriod = milliseconds(770),
+                       .flowLifetime = seconds(60)},
+                      decodeTestHeader,
+                      now};
+    plane_actions actions;
+};
+
+} // namespace citroncrank::plane_test
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -1,5 +1,7 @@
 #include "citroncrank/packet_balancer.h"
 
+#include "packet_balancer_pvt.h"
+
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <chrono>
@@ -18,14 +20,10 @@
 constexpr std::size_t kMaxHeldPackets = 512;
 // While agents may still announce themselves, a missing agent is no reason to refuse.
 constexpr duration kStartTime = milliseconds(1500);
-// Agents that the store does not list yet make themselves known within this time of a balancer's start.
-constexpr duration kSettleTime = milliseconds(300);
 // An owner answers within a way between failure domains and back.
 constexpr duration kQuestionTime = milliseconds(50);
 // A caller has at most this many packets in flight.
 constexpr std::size_t kMaxHeldPerFlow = 16;
-// Flows whose owner is being asked for; each keeps a packet.
-constexpr std::size_t kMaxUndecided = 2000;
 // A flow whose caller has finished still gets the last acknowledgements.
 constexpr duration kFinishedFlowTime = seconds(3);
 // A flow that never opened ends at its caller after 1.4 s.
@@ -41,15 +39,6 @@
     return std::uint32_t(std::chrono::duration_cast<milliseconds>(value).count());
 }
 
-/// Returns false if the agent is in the list already.
-bool noteAgent(const host_address &agent, std::vector<host_address> *agents)
-{
-    if (std::find(agents->begin(), agents->end(), agent) != agents->end())
-        return false;
-    agents->push_back(agent);
-    return true;
-}
-
 } // namespace
 
 packet_balancer::packet_balancer(packet_balancer_settings settings, packet_header_decoder decoder, time_point now)
@@ -71,11 +60,6 @@
     return now - m_startedAt < kStartTime;
 }
 
-bool packet_balancer::knowsAllAgents(time_point now) const
-{
-    return m_isListingKnown && now - m_startedAt > kSettleTime;
-}
-
 void packet_balancer::callerPacket(packet arrived, time_point now, plane_actions *out)
 {
     if (!m_routes) {
@@ -227,77 +211,6 @@
     forward(flow.owner, forward_purpose::carry, flow.service, key, std::move(arrived.bytes), {}, out);
 }
 
-// The routes may have changed since the flow opened, so its owner may belong to a service that the route no longer
-// names: all agents are asked, those of the service in force and the others.
-void packet_balancer::askForOwner(packet arrived, balancer_flow *flow, std::optional<host_address> except,
-                                  time_point now, plane_actions *out)
-{
-    const flow_key key = flowFromCaller(arrived.header);
-    if (flow->isOwnerKnown)
-        flow->notTakenBy.clear();
-    flow->isOwnerKnown = false;
-    flow->askedAgents.clear();
-    flow->sentTo.clear();
-    if (except) {
-        noteAgent(*except, &flow->notTakenBy);
-        flow->askedAgents.push_back(*except);
-    }
-    flow->lastPacket = std::move(arrived);
-    flow->askedAt = now;
-    if (m_undecided.size() < kMaxUndecided)
-        m_undecided.insert(key);
-    askOthers(flow, key, out);
-}
-
-// The agents of the flow's service are asked first; the others only when all of those have denied it.
-void packet_balancer::askOthers(balancer_flow *flow, const flow_key &key, plane_actions *out)
-{
-    auto agents = m_agents.ofService(flow->service);
-    const bool isDeniedByService = std::all_of(agents.begin(), agents.end(), [&](const host_address &agent) {
-        return std::find(flow->notTakenBy.begin(), flow->notTakenBy.end(), agent) != flow->notTakenBy.end();
-    });
-    if (isDeniedByService)
-        agents = m_agents.ofService("");
-    std::size_t asked = 0;
-    const packet_header &header = flow->lastPacket.header;
-    for (const host_address &agent : agents) {
-        if (!noteAgent(agent, &flow->askedAgents))
-            continue;
-        ++asked;
-        out->emplace_back(
-            send_to_node{agent, owner_question{key, flow->service, header.acknowledges, header.acknowledged}});
-    }
-    if (asked > 0)
-        log(decision_kind::owner,
-            absl::StrCat("asked agents for the owner, flow=", toString(key), " agents=", asked,
-                         " denied=", flow->notTakenBy.size(), " data=", header.dataBytes),
-            out);
-}
-
-// Soon after a start agents become known one after the other, and what they denied proves something only once all are
-// known. Without this a caller would wait for its next retransmission.
-void packet_balancer::decideUndecided(time_point now, plane_actions *out)
-{
-    std::vector<flow_key> decided;
-    for (const flow_key &key : m_undecided) {
-        const auto found = m_flows.find(key);
-        if (found == m_flows.end() || found->second.isOwnerKnown) {
-            decided.push_back(key);
-            continue;
-        }
-        if (isDeniedByAll(found->second, now)) {
-            decided.push_back(key);
-            if (!found->second.lastPacket.header.reset)
-                refuse(found->second.lastPacket, "no_owner", out);
-            m_flows.erase(found);
-            continue;
-        }
-        askOthers(&found->second, key, out);
-    }
-    for (const flow_key &key : decided)
-        m_undecided.erase(key);
-}
-
 void packet_balancer::message(const host_address &from, plane_message arrived, time_point now, plane_actions *out)
 {
     struct visitor
@@ -330,27 +243,6 @@
     std::visit(visitor{this, from, now, out}, arrived);
 }
 
-void packet_balancer::learnOwner(const host_address &agent, const flow_key &flow, time_point now, plane_actions *out)
-{
-    const auto found = m_flows.find(flow);
-    if (found == m_flows.end() || (found->second.isOwnerKnown && found->second.owner == agent))
-        return;
-    found->second.owner = agent;
-    found->second.isOwnerKnown = true;
-    found->second.notTakenBy.clear();
-    found->second.askedAgents.clear();
-    packet last = std::exchange(found->second.lastPacket, {});
-    const bool isDelivered =
-        std::find(found->second.sentTo.begin(), found->second.sentTo.end(), agent) != found->second.sentTo.end();
-    if (!isDelivered && !last.bytes.empty())
-        forward(agent, forward_purpose::carry, found->second.service, flow, std::move(last.bytes), {}, out);
-    for (std::string &held : std::exchange(found->second.heldPackets, {}))
-        forward(agent, forward_purpose::carry, found->second.service, flow, std::move(held), {}, out);
-    if (const agent_record *const record = m_agents.find(agent))
-        found->second.service = record->report.service;
-    log(decision_kind::owner, absl::StrCat("learned owner, flow=", toString(flow), " agent=", toString(agent)), out);
-}
-
 void packet_balancer::notTaken(const host_address &agent, const not_taken_notice &notice, time_point now,
                                plane_actions *out)
 {
@@ -400,55 +292,6 @@
             std::move(returned.bytes), {order.begin() + 1, order.end()}, out);
 }
 
-void packet_balancer::carriedNotTaken(const host_address &agent, packet returned, time_point now, plane_actions *out)
-{
-    const auto found = m_flows.find(flowFromCaller(returned.header));
-    if (found == m_flows.end())
-        return;
-    if (found->second.isOwnerKnown && found->second.owner != agent) {
-        // The owner was learned while the packet was on its way.
-        forward(found->second.owner, forward_purpose::carry, found->second.service, flowFromCaller(returned.header),
-                std::move(returned.bytes), {}, out);
-        return;
-    }
-    askForOwner(std::move(returned), &found->second, agent, now, out);
-}
-
-// Only when every agent has said that it does not hold the flow, and no agent can be missing, nobody holds it. Agents
-// answer each packet, so the answers are told apart by agent.
-bool packet_balancer::isDeniedByAll(const balancer_flow &flow, time_point now) const
-{
-    if (!knowsAllAgents(now))
-        return false;
-    const auto owners = m_agents.possibleOwners(now);
-    return owners && !owners->empty() && std::all_of(owners->begin(), owners->end(), [&](const host_address &agent) {
-               return std::find(flow.notTakenBy.begin(), flow.notTakenBy.end(), agent) != flow.notTakenBy.end();
-           });
-}
-
-void packet_balancer::denied(const host_address &agent, const owner_denial &denial, time_point now, plane_actions *out)
-{
-    const auto found = m_flows.find(denial.flow);
-    if (found == m_flows.end() || found->second.isOwnerKnown)
-        return;
-    balancer_flow &flow = found->second;
-    if (denial.isUnsure) {
-        // Only its upstream can tell, by answering or returning a packet of the flow.
-        if (noteAgent(agent, &flow.sentTo))
-            forward(agent, forward_purpose::ask, flow.service, denial.flow, flow.lastPacket.bytes, {}, out);
-        return;
-    }
-    noteAgent(agent, &flow.notTakenBy);
-    if (!isDeniedByAll(flow, now)) {
-        askOthers(&flow, denial.flow, out);
-        return;
-    }
-    const packet last = std::move(flow.lastPacket);
-    m_flows.erase(found);
-    if (!last.header.reset)
-        refuse(last, "no_owner", out);
-}
-
 void packet_balancer::applyRoutes(std::shared_ptr<const route_set> routes, time_point now, plane_actions *out)
 {
     if (m_routes && routes->version <= m_routes->version)
--- /dev/null
+++ b/src/libplane/packet_balancer_owners.cpp
@@ -0,0 +1,168 @@
+#include "citroncrank/packet_balancer.h"
+
+#include "packet_balancer_pvt.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <chrono>
+
+namespace citroncrank {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Flows whose owner is being asked for; each keeps a packet.
+constexpr std::size_t kMaxUndecided = 2000;
+// Agents that the store does not list yet make themselves known within this time of a balancer's start.
+constexpr duration kSettleTime = milliseconds(300);
+
+} // namespace
+
+bool packet_balancer::knowsAllAgents(time_point now) const
+{
+    return m_isListingKnown && now - m_startedAt > kSettleTime;
+}
+
+// The routes may have changed since the flow opened, so its owner may belong to a service that the route no longer
+// names: all agents are asked, those of the service in force and the others.
+void packet_balancer::askForOwner(packet arrived, balancer_flow *flow, std::optional<host_address> except,
+                                  time_point now, plane_actions *out)
+{
+    const flow_key key = flowFromCaller(arrived.header);
+    if (flow->isOwnerKnown)
+        flow->notTakenBy.clear();
+    flow->isOwnerKnown = false;
+    flow->askedAgents.clear();
+    flow->sentTo.clear();
+    if (except) {
+        noteAgent(*except, &flow->notTakenBy);
+        flow->askedAgents.push_back(*except);
+    }
+    flow->lastPacket = std::move(arrived);
+    flow->askedAt = now;
+    if (m_undecided.size() < kMaxUndecided)
+        m_undecided.insert(key);
+    askOthers(flow, key, out);
+}
+
+// The agents of the flow's service are asked first; the others only when all of those have denied it.
+void packet_balancer::askOthers(balancer_flow *flow, const flow_key &key, plane_actions *out)
+{
+    auto agents = m_agents.ofService(flow->service);
+    const bool isDeniedByService = std::all_of(agents.begin(), agents.end(), [&](const host_address &agent) {
+        return std::find(flow->notTakenBy.begin(), flow->notTakenBy.end(), agent) != flow->notTakenBy.end();
+    });
+    if (isDeniedByService)
+        agents = m_agents.ofService("");
+    std::size_t asked = 0;
+    const packet_header &header = flow->lastPacket.header;
+    for (const host_address &agent : agents) {
+        if (!noteAgent(agent, &flow->askedAgents))
+            continue;
+        ++asked;
+        out->emplace_back(
+            send_to_node{agent, owner_question{key, flow->service, header.acknowledges, header.acknowledged}});
+    }
+    if (asked > 0)
+        log(decision_kind::owner,
+            absl::StrCat("asked agents for the owner, flow=", toString(key), " agents=", asked,
+                         " denied=", flow->notTakenBy.size(), " data=", header.dataBytes),
+            out);
+}
+
+// Soon after a start agents become known one after the other, and what they denied proves something only once all are
+// known. Without this a caller would wait for its next retransmission.
+void packet_balancer::decideUndecided(time_point now, plane_actions *out)
+{
+    std::vector<flow_key> decided;
+    for (const flow_key &key : m_undecided) {
+        const auto found = m_flows.find(key);
+        if (found == m_flows.end() || found->second.isOwnerKnown) {
+            decided.push_back(key);
+            continue;
+        }
+        if (isDeniedByAll(found->second, now)) {
+            decided.push_back(key);
+            if (!found->second.lastPacket.header.reset)
+                refuse(found->second.lastPacket, "no_owner", out);
+            m_flows.erase(found);
+            continue;
+        }
+        askOthers(&found->second, key, out);
+    }
+    for (const flow_key &key : decided)
+        m_undecided.erase(key);
+}
+
+void packet_balancer::learnOwner(const host_address &agent, const flow_key &flow, time_point now, plane_actions *out)
+{
+    const auto found = m_flows.find(flow);
+    if (found == m_flows.end() || (found->second.isOwnerKnown && found->second.owner == agent))
+        return;
+    found->second.owner = agent;
+    found->second.isOwnerKnown = true;
+    found->second.notTakenBy.clear();
+    found->second.askedAgents.clear();
+    packet last = std::exchange(found->second.lastPacket, {});
+    const bool isDelivered =
+        std::find(found->second.sentTo.begin(), found->second.sentTo.end(), agent) != found->second.sentTo.end();
+    if (!isDelivered && !last.bytes.empty())
+        forward(agent, forward_purpose::carry, found->second.service, flow, std::move(last.bytes), {}, out);
+    for (std::string &held : std::exchange(found->second.heldPackets, {}))
+        forward(agent, forward_purpose::carry, found->second.service, flow, std::move(held), {}, out);
+    if (const agent_record *const record = m_agents.find(agent))
+        found->second.service = record->report.service;
+    log(decision_kind::owner, absl::StrCat("learned owner, flow=", toString(flow), " agent=", toString(agent)), out);
+}
+
+void packet_balancer::carriedNotTaken(const host_address &agent, packet returned, time_point now, plane_actions *out)
+{
+    const auto found = m_flows.find(flowFromCaller(returned.header));
+    if (found == m_flows.end())
+        return;
+    if (found->second.isOwnerKnown && found->second.owner != agent) {
+        // The owner was learned while the packet was on its way.
+        forward(found->second.owner, forward_purpose::carry, found->second.service, flowFromCaller(returned.header),
+                std::move(returned.bytes), {}, out);
+        return;
+    }
+    askForOwner(std::move(returned), &found->second, agent, now, out);
+}
+
+// Only when every agent has said that it does not hold the flow, and no agent can be missing, nobody holds it. Agents
+// answer each packet, so the answers are told apart by agent.
+bool packet_balancer::isDeniedByAll(const balancer_flow &flow, time_point now) const
+{
+    if (!knowsAllAgents(now))
+        return false;
+    const auto owners = m_agents.possibleOwners(now);
+    return owners && !owners->empty() && std::all_of(owners->begin(), owners->end(), [&](const host_address &agent) {
+               return std::find(flow.notTakenBy.begin(), flow.notTakenBy.end(), agent) != flow.notTakenBy.end();
+           });
+}
+
+void packet_balancer::denied(const host_address &agent, const owner_denial &denial, time_point now, plane_actions *out)
+{
+    const auto found = m_flows.find(denial.flow);
+    if (found == m_flows.end() || found->second.isOwnerKnown)
+        return;
+    balancer_flow &flow = found->second;
+    if (denial.isUnsure) {
+        // Only its upstream can tell, by answering or returning a packet of the flow.
+        if (noteAgent(agent, &flow.sentTo))
+            forward(agent, forward_purpose::ask, flow.service, denial.flow, flow.lastPacket.bytes, {}, out);
+        return;
+    }
+    noteAgent(agent, &flow.notTakenBy);
+    if (!isDeniedByAll(flow, now)) {
+        askOthers(&flow, denial.flow, out);
+        return;
+    }
+    const packet last = std::move(flow.lastPacket);
+    m_flows.erase(found);
+    if (!last.header.reset)
+        refuse(last, "no_owner", out);
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libplane/packet_balancer_pvt.h
@@ -0,0 +1,22 @@
+#pragma once
+
+/// @file
+/// Helpers shared by the sources of the packet balancer.
+
+#include "citroncrank/ids.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace citroncrank {
+
+/// Returns false if the agent is in the list already.
+inline bool noteAgent(const host_address &agent, std::vector<host_address> *agents)
+{
+    if (std::find(agents->begin(), agents->end(), agent) != agents->end())
+        return false;
+    agents->push_back(agent);
+    return true;
+}
+
+} // namespace citroncrank
--- a/src/libplanenode/store_worker.cpp
+++ b/src/libplanenode/store_worker.cpp
@@ -58,36 +58,24 @@
 
 } // namespace
 
-store_worker::store_worker(std::string name, const host_address &store, store_log log)
-    : m_name(std::move(name))
-    , m_log(std::move(log))
-    , m_store({store, kCallDeadline})
-    , m_random(std::random_device{}())
-{}
-
-store_worker::~store_worker()
-{
-    stop();
-}
-
-void store_worker::start()
+void worker_thread::start()
 {
     m_thread = std::thread([this] { run(); });
 }
 
-void store_worker::stop()
+void worker_thread::stop()
 {
     {
         const std::lock_guard lock(m_mutex);
         m_isStopped = true;
     }
     m_wake.notify_all();
-    m_store.stop();
+    interrupt();
     if (m_thread.joinable())
         m_thread.join();
 }
 
-void store_worker::wake()
+void worker_thread::wake()
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -96,7 +84,7 @@
     m_wake.notify_all();
 }
 
-void store_worker::run()
+void worker_thread::run()
 {
     blockSignals();
     for (;;) {
@@ -111,6 +99,13 @@
     }
 }
 
+store_worker::store_worker(std::string name, const host_address &store, store_log log)
+    : m_name(std::move(name))
+    , m_log(std::move(log))
+    , m_store({store, kCallDeadline})
+    , m_random(std::random_device{}())
+{}
+
 duration store_worker::noteCall(bool succeeded, platform_failure reason)
 {
     if (succeeded) {
@@ -210,44 +205,15 @@
     , m_log(std::move(log))
 {}
 
-peer_routes_worker::~peer_routes_worker()
-{
-    stop();
-}
-
-void peer_routes_worker::start()
+std::optional<duration> peer_routes_worker::step()
 {
-    m_thread = std::thread([this] { run(); });
-}
-
-void peer_routes_worker::stop()
-{
-    {
-        const std::lock_guard lock(m_mutex);
-        m_isStopped = true;
-    }
-    m_wake.notify_all();
-    if (m_thread.joinable())
-        m_thread.join();
-}
-
-bool peer_routes_worker::waitFor(duration time)
-{
-    std::unique_lock lock(m_mutex);
-    return !m_wake.wait_for(lock, time, [this] { return m_isStopped; });
-}
-
-void peer_routes_worker::run()
-{
-    blockSignals();
-    while (waitFor(kPeerCheckPeriod)) {
-        if (!m_peer())
-            continue;
-        if (!waitFor(kPeerPatience))
-            return;
-        if (const auto offer = m_peer())
-            fetch(*offer);
-    }
+    const auto offer = m_peer();
+    if (!std::exchange(m_isMissing, offer.has_value()))
+        return offer ? kPeerPatience : kPeerCheckPeriod;
+    if (offer)
+        fetch(*offer);
+    m_isMissing = false;
+    return kPeerCheckPeriod;
 }
 
 void peer_routes_worker::fetch(const routes_offer &offer)
