--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -71,6 +71,8 @@
     std::vector<host_address> forgottenEntries(duration age, time_point now) const;
     /// Whether any agent was heard recently.
     bool hasFreshAgent(time_point now) const;
+    /// Agents of the service whose upstreams may hold a flow, heard or not; of all services if `service` is empty.
+    std::vector<host_address> mayOwnFlows(std::string_view service) const;
     /// Agents whose upstreams may hold a flow. Nullopt if one of them is not heard at present, so that what the others say
     /// proves nothing.
     std::optional<std::vector<host_address>> possibleOwners(time_point now) const;
--- a/src/libplane/agent_directory.cpp
+++ b/src/libplane/agent_directory.cpp
@@ -22,6 +22,13 @@
 // Upstreams that have just started need up to twice as long for a request.
 constexpr double kColdSlowdown = 2;
 
+// An agent has an entry from its upstream's first announcement on, and without one its upstream holds no flow.
+bool mayOwn(const agent_record &agent)
+{
+    const bool isNew = !agent.isListed && agent.report.state == agent_state::unconfirmed;
+    return agent.report.state != agent_state::left && !isNew;
+}
+
 double milliseconds(duration value)
 {
     return std::chrono::duration<double, std::milli>(value).count();
@@ -191,13 +198,21 @@
     return std::any_of(m_agents.begin(), m_agents.end(), [&](const auto &entry) { return isFresh(entry.second, now); });
 }
 
+std::vector<host_address> agent_directory::mayOwnFlows(std::string_view service) const
+{
+    std::vector<host_address> result;
+    for (const auto &[address, agent] : m_agents) {
+        if (mayOwn(agent) && (service.empty() || agent.report.service == service))
+            result.push_back(address);
+    }
+    return result;
+}
+
 std::optional<std::vector<host_address>> agent_directory::possibleOwners(time_point now) const
 {
     std::vector<host_address> owners;
     for (const auto &[address, agent] : m_agents) {
-        // An agent has an entry from its upstream's first announcement on.
-        const bool isNew = !agent.isListed && agent.report.state == agent_state::unconfirmed;
-        if (agent.report.state == agent_state::left || isNew)
+        if (!mayOwn(agent))
             continue;
         if (!isFresh(agent, now))
             return std::nullopt;
--- a/src/libplane/packet_balancer_owners.cpp
+++ b/src/libplane/packet_balancer_owners.cpp
@@ -14,6 +14,8 @@
 
 // Flows whose owner is being asked for; each keeps a packet.
 constexpr std::size_t kMaxUndecided = 2000;
+// A caller repeats its packet sooner; an older one must not reach an upstream any more.
+constexpr duration kUndecidedTime = std::chrono::seconds(1);
 // Agents that the store does not list yet make themselves known within this time of a balancer's start.
 constexpr duration kSettleTime = milliseconds(300);
 
@@ -49,12 +51,12 @@
 // The agents of the flow's service are asked first; the others only when all of those have denied it.
 void packet_balancer::askOthers(balancer_flow *flow, const flow_key &key, plane_actions *out)
 {
-    auto agents = m_agents.ofService(flow->service);
+    auto agents = m_agents.mayOwnFlows(flow->service);
     const bool isDeniedByService = std::all_of(agents.begin(), agents.end(), [&](const host_address &agent) {
         return std::find(flow->notTakenBy.begin(), flow->notTakenBy.end(), agent) != flow->notTakenBy.end();
     });
     if (isDeniedByService)
-        agents = m_agents.ofService("");
+        agents = m_agents.mayOwnFlows("");
     std::size_t asked = 0;
     const packet_header &header = flow->lastPacket.header;
     for (const host_address &agent : agents) {
@@ -78,7 +80,7 @@
     std::vector<flow_key> decided;
     for (const flow_key &key : m_undecided) {
         const auto found = m_flows.find(key);
-        if (found == m_flows.end() || found->second.isOwnerKnown) {
+        if (found == m_flows.end() || found->second.isOwnerKnown || now - found->second.askedAt > kUndecidedTime) {
             decided.push_back(key);
             continue;
         }
--- a/src/libplane/packet_balancer_test.cpp
+++ b/src/libplane/packet_balancer_test.cpp
@@ -272,6 +272,28 @@
     EXPECT_EQ(resets(), 1U);
 }
 
+// Guards against old packets that reach upstreams which have just started (fleetbench run ofnbokun-grown scale-2, FLOW at
+// 25.788 s): a flow whose question went unanswered was asked of each new agent for as long as it was remembered.
+TEST_F(PacketBalancer, StopsAskingForAFlowWhoseCallerIsSilent)
+{
+    fromCaller(callerPacket(77));
+    advance(seconds(3));
+    core.message(kAgentC, makeReport(1), now, &actions);
+    actions.clear();
+    core.advance(now, &actions);
+    EXPECT_TRUE(questions().empty());
+    fromCaller(callerPacket(77));
+    EXPECT_EQ(questions().size(), 3U);
+}
+
+TEST_F(PacketBalancer, DoesNotAskAnAgentThatCannotOwnAFlow)
+{
+    core.message(kAgentC, makeReport(1, agent_state::unconfirmed), now, &actions);
+    actions.clear();
+    fromCaller(callerPacket(77));
+    EXPECT_EQ(questions().size(), 2U);
+}
+
 // Guards against entries of hosts that were replaced and stay in the store for good, and against the removal of entries by a
 // balancer that is cut off itself.
 TEST_F(PacketBalancer, NamesListedNodesThatStaySilent)
