--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -92,7 +92,8 @@
     /// The upstream said that it leaves for good.
     announcement_result leave(const std::string &upstreamId, time_point now, plane_actions *out);
     /// Slots of the upstream as an earlier start of this agent wrote them to the store; used until the upstream announces itself.
-    void assumeSlots(std::uint32_t slots) { m_assumedSlots = slots; }
+    /// 0: the store does not tell.
+    void assumeSlots(std::uint32_t slots);
     /// Balancers that the store lists.
     void applyBalancers(const std::vector<host_address> &balancers, time_point now, plane_actions *out);
     /// The process is about to end.
@@ -104,7 +105,7 @@
     agent_state state() const { return m_state; }
     const packet_agent_counts &counts() const { return m_counts; }
     std::size_t flowCount() const { return m_flows.size(); }
-    std::size_t busy() const { return m_working + m_expected + m_queue.size(); }
+    std::size_t busy() const { return m_working + m_expected + m_queue.size() + m_waitingProbes.size(); }
     /// Takes the requests that were answered since the last call.
     std::vector<request_observation> takeObservations();
 
@@ -170,6 +171,8 @@
                                    time_point now) const;
     void startWork(const flow_key &key, agent_flow *flow, time_point now, plane_actions *out);
     void dispatch(time_point now, plane_actions *out);
+    std::optional<flow_key> takeNextWaiting(time_point now, plane_actions *out);
+    void dropRequest(const flow_key &key, agent_flow *flow, plane_actions *out);
     void dropExpired(time_point now, plane_actions *out);
     std::uint32_t slots() const;
     std::size_t capacity() const;
@@ -197,8 +200,8 @@
     agent_state m_state = agent_state::unconfirmed;
     std::optional<upstream_announcement> m_upstream; ///< Last accepted announcement.
     std::optional<time_point> m_announcedAt;
-    std::uint32_t m_assumedSlots = 0; ///< 0: unknown.
-    bool m_sawUpstreamStart = false;  ///< The upstream's present start is later than this agent's.
+    std::uint32_t m_assumedSlots;    ///< Until the upstream announces itself.
+    bool m_sawUpstreamStart = false; ///< The upstream's present start is later than this agent's.
     std::optional<time_point> m_leftAt;
     flow_map m_flows;
     std::deque<std::pair<time_point, flow_key>> m_expectations;
@@ -206,6 +209,7 @@
     std::vector<request_observation> m_observations;
     packet_agent_counts m_counts;
     request_queue m_queue;
+    std::deque<flow_key> m_waitingProbes; ///< Requests on flows that the upstream may not hold, in order of arrival.
     std::size_t m_working = 0;
     std::size_t m_expected = 0;
     double m_meanBusy = 0;
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -54,6 +54,7 @@
     : m_settings(std::move(settings))
     , m_decoder(decoder)
     , m_startedAt(now)
+    , m_assumedSlots(kAssumedSlots)
     , m_meanWorkMs(kInitialWorkMs)
     , m_meanSlackMs(kInitialSlackMs)
     , m_meanAt(now)
@@ -344,6 +345,7 @@
     if (found == m_flows.end())
         return;
     agent_flow flow = std::move(found->second);
+    std::vector<packet> held = std::exchange(flow.held, {});
     releaseWork(key, &flow, now);
     m_flows.erase(found);
     forwarded_packet returned{.purpose = content.header.open ? forward_purpose::open : forward_purpose::carry,
@@ -367,6 +369,11 @@
     }
     if (flow.phase == flow_phase::probing)
         returned.purpose = forward_purpose::ask;
+    for (packet &waiting : held) {
+        forwarded_packet further = returned;
+        further.packetBytes = std::move(waiting.bytes);
+        turnAway(std::move(further), not_taken_reason::unknown_flow, out);
+    }
     turnAway(std::move(returned), content.header.open ? not_taken_reason::full : not_taken_reason::unknown_flow, out);
 }
 
--- a/src/libplane/packet_agent_requests.cpp
+++ b/src/libplane/packet_agent_requests.cpp
@@ -6,7 +6,6 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace citroncrank {
 
@@ -46,18 +45,23 @@
 
 std::uint32_t packet_agent::slots() const
 {
-    return m_upstream ? m_upstream->slots : m_assumedSlots;
+    return std::max(1U, m_upstream ? m_upstream->slots : m_assumedSlots);
+}
+
+void packet_agent::assumeSlots(std::uint32_t slots)
+{
+    if (slots > 0)
+        m_assumedSlots = slots;
 }
 
-// Without any knowledge of the slots the upstream's own queue has to do.
 std::size_t packet_agent::capacity() const
 {
-    return slots() > 0 ? slots() + kReadyRequests : std::numeric_limits<std::size_t>::max();
+    return slots() + kReadyRequests;
 }
 
 bool packet_agent::hasFreeSlot() const
 {
-    return busy() < (slots() > 0 ? slots() : kAssumedSlots);
+    return busy() < slots();
 }
 
 // The time until a request that arrives now would be answered is longer than its caller waits.
@@ -65,15 +69,14 @@
 {
     if (!m_upstream || limits.timeoutMs == 0)
         return false;
-    const double wait = double(m_queue.size()) * m_meanWorkMs / std::max(1U, m_upstream->slots);
+    const double wait = double(m_queue.size()) * m_meanWorkMs / slots();
     return wait + m_meanWorkMs > limits.timeoutMs;
 }
 
 // How many waiting requests the upstream starts within the time that one may wait.
 std::size_t packet_agent::inTimeLimit() const
 {
-    const std::uint32_t known = slots() > 0 ? slots() : kAssumedSlots;
-    return std::size_t(known * m_meanSlackMs / std::max(1.0, m_meanWorkMs));
+    return std::size_t(slots() * m_meanSlackMs / std::max(1.0, m_meanWorkMs));
 }
 
 void packet_agent::deliver(const flow_key &key, agent_flow *flow, packet content, time_point now, plane_actions *out)
@@ -146,13 +149,16 @@
     const waiting_request request = waitingRequest(key, *flow, dataOf(content), now);
     flow->requestDeadline = request.deadline;
     m_meanSlackMs += kMeanWeight * (std::max(0.0, toMilliseconds(request.startBy - now)) - m_meanSlackMs);
-    const bool mayWait = flow->phase != flow_phase::probing;
-    if (!mayWait || (m_working < capacity() && m_queue.size() == 0)) {
+    const bool isProbe = flow->phase == flow_phase::probing;
+    if (m_working < capacity() && (isProbe ? m_waitingProbes.empty() : m_queue.size() == 0)) {
         startWork(key, flow, now, out);
         return;
     }
     flow->request = request_phase::waiting;
-    m_queue.add(request);
+    if (isProbe)
+        m_waitingProbes.push_back(key);
+    else
+        m_queue.add(request);
     logRequest(key, *flow, "request waits", out);
 }
 
@@ -170,8 +176,8 @@
 
 void packet_agent::dispatch(time_point now, plane_actions *out)
 {
-    while (m_queue.size() > 0 && m_working < capacity()) {
-        const auto key = m_queue.takeNext(inTimeLimit(), now);
+    while (m_working < capacity()) {
+        const auto key = takeNextWaiting(now, out);
         const auto found = key ? m_flows.find(*key) : m_flows.end();
         if (found == m_flows.end())
             return;
@@ -183,15 +189,35 @@
     }
 }
 
+// Probes go first. The upstream returns at once what it does not hold, and until then callers of flows that have ended
+// learn nothing.
+std::optional<flow_key> packet_agent::takeNextWaiting(time_point now, plane_actions *out)
+{
+    while (!m_waitingProbes.empty()) {
+        const flow_key key = m_waitingProbes.front();
+        m_waitingProbes.pop_front();
+        const auto found = m_flows.find(key);
+        if (found == m_flows.end() || found->second.request != request_phase::waiting)
+            continue;
+        if (now < found->second.requestDeadline)
+            return key;
+        dropRequest(key, &found->second, out);
+    }
+    return m_queue.size() > 0 ? m_queue.takeNext(inTimeLimit(), now) : std::nullopt;
+}
+
 // The caller of an expired request gives up before it could be answered, so the upstream need not work on it.
 void packet_agent::dropExpired(time_point now, plane_actions *out)
 {
-    for (const flow_key &key : m_queue.takeExpired(now + fromMilliseconds(m_meanWorkMs + kReturnMs))) {
-        agent_flow &flow = m_flows.at(key);
-        logRequest(key, flow, "request dropped, reason=deadline", out);
-        flow.request = request_phase::none;
-        flow.held.clear();
-    }
+    for (const flow_key &key : m_queue.takeExpired(now + fromMilliseconds(m_meanWorkMs + kReturnMs)))
+        dropRequest(key, &m_flows.at(key), out);
+}
+
+void packet_agent::dropRequest(const flow_key &key, agent_flow *flow, plane_actions *out)
+{
+    logRequest(key, *flow, "request dropped, reason=deadline", out);
+    flow->request = request_phase::none;
+    flow->held.clear();
 }
 
 void packet_agent::logRequest(const flow_key &key, const agent_flow &flow, const char *what, plane_actions *out) const
