--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -183,6 +183,9 @@
     void noteOutcome(upstream_outcome outcome, const flow_key &key, time_point now, plane_actions *out);
     void noteReset(const flow_key &key, const agent_flow &flow, time_point now, plane_actions *out);
     void findUnanswered(time_point now, plane_actions *out);
+    void findUnansweredOpenings(time_point now, plane_actions *out);
+    void findUnansweredProbes(time_point now, plane_actions *out);
+    void findUnansweredRequests(time_point now, plane_actions *out);
     std::uint32_t slots() const;
     std::size_t capacity() const;
     std::size_t inTimeLimit() const;
@@ -221,6 +224,7 @@
     upstream_health m_health;
     std::deque<std::pair<time_point, flow_key>> m_openingsSent; ///< Opening packets, by the time of delivery.
     std::deque<std::pair<time_point, flow_key>> m_requestsSent; ///< Requests, by the time of delivery.
+    std::deque<std::pair<time_point, flow_key>> m_probesSent;   ///< Those on flows that the upstream may not hold.
     request_queue m_queue;
     std::deque<flow_key> m_waitingProbes; ///< Requests on flows that the upstream may not hold, in order of arrival.
     std::size_t m_working = 0;
--- a/src/libplane/packet_agent_health.cpp
+++ b/src/libplane/packet_agent_health.cpp
@@ -13,8 +13,10 @@
 
 // An upstream answers an opening packet at once; by then its first copy is unanswered as well.
 constexpr duration kOpeningAnswerTime = milliseconds(300);
-// Requests of known deployments take a quarter of a second at most.
-constexpr duration kShortestAnswerTime = milliseconds(1000);
+// Twice the longest request of known deployments. A slot whose answer was lost stays occupied this long.
+constexpr duration kShortestAnswerTime = milliseconds(500);
+// An upstream returns what it does not hold within a few milliseconds; hosts may be slow by a factor of ten.
+constexpr duration kReturnTime = milliseconds(100);
 // Times the mean: for deployments with longer requests.
 constexpr double kAnswerTimeFactor = 8;
 
@@ -55,23 +57,56 @@
 
 void packet_agent::findUnanswered(time_point now, plane_actions *out)
 {
-    const bool isServing = m_state == agent_state::ready;
+    findUnansweredOpenings(now, out);
+    findUnansweredProbes(now, out);
+    findUnansweredRequests(now, out);
+}
+
+void packet_agent::findUnansweredOpenings(time_point now, plane_actions *out)
+{
     while (!m_openingsSent.empty() && now - m_openingsSent.front().first >= kOpeningAnswerTime) {
         const auto found = m_flows.find(m_openingsSent.front().second);
-        if (isServing && found != m_flows.end() && found->second.phase == flow_phase::opening
+        m_openingsSent.pop_front();
+        if (m_state == agent_state::ready && found != m_flows.end() && found->second.phase == flow_phase::opening
             && !found->second.callerFinished)
             noteOutcome(upstream_outcome::unanswered, found->first, now, out);
-        m_openingsSent.pop_front();
     }
+}
+
+// A packet or its return may be lost. The slot is free again then, and the caller sends the packet once more.
+void packet_agent::findUnansweredProbes(time_point now, plane_actions *out)
+{
+    while (!m_probesSent.empty() && now - m_probesSent.front().first >= kReturnTime) {
+        const auto [since, key] = m_probesSent.front();
+        m_probesSent.pop_front();
+        const auto found = m_flows.find(key);
+        if (found == m_flows.end() || found->second.request != request_phase::working
+            || found->second.workSince != since)
+            continue;
+        if (found->second.phase == flow_phase::open) {
+            m_requestsSent.emplace_back(since, key);
+            continue;
+        }
+        logRequest(key, found->second, "request not confirmed by the upstream", out);
+        releaseWork(key, &found->second, now);
+    }
+}
+
+void packet_agent::findUnansweredRequests(time_point now, plane_actions *out)
+{
     const duration answerTime =
         std::max(kShortestAnswerTime, duration(std::int64_t(kAnswerTimeFactor * m_meanWorkMs * 1000)));
     while (!m_requestsSent.empty() && now - m_requestsSent.front().first >= answerTime) {
         const auto [since, key] = m_requestsSent.front();
+        m_requestsSent.pop_front();
         const auto found = m_flows.find(key);
-        if (isServing && found != m_flows.end() && found->second.phase == flow_phase::open
-            && found->second.request == request_phase::working && found->second.workSince == since)
+        if (found == m_flows.end() || found->second.request != request_phase::working
+            || found->second.workSince != since)
+            continue;
+        logRequest(key, found->second, "request unanswered by the upstream", out);
+        releaseWork(key, &found->second, now);
+        if (m_state == agent_state::ready)
             noteOutcome(upstream_outcome::unanswered, key, now, out);
-        m_requestsSent.pop_front();
     }
 }
 
--- a/src/libplane/packet_agent_requests.cpp
+++ b/src/libplane/packet_agent_requests.cpp
@@ -170,7 +170,7 @@
     // The caller has acknowledged all earlier answers.
     flow->answerFrom = flow->knowsUpstreamEnd ? flow->upstreamEnd : flow->callerAcknowledged;
     flow->workSince = now;
-    m_requestsSent.emplace_back(now, key);
+    (flow->phase == flow_phase::probing ? m_probesSent : m_requestsSent).emplace_back(now, key);
     ++m_working;
     logRequest(key, *flow, "request passed", out);
 }
@@ -240,7 +240,6 @@
     switch (std::exchange(flow->request, request_phase::none)) {
     case request_phase::working:
         --m_working;
-        m_meanWorkMs += kMeanWeight * (toMilliseconds(now - flow->workSince) - m_meanWorkMs);
         break;
     case request_phase::waiting:
         m_queue.remove(key);
@@ -275,8 +274,11 @@
     const packet_header &header = content.header;
     const bool hasNewData = header.dataBytes > 0 && sequenceDistance(flow->answerFrom, endOf(header)) > 0;
     const bool isAnswer = hasNewData || header.finish || header.reset;
-    if (flow->request == request_phase::working && isAnswer)
+    if (flow->request == request_phase::working && isAnswer) {
+        // Only answers tell how long the upstream works; what it returns comes back at once.
+        m_meanWorkMs += kMeanWeight * (toMilliseconds(now - flow->workSince) - m_meanWorkMs);
         releaseWork(key, flow, now);
+    }
     const std::uint32_t status = flow->awaitsHead && isAnswer ? statusOf(dataOf(content)) : 0;
     if (status == 0)
         return;
