--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -204,6 +204,7 @@
     void forgetFlows(time_point now);
     duration reportPeriod() const;
     bool knowsAllFlows(time_point now) const;
+    bool isOtherService(const std::string &service) const;
     void log(decision_kind kind, std::string text, plane_actions *out) const;
 
     packet_agent_settings m_settings;
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -238,6 +238,12 @@
     return advanced <= sent + kAcknowledgementSlack;
 }
 
+// A balancer that does not know the service of a flow leaves it empty, which proves nothing.
+bool packet_agent::isOtherService(const std::string &service) const
+{
+    return !service.empty() && service != m_settings.service;
+}
+
 // An agent that has run since before its upstream's start has seen every flow of it.
 bool packet_agent::knowsAllFlows(time_point now) const
 {
@@ -250,7 +256,7 @@
     const auto found = m_flows.find(question.flow);
     const packet_header header{.acknowledges = question.hasAcknowledged, .acknowledged = question.acknowledged};
     if (found == m_flows.end() || found->second.phase == flow_phase::probing) {
-        const bool isDenied = knowsAllFlows(now) || question.service != m_settings.service;
+        const bool isDenied = knowsAllFlows(now) || isOtherService(question.service);
         out->emplace_back(send_to_node{from, owner_denial{question.flow, !isDenied}});
         return;
     }
@@ -274,7 +280,7 @@
     const flow_key key = flowFromCaller(content.header);
     auto found = m_flows.find(key);
     const bool isOther = found != m_flows.end() && !mayBeOf(found->second, content.header);
-    const bool isUnheld = found == m_flows.end() && (knowsAllFlows(now) || arrived.service != m_settings.service);
+    const bool isUnheld = found == m_flows.end() && (knowsAllFlows(now) || isOtherService(arrived.service));
     if (isOther || isUnheld || (found == m_flows.end() && m_flows.size() >= kMaxFlows)) {
         if (isOther) {
             log(decision_kind::owner,
--- a/src/libplane/packet_agent_requests_test.cpp
+++ b/src/libplane/packet_agent_requests_test.cpp
@@ -283,3 +283,12 @@
     fresh.upstreamPacket(returned(makePacket(acknowledgement)), now, &actions);
     EXPECT_EQ(messagesOf<not_taken_notice>(actions).size(), 2U);
 }
+
+// Guards against an agent that denies a flow of its own because the asking balancer does not know the flow's service.
+TEST_F(RestartedPacketAgent, AQuestionWithoutAServiceIsNotDenied)
+{
+    fresh.message(kBalancer, owner_question{.flow = kFlow}, now, &actions);
+    const auto denials = messagesOf<owner_denial>(actions);
+    ASSERT_EQ(denials.size(), 1U);
+    EXPECT_TRUE(denials[0].second.isUnsure);
+}
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -204,6 +204,9 @@
         found = m_flows.emplace(key, std::move(fresh)).first;
     }
     balancer_flow &flow = found->second;
+    // The owner may have been handed over before its agent was known here.
+    if (flow.service.empty())
+        flow.service = chooseService(*m_routes->find(key.service), key);
     flow.lastSeen = now;
     flow.isOpening = false;
     flow.finished = flow.finished || arrived.header.finish || arrived.header.reset;
--- a/src/libplane/packet_balancer_test.cpp
+++ b/src/libplane/packet_balancer_test.cpp
@@ -462,3 +462,19 @@
         EXPECT_EQ(to, kAgentB);
     EXPECT_TRUE(actionsOf<reset_flow>(actions).empty());
 }
+
+// Guards against an open flow that its own agent denies after a restart, and that is reset then (fleetbench hunt
+// ofnbokun-grown, hosts-restarted.toml --seed 37530847283, FLOW): the flow was handed over before the agent was known.
+TEST(PacketBalancerSettings, KnowsTheServiceOfAFlowThatWasHandedOverEarly)
+{
+    time_point now{};
+    plane_actions actions;
+    packet_balancer core({.self = kBalancer, .domain = "nbi-west", .flowLifetime = seconds(60)}, decodeTestHeader, now);
+    core.message(kOtherBalancer, flow_owner_list{{{kFlow, kAgentA}}}, now, &actions);
+    core.applyRoutes(makeRoutes(5), now, &actions);
+    core.message(kAgentA, makeReport(1), now, &actions);
+    core.callerPacket(callerPacket(77), now, &actions);
+    const auto forwarded = messagesOf<forwarded_packet>(actions);
+    ASSERT_EQ(forwarded.size(), 1U);
+    EXPECT_EQ(forwarded[0].second.service, kService);
+}
