--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -131,6 +131,7 @@
     void refuse(const packet &refused, const char *reason, plane_actions *out);
     void learnOwner(const host_address &agent, const flow_key &flow, time_point now, plane_actions *out);
     void notTaken(const host_address &agent, const not_taken_notice &notice, time_point now, plane_actions *out);
+    void returnedUnheld(const host_address &agent, packet returned, time_point now, plane_actions *out);
     void openingNotTaken(const host_address &agent, not_taken_reason reason, packet returned, time_point now,
                          plane_actions *out);
     void carriedNotTaken(const host_address &agent, packet returned, time_point now, plane_actions *out);
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -278,11 +278,22 @@
         carriedNotTaken(agent, std::move(returned), now, out);
         return;
     case forward_purpose::ask:
-        denied(agent, {flowFromCaller(returned.header), false}, now, out);
+        returnedUnheld(agent, std::move(returned), now, out);
         return;
     }
 }
 
+// An agent that has restarted says so also of packets that were carried to it on a wrong hint.
+void packet_balancer::returnedUnheld(const host_address &agent, packet returned, time_point now, plane_actions *out)
+{
+    const flow_key flow = flowFromCaller(returned.header);
+    const auto found = m_flows.find(flow);
+    if (found != m_flows.end() && found->second.isOwnerKnown && found->second.owner == agent)
+        carriedNotTaken(agent, std::move(returned), now, out);
+    else
+        denied(agent, {flow, false}, now, out);
+}
+
 // Every candidate of the placement has turned the flow away. Others are tried once; then the caller is told at once.
 void packet_balancer::openingNotTaken(const host_address &agent, not_taken_reason reason, packet returned,
                                       time_point now, plane_actions *out)
--- a/src/libplane/packet_balancer_test.cpp
+++ b/src/libplane/packet_balancer_test.cpp
@@ -478,3 +478,26 @@
     ASSERT_EQ(forwarded.size(), 1U);
     EXPECT_EQ(forwarded[0].second.service, kService);
 }
+
+// Guards against packets that go to an upstream which does not hold their flow for as long as the caller repeats them
+// (fleetbench run ofnbokun-grown, hosts-restarted.toml --seed 37530847283, FLOW): copies of the opening packet went through two
+// balancers and the flow opened elsewhere; the agent has restarted, so only what its upstream returns shows it.
+TEST_F(PacketBalancer, AReturnedPacketShowsThatTheHintIsWrong)
+{
+    fromCaller(openingPacket());
+    ASSERT_EQ(messagesOf<forwarded_packet>(actions).size(), 1U);
+    const host_address hinted = messagesOf<forwarded_packet>(actions)[0].first;
+    const host_address other = hinted == kAgentA ? kAgentB : kAgentA;
+    fromCaller(callerPacket(77));
+    actions.clear();
+    core.message(hinted, not_taken_notice{not_taken_reason::unknown_flow, forward_purpose::ask, callerPacket(77).bytes},
+                 now, &actions);
+    ASSERT_EQ(questions().size(), 1U);
+    EXPECT_EQ(questions()[0].first, other);
+    // The flow is the other one's then, and what the first one returns late changes nothing.
+    core.message(other, owner_notice{kFlow}, now, &actions);
+    actions.clear();
+    core.message(hinted, not_taken_notice{not_taken_reason::unknown_flow, forward_purpose::ask, callerPacket(77).bytes},
+                 now, &actions);
+    EXPECT_TRUE(actions.empty());
+}
