Balancer: a silent agent of a flow's service keeps the others from being asked no longer

An agent that never came back kept 2,100 flows undecided; their callers waited out their time. Ruled out: lost datagrams (32 of 35 asked agents answered within 0.2 s, the same ones were missing at each retransmission). Change: the agents of the service that report must have denied it. A line tells which agents keep a flow undecided. Flows are still decided a second late: agents without an upstream neither deny nor count as gone.

--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -82,6 +82,8 @@
     /// Whether a flow that the agents in `deniedBy` do not hold has no owner. False while another agent that may own flows
     /// was heard recently, and while no agent is known.
     bool isUnowned(std::span<const host_address> deniedBy, time_point now) const;
+    /// Agents that keep isUnowned() false: recently heard, and not in `deniedBy` or no longer reporting.
+    std::vector<host_address> possibleOwners(std::span<const host_address> deniedBy, time_point now) const;
     /// Agents that have neither an entry nor a report within `age`.
     void removeForgotten(duration age, time_point now);
     std::size_t size() const { return m_agents.size(); }
--- a/src/include/citroncrank/time.h
+++ b/src/include/citroncrank/time.h
@@ -4,6 +4,7 @@
 /// Time as the decision libraries see it. They never read a clock; the caller passes the time in.
 
 #include <chrono>
+#include <cstdint>
 
 namespace citroncrank {
 
@@ -26,4 +27,10 @@
 /// Wall-clock time in microseconds since the Unix epoch, only for records that operators read.
 using wall_time = std::chrono::time_point<std::chrono::system_clock, duration>;
 
+/// Fractions of a millisecond are cut off.
+constexpr std::int64_t wholeMilliseconds(duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 } // namespace citroncrank
--- a/src/libplane/agent_directory.cpp
+++ b/src/libplane/agent_directory.cpp
@@ -238,18 +238,22 @@
 
 bool agent_directory::isUnowned(std::span<const host_address> deniedBy, time_point now) const
 {
-    bool isAnyKnown = false;
+    const bool isAnyKnown =
+        std::any_of(m_agents.begin(), m_agents.end(), [](const auto &entry) { return mayOwn(entry.second); });
+    return isAnyKnown && possibleOwners(deniedBy, now).empty();
+}
+
+std::vector<host_address> agent_directory::possibleOwners(std::span<const host_address> deniedBy, time_point now) const
+{
+    std::vector<host_address> result;
     for (const auto &[address, agent] : m_agents) {
-        if (!mayOwn(agent))
-            continue;
-        isAnyKnown = true;
-        if (silence(agent, now) >= kOwnerPatience)
+        if (!mayOwn(agent) || silence(agent, now) >= kOwnerPatience)
             continue;
         const bool isDenied = std::find(deniedBy.begin(), deniedBy.end(), address) != deniedBy.end();
         if (!isDenied || !isFresh(agent, now))
-            return false;
+            result.push_back(address);
     }
-    return isAnyKnown;
+    return result;
 }
 
 void agent_directory::removeForgotten(duration age, time_point now)
--- a/src/libplane/packet_agent_pvt.h
+++ b/src/libplane/packet_agent_pvt.h
@@ -29,11 +29,6 @@
     return std::string_view(content.bytes).substr(content.bytes.size() - content.header.dataBytes);
 }
 
-inline std::int64_t wholeMilliseconds(duration value)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 /// What the status of an answer says of the upstream.
 upstream_outcome outcomeOf(std::uint32_t status);
 
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -34,11 +34,6 @@
 constexpr duration kBalancerForgetTime = seconds(60);
 constexpr duration kAgentForgetTime = seconds(30);
 
-std::uint32_t wholeMilliseconds(duration value)
-{
-    return std::uint32_t(std::chrono::duration_cast<milliseconds>(value).count());
-}
-
 } // namespace
 
 packet_balancer::packet_balancer(packet_balancer_settings settings, packet_header_decoder decoder, time_point now)
@@ -211,12 +206,11 @@
     const agent_record *const agent = m_agents.find(chosen.agents.front());
     const bool isHeard = agent != nullptr && agent->heardAt;
     log(decision_kind::placement,
-        absl::StrCat("placed flow, flow=", toString(flowFromCaller(header)), " copy=", header.acknowledged,
-                     " service=", chosen.service, " route=", route.name, " agent=", toString(chosen.agents.front()),
-                     " trial=", chosen.isTrial,
-                     " load_percent=", isHeard ? int(100 * m_agents.expectedLoad(*agent, now)) : 0,
-                     " report_age_ms=", isHeard ? std::int64_t(wholeMilliseconds(now - *agent->heardAt)) : -1,
-                     " routes=", routesVersion()),
+        absl::StrCat(
+            "placed flow, flow=", toString(flowFromCaller(header)), " copy=", header.acknowledged,
+            " service=", chosen.service, " route=", route.name, " agent=", toString(chosen.agents.front()),
+            " trial=", chosen.isTrial, " load_percent=", isHeard ? int(100 * m_agents.expectedLoad(*agent, now)) : 0,
+            " report_age_ms=", isHeard ? wholeMilliseconds(now - *agent->heardAt) : -1, " routes=", routesVersion()),
         out);
 }
 
@@ -378,8 +372,8 @@
     request_limits limits;
     if (const packet_route *const route = m_routes->find(key.service)) {
         limits = {.priority = route->priority,
-                  .latencyTargetMs = wholeMilliseconds(route->latencyTarget),
-                  .timeoutMs = wholeMilliseconds(route->timeout)};
+                  .latencyTargetMs = std::uint32_t(wholeMilliseconds(route->latencyTarget)),
+                  .timeoutMs = std::uint32_t(wholeMilliseconds(route->timeout))};
     }
     return {.purpose = purpose,
             .service = service,
--- a/src/libplane/packet_balancer_owners.cpp
+++ b/src/libplane/packet_balancer_owners.cpp
@@ -34,6 +34,8 @@
                                   time_point now, plane_actions *out)
 {
     const flow_key key = flowFromCaller(arrived.header);
+    if (!flow->isOwnerKnown && !flow->askedAgents.empty())
+        logUndecided(key, *flow, now, out);
     if (flow->isOwnerKnown || now - flow->askedAt > kUndecidedTime)
         flow->notTakenBy.clear();
     flow->isOwnerKnown = false;
@@ -48,18 +50,39 @@
     flow->askedAt = now;
     if (m_undecided.size() < kMaxUndecided)
         m_undecided.insert(key);
-    askOthers(flow, key, out);
+    askOthers(flow, key, now, out);
 }
 
-// The agents of the flow's service are asked first; the others only when all of those have denied it.
-void packet_balancer::askOthers(balancer_flow *flow, const flow_key &key, plane_actions *out)
+void packet_balancer::logUndecided(const flow_key &key, const balancer_flow &flow, time_point now,
+                                   plane_actions *out) const
 {
-    auto agents = m_agents.mayOwnFlows(flow->service);
-    const bool isDeniedByService = std::all_of(agents.begin(), agents.end(), [&](const host_address &agent) {
-        return std::find(flow->notTakenBy.begin(), flow->notTakenBy.end(), agent) != flow->notTakenBy.end();
-    });
-    if (isDeniedByService)
-        agents = m_agents.mayOwnFlows("");
+    const auto missing = m_agents.possibleOwners(flow.notTakenBy, now);
+    log(decision_kind::owner,
+        absl::StrCat("owner is undecided, flow=", toString(key), " asked=", flow.askedAgents.size(),
+                     " denied=", flow.notTakenBy.size(), " not_denied=", missing.size(),
+                     " first=", missing.empty() ? std::string() : toString(missing.front()),
+                     " since_ms=", wholeMilliseconds(now - flow.askedAt), " lists_known=", knowsAllAgents(now)),
+        out);
+}
+
+// An agent of the service that does not report may never come back, so it does not keep the others from being asked.
+bool packet_balancer::isDeniedByService(const balancer_flow &flow, time_point now) const
+{
+    bool isAnyDenied = false;
+    for (const host_address &agent : m_agents.mayOwnFlows(flow.service)) {
+        const bool isDenied = std::find(flow.notTakenBy.begin(), flow.notTakenBy.end(), agent) != flow.notTakenBy.end();
+        isAnyDenied = isAnyDenied || isDenied;
+        if (!isDenied && m_agents.isFresh(*m_agents.find(agent), now))
+            return false;
+    }
+    return isAnyDenied;
+}
+
+// The agents of the flow's service are asked first; the others only when those have denied it.
+void packet_balancer::askOthers(balancer_flow *flow, const flow_key &key, time_point now, plane_actions *out)
+{
+    const bool isAnyOther = isDeniedByService(*flow, now);
+    const auto agents = m_agents.mayOwnFlows(isAnyOther ? std::string() : flow->service);
     std::size_t asked = 0;
     const packet_header &header = flow->lastPacket.header;
     for (const host_address &agent : agents) {
@@ -94,7 +117,7 @@
             m_flows.erase(found);
             continue;
         }
-        askOthers(&found->second, key, out);
+        askOthers(&found->second, key, now, out);
     }
     for (const flow_key &key : decided)
         m_undecided.erase(key);
@@ -159,7 +182,7 @@
     }
     noteAgent(agent, &flow.notTakenBy);
     if (!isDeniedByAll(flow, now)) {
-        askOthers(&flow, denial.flow, out);
+        askOthers(&flow, denial.flow, now, out);
         return;
     }
     const packet last = std::move(flow.lastPacket);
--- a/src/libplane/plane_fixture_test.h
+++ b/src/libplane/plane_fixture_test.h
@@ -88,6 +88,7 @@
 inline constexpr host_address kAgentA{0x0A010021, 7480};
 inline constexpr host_address kAgentB{0x0A010022, 7480};
 inline constexpr host_address kAgentC{0x0A010023, 7480};
+inline constexpr host_address kAgentD{0x0A010024, 7480};
 inline constexpr host_address kUpstream{0x0A010021, 8688};
 inline constexpr host_address kServiceAddress{0xC6120001, 443};
 inline constexpr host_address kCaller{0x64400007, 40001};
