standin-packet-upstream accepts connections at its address, as upstreams of the platform do

Cause: agents probe their upstream's address at their start; the stand-in had no listener there, so an agent that restarted beside it took it for absent until its next announcement.

--- a/src/standin-packet-upstream/main.cpp
+++ b/src/standin-packet-upstream/main.cpp
@@ -1,4 +1,6 @@
 #include "citroncrank/datagram_socket.h"
+#include "citroncrank/http_endpoint.h"
+#include "citroncrank/metrics.h"
 #include "citroncrank/plane_loop.h"
 #include "citroncrank/standin_http_server.h"
 #include "citroncrank/standin_packet.h"
@@ -44,6 +46,12 @@
         std::cerr << "standin-packet-upstream: cannot listen: " << reason.message() << "\n";
         return 1;
     }
+    metrics_registry metrics;
+    http_endpoint health({.address = *address}, metrics, [] { return std::vector<std::string>(); });
+    if (const auto failure = health.start()) {
+        std::cerr << "standin-packet-upstream: cannot accept connections, errno=" << failure->systemError << "\n";
+        return 1;
+    }
     standin_packet_upstream upstream(
         {.id = settings.id, .slots = settings.slots, .workTime = milliseconds(settings.workMs), .seed = address->ip});
     plane_loop loop;
@@ -75,6 +83,7 @@
     std::cout << "standin-packet-upstream: listening on " << settings.address << std::endl;
     loop.run();
     announcerThread.join();
+    health.stop();
     std::cout << "standin-packet-upstream: runs=" << upstream.runs() << " most_at_work=" << upstream.mostAtWork()
               << std::endl;
     return 0;
