Stand-ins: the HTTP session of the stand-ins has a name of its own

Cause: libstandin and libruntime both defined citroncrank::http_session. A program that uses the HTTP servers of both got the functions of one with the layout of the other; standin-packet-upstream crashed at its second connection (testsuite/packet-path). Ruled out: other names that both libraries define (nm over the archives shows none). Change: standin_http_session. testsuite/packet-path passes.

--- a/src/libstandin/http_server.cpp
+++ b/src/libstandin/standin_http_server.cpp
@@ -1,4 +1,4 @@
-#include "http_session_pvt.h"
+#include "standin_http_session_pvt.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -29,7 +29,7 @@
     implementation(net::io_context &context, const standin_http_settings &settings, standin_handler handler)
         : m_acceptor(context)
         , m_retryTimer(context)
-        , m_group(std::make_shared<http_session_group>())
+        , m_group(std::make_shared<standin_http_session_group>())
     {
         m_group->handler = std::move(handler);
         m_group->maxBodyBytes = settings.maxBodyBytes;
@@ -49,7 +49,7 @@
                 self->acceptLater();
                 return;
             }
-            std::make_shared<http_session>(std::move(socket), self->m_group)->readNext();
+            std::make_shared<standin_http_session>(std::move(socket), self->m_group)->readNext();
             self->accept();
         });
     }
@@ -64,7 +64,7 @@
         }
         m_group->onEmpty = std::move(onEmpty);
         const auto sessions = m_group->sessions;
-        for (http_session *session : sessions)
+        for (standin_http_session *session : sessions)
             session->closeIfIdle();
     }
 
@@ -90,7 +90,7 @@
 
     tcp::acceptor m_acceptor;
     net::steady_timer m_retryTimer;
-    std::shared_ptr<http_session_group> m_group;
+    std::shared_ptr<standin_http_session_group> m_group;
 };
 
 standin_http_server::standin_http_server(net::io_context &context, const standin_http_settings &settings,
--- a/src/libstandin/http_session.cpp
+++ b/src/libstandin/standin_http_session.cpp
@@ -1,4 +1,4 @@
-#include "http_session_pvt.h"
+#include "standin_http_session_pvt.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
@@ -62,7 +62,8 @@
     return result;
 }
 
-http_session::http_session(net::ip::tcp::socket socket, std::shared_ptr<http_session_group> group)
+standin_http_session::standin_http_session(net::ip::tcp::socket socket,
+                                           std::shared_ptr<standin_http_session_group> group)
     : m_stream(std::move(socket))
     , m_group(std::move(group))
 {
@@ -71,14 +72,14 @@
     m_stream.socket().set_option(net::ip::tcp::no_delay(true), ignored);
 }
 
-http_session::~http_session()
+standin_http_session::~standin_http_session()
 {
     m_group->sessions.erase(this);
     if (m_group->sessions.empty() && m_group->onEmpty)
         std::exchange(m_group->onEmpty, nullptr)();
 }
 
-void http_session::readNext()
+void standin_http_session::readNext()
 {
     m_isAnswering = false;
     m_parser.emplace();
@@ -89,7 +90,7 @@
         closeIfIdle();
 }
 
-void http_session::closeIfIdle()
+void standin_http_session::closeIfIdle()
 {
     error_code error;
     const bool hasUnreadBytes = m_buffer.size() > 0 || m_stream.socket().available(error) > 0;
@@ -97,7 +98,7 @@
         m_stream.close();
 }
 
-void http_session::requestRead(error_code error)
+void standin_http_session::requestRead(error_code error)
 {
     m_isAnswering = true;
     if (error == http::error::body_limit) {
@@ -115,7 +116,7 @@
     m_group->handler(shared_from_this());
 }
 
-void http_session::respond(standin_response response)
+void standin_http_session::respond(standin_response response)
 {
     const bool keepAlive = m_response.keep_alive() && !m_group->isDraining;
     m_response.version(11);
@@ -130,12 +131,12 @@
                       [self = shared_from_this()](error_code error, std::size_t) { self->responseSent(error); });
 }
 
-void http_session::drop()
+void standin_http_session::drop()
 {
     m_stream.close();
 }
 
-void http_session::startBody(std::optional<std::uint64_t> contentBytes, std::function<void(bool)> onSent)
+void standin_http_session::startBody(std::optional<std::uint64_t> contentBytes, std::function<void(bool)> onSent)
 {
     m_head = {};
     m_head.version(11);
@@ -153,7 +154,7 @@
                              });
 }
 
-void http_session::sendPart(std::string part, std::function<void(bool)> onSent)
+void standin_http_session::sendPart(std::string part, std::function<void(bool)> onSent)
 {
     m_part = std::move(part);
     const auto done = [self = shared_from_this(), onSent = std::move(onSent)](error_code error, std::size_t) {
@@ -165,14 +166,14 @@
         net::async_write(m_stream, net::buffer(m_part), done);
 }
 
-void http_session::bodyPartSent(error_code error, const std::function<void(bool)> &onSent)
+void standin_http_session::bodyPartSent(error_code error, const std::function<void(bool)> &onSent)
 {
     if (error)
         m_stream.close();
     onSent(!error);
 }
 
-void http_session::finishBody()
+void standin_http_session::finishBody()
 {
     m_response.keep_alive(m_head.keep_alive());
     if (!m_head.chunked()) {
@@ -183,7 +184,7 @@
                      [self = shared_from_this()](error_code error, std::size_t) { self->responseSent(error); });
 }
 
-void http_session::responseSent(error_code error)
+void standin_http_session::responseSent(error_code error)
 {
     if (!error && m_response.keep_alive()) {
         readNext();
--- a/src/libstandin/http_session_pvt.h
+++ b/src/libstandin/standin_http_session_pvt.h
@@ -13,27 +13,27 @@
 
 namespace citroncrank {
 
-class http_session;
+class standin_http_session;
 
 /// State shared by the connections of one server.
-struct http_session_group
+struct standin_http_session_group
 {
     standin_handler handler;
     std::uint64_t maxBodyBytes = 0;
     bool isDraining = false;
-    std::set<http_session *> sessions;
+    std::set<standin_http_session *> sessions;
     std::function<void()> onEmpty; ///< Set while draining.
 };
 
 /// Reads requests one after the other and sends their responses. Lives as long as an operation or an exchange is
 /// pending.
-class http_session : public standin_exchange, public std::enable_shared_from_this<http_session>
+class standin_http_session : public standin_exchange, public std::enable_shared_from_this<standin_http_session>
 {
 public:
-    http_session(boost::asio::ip::tcp::socket socket, std::shared_ptr<http_session_group> group);
-    ~http_session() override;
-    http_session(const http_session &) = delete;
-    http_session &operator=(const http_session &) = delete;
+    standin_http_session(boost::asio::ip::tcp::socket socket, std::shared_ptr<standin_http_session_group> group);
+    ~standin_http_session() override;
+    standin_http_session(const standin_http_session &) = delete;
+    standin_http_session &operator=(const standin_http_session &) = delete;
 
     void readNext();
     /// Closes the connection if no request is being read or answered.
@@ -57,7 +57,7 @@
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
     std::optional<parser_type> m_parser;
-    std::shared_ptr<http_session_group> m_group;
+    std::shared_ptr<standin_http_session_group> m_group;
     standin_request m_request;
     boost::beast::http::response<boost::beast::http::string_body> m_response;
     boost::beast::http::response<boost::beast::http::empty_body> m_head;
