Soak of the packet programs under faults; open flows whose route has changed keep their owner; early signals

packet-soak runs stand-in store, balancers, agents, upstreams and callers as processes on loopback.

Cause: its route named another service by now and its agent had restarted; such an agent denied every question that named another service. Change: agents of other services are asked without a service. Change: signals are remembered from the first line of main on. Test: PlaneLoop.SignalsOfTheStartAreNotLost. The callers and routers of standin-packet-callers are a library that both use; callers notice resets of idle flows.

--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -128,6 +128,7 @@
     void continueFlow(packet arrived, time_point now, plane_actions *out);
     void askForOwner(packet arrived, balancer_flow *flow, std::optional<host_address> except, time_point now,
                      plane_actions *out);
+    std::string serviceForAgent(const balancer_flow &flow, const host_address &agent) const;
     bool isDeniedByService(const balancer_flow &flow, time_point now) const;
     void askOthers(balancer_flow *flow, const flow_key &key, time_point now, plane_actions *out);
     void logUndecided(const flow_key &key, const balancer_flow &flow, time_point now, plane_actions *out) const;
--- a/src/include/citroncrank/plane_loop.h
+++ b/src/include/citroncrank/plane_loop.h
@@ -34,7 +34,10 @@
     /// Ends run() after the present round.
     void stop() { m_isStopped = true; }
 
-    /// Lets SIGTERM, SIGINT and SIGHUP wake this loop. Only one loop of a process may do so.
+    /// Remembers SIGTERM, SIGINT and SIGHUP until a loop catches them. Call first of all, since their default is to end the
+    /// process.
+    static void rememberSignals();
+    /// Lets SIGTERM, SIGINT and SIGHUP wake this loop, also those remembered. Only one loop of a process may do so.
     void catchSignals(std::function<void()> onStop, std::function<void()> onReload);
 
 private:
--- a/src/include/citroncrank/plane_main.h
+++ b/src/include/citroncrank/plane_main.h
@@ -23,6 +23,7 @@
 template<typename node_type>
 int planeMain(int argc, char **argv, const plane_program &program, const settings_table &table)
 {
+    plane_loop::rememberSignals();
     plane_options options;
     if (const auto exitCode = parsePlaneOptions(argc, argv, program.name, program.purpose, &options))
         return *exitCode;
--- a/src/include/citroncrank/standin_packet.h
+++ b/src/include/citroncrank/standin_packet.h
@@ -55,6 +55,8 @@
     /// Whether it holds the flow, and its own sequence numbers are those that the caller expects.
     bool holds(const flow_key &flow, std::uint32_t callerExpects) const;
     std::uint64_t runs() const { return m_runs; }
+    /// Takes the ids of the requests that were started since the last call.
+    std::vector<std::string> takeStarted();
     std::size_t mostAtWork() const { return m_mostAtWork; }
 
 private:
@@ -72,6 +74,7 @@
     {
         time_point due;
         flow_key flow;
+        std::string requestId;
         std::string answer;
         auto operator<=>(const work &) const = default;
     };
@@ -87,6 +90,7 @@
     std::queue<work> m_waiting;
     std::vector<std::string> m_outgoing;
     std::uint64_t m_runs = 0;
+    std::vector<std::string> m_started;
     std::size_t m_mostAtWork = 0;
 };
 
@@ -100,6 +104,24 @@
     auto operator<=>(const standin_caller_counts &) const = default;
 };
 
+/// What a caller saw of one attempt of a request.
+struct standin_caller_event
+{
+    enum class kind : std::uint8_t {
+        sent,
+        answered,
+        reset,    ///< The attempt, or an idle flow, ended with a reset.
+        timedOut, ///< The request had no answer in time.
+    };
+    kind what = kind::sent;
+    std::string attemptId; ///< Each attempt has an id of its own.
+    flow_key flow;
+    std::string upstream; ///< That answered earlier on this flow; empty if none did.
+    bool wasOpen = false; ///< The flow.
+    time_point began;     ///< Start of the request.
+    auto operator<=>(const standin_caller_event &) const = default;
+};
+
 struct standin_caller_settings
 {
     host_address address;
@@ -125,12 +147,17 @@
     /// Next byte of the upstream that it expects.
     std::uint32_t expectedNext() const { return m_expected; }
     const standin_caller_counts &counts() const { return m_counts; }
+    /// Takes what happened since the last call.
+    std::vector<standin_caller_event> takeEvents();
 
 private:
     void open(time_point now);
     void send(packet_header header, const std::string &data = {});
     void sendRequest(time_point now);
-    void finishRequest(time_point now);
+    void finishRequest();
+    std::string attemptId() const;
+    std::string requestText() const;
+    void note(standin_caller_event::kind what);
 
     standin_caller_settings m_settings;
     std::mt19937 m_random;
@@ -141,6 +168,9 @@
     std::uint32_t m_expected = 0;
     std::uint32_t m_sentOnFlow = 0;
     std::string m_requestId;
+    std::uint32_t m_attempt = 0;
+    std::string m_upstream; ///< That answered on the present flow.
+    std::vector<standin_caller_event> m_events;
     std::string m_received;
     time_point m_began;
     time_point m_lastSent;
--- a/src/libplane/packet_balancer_owners.cpp
+++ b/src/libplane/packet_balancer_owners.cpp
@@ -65,6 +65,14 @@
         out);
 }
 
+// An agent that has restarted denies what belongs to another service. The route of an open flow may name another service by
+// now, so agents of other services are asked without a service, which proves nothing to them.
+std::string packet_balancer::serviceForAgent(const balancer_flow &flow, const host_address &agent) const
+{
+    const agent_record *const record = m_agents.find(agent);
+    return record != nullptr && record->report.service == flow.service ? flow.service : std::string();
+}
+
 // An agent of the service that does not report may never come back, so it does not keep the others from being asked.
 bool packet_balancer::isDeniedByService(const balancer_flow &flow, time_point now) const
 {
@@ -89,8 +97,8 @@
         if (!noteAgent(agent, &flow->askedAgents))
             continue;
         ++asked;
-        out->emplace_back(
-            send_to_node{agent, owner_question{key, flow->service, header.acknowledges, header.acknowledged}});
+        out->emplace_back(send_to_node{
+            agent, owner_question{key, serviceForAgent(*flow, agent), header.acknowledges, header.acknowledged}});
     }
     if (asked > 0)
         log(decision_kind::owner,
@@ -177,7 +185,8 @@
     if (denial.isUnsure) {
         // Only its upstream can tell, by answering or returning a packet of the flow.
         if (noteAgent(agent, &flow.sentTo))
-            forward(agent, forward_purpose::ask, flow.service, denial.flow, flow.lastPacket.bytes, {}, out);
+            forward(agent, forward_purpose::ask, serviceForAgent(flow, agent), denial.flow, flow.lastPacket.bytes, {},
+                    out);
         return;
     }
     noteAgent(agent, &flow.notTakenBy);
--- a/src/libplane/packet_balancer_owners_test.cpp
+++ b/src/libplane/packet_balancer_owners_test.cpp
@@ -122,6 +122,27 @@
     EXPECT_EQ(resets(), 1U);
 }
 
+// Guards against the reset of an open flow whose route names another service by now (packet-soak seed 13): the agent of its upstream
+// had restarted, and denied it because the question named a service other than its own.
+TEST_F(PacketBalancer, AsksOtherServicesWithoutNamingOne)
+{
+    agent_report other = makeReport(1);
+    other.service = "receipts";
+    core.message(kAgentC, other, now, &actions);
+    actions.clear();
+    fromCaller(callerPacket(77));
+    for (const host_address &agent : {kAgentA, kAgentB})
+        deny(agent, callerPacket(77));
+    ASSERT_EQ(questions().size(), 3U);
+    EXPECT_EQ(questions()[0].second.service, kService);
+    EXPECT_EQ(questions()[2].second.service, "");
+    core.message(kAgentC, owner_denial{kFlow, true}, now, &actions);
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_EQ(forwarded()[0].first, kAgentC);
+    EXPECT_EQ(forwarded()[0].second.service, "");
+    EXPECT_EQ(resets(), 0U);
+}
+
 // Guards against the reset of a flow whose agent cannot be heard at present.
 TEST_F(PacketBalancer, DenialsProveNothingWhileAnAgentIsSilent)
 {
--- a/src/libplanenode/datagram_socket.cpp
+++ b/src/libplanenode/datagram_socket.cpp
@@ -1,6 +1,6 @@
 #include "citroncrank/datagram_socket.h"
 
-#include "socket_address_pvt.h"
+#include "citroncrank/socket_address.h"
 
 #include <algorithm>
 #include <array>
--- a/src/libplanenode/listener_probe.cpp
+++ b/src/libplanenode/listener_probe.cpp
@@ -1,6 +1,6 @@
 #include "citroncrank/listener_probe.h"
 
-#include "socket_address_pvt.h"
+#include "citroncrank/socket_address.h"
 
 #include <cerrno>
 #include <poll.h>
--- a/src/libplanenode/plane_loop.cpp
+++ b/src/libplanenode/plane_loop.cpp
@@ -25,6 +25,8 @@
 
 void wake(int descriptor)
 {
+    if (descriptor < 0)
+        return; // No loop runs yet.
     const std::uint64_t one = 1;
     // The counter cannot overflow before it is read; a full one wakes the loop as well.
     [[maybe_unused]] const auto written = ::write(descriptor, &one, sizeof one);
@@ -101,6 +103,12 @@
     m_onStop = std::move(onStop);
     m_onReload = std::move(onReload);
     signalWake = m_wake;
+    rememberSignals();
+    wake(m_wake); // For signals that arrived before.
+}
+
+void plane_loop::rememberSignals()
+{
     std::signal(SIGTERM, onSignal);
     std::signal(SIGINT, onSignal);
     std::signal(SIGHUP, onSignal);
--- /dev/null
+++ b/src/libplanenode/plane_loop_test.cpp
@@ -0,0 +1,20 @@
+#include "citroncrank/plane_loop.h"
+
+#include <csignal>
+#include <gtest/gtest.h>
+
+using namespace citroncrank;
+
+// Guards against a process that ends without an exit code because a signal came while it started (packet-soak seed 9: SIGHUP
+// a few milliseconds after the start of an agent).
+TEST(PlaneLoop, SignalsOfTheStartAreNotLost)
+{
+    plane_loop::rememberSignals();
+    std::raise(SIGHUP);
+    std::raise(SIGTERM);
+    plane_loop loop;
+    bool isReloaded = false;
+    loop.catchSignals([&] { loop.stop(); }, [&] { isReloaded = true; });
+    loop.run();
+    EXPECT_TRUE(isReloaded);
+}
--- /dev/null
+++ b/src/soak/soak_run.h
@@ -0,0 +1,81 @@
+#pragma once
+
+/// @file
+/// One run of the soak: traffic, faults and checks.
+
+#include "citroncrank/plane_loop.h"
+#include "citroncrank/standin_callers.h"
+
+#include "fault_plan.h"
+#include "promise_checker.h"
+#include "soak_fleet.h"
+#include "tcp_proxy.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace citroncrank::soak {
+
+struct soak_settings
+{
+    fleet_settings fleet;
+    std::uint64_t seed = 1;
+    duration length = std::chrono::seconds(20); ///< In which faults begin.
+    std::uint32_t callers = 8;
+};
+
+struct soak_outcome
+{
+    standin_caller_counts counts;
+    std::uint64_t answeredAtTheEnd = 0; ///< After the recovery.
+    std::size_t faults = 0;
+    std::vector<std::string> violations;
+};
+
+class soak_run
+{
+public:
+    explicit soak_run(const soak_settings &settings);
+
+    /// Returns false and stores the cause if the fleet cannot be started.
+    bool run(soak_outcome *outcome, std::error_code *lastReason);
+
+private:
+    bool startFleet(std::error_code *lastReason);
+    void tick(time_point now);
+    void watchProcesses(time_point now);
+    void begin(const fault &what, time_point now);
+    void begin(const restart_node &what, time_point now);
+    void begin(const pause_node &what, time_point now);
+    void begin(const reload_node &what, time_point now);
+    void begin(const replace_upstream &what, time_point now);
+    void begin(const disturb_store &what, time_point now);
+    void begin(const change_route &what, time_point now);
+    void begin(const lose_packets &what, time_point now);
+    void later(duration delay, std::function<void(time_point)> run);
+    void startAgain(const std::string &process, bool isKilled, duration down, std::function<void(time_point)> start);
+    void restartUpstream(std::size_t index, time_point now);
+    void stopAll();
+    void readRuns();
+    void print(time_point now, const std::string &text) const;
+
+    soak_settings m_settings;
+    plane_loop m_loop;
+    tcp_proxy m_proxy;
+    soak_fleet m_fleet;
+    promise_checker m_checker;
+    standin_caller_group m_callers;
+    std::unique_ptr<standin_rotation> m_rotation;
+    std::multimap<time_point, std::function<void(time_point)>> m_due;
+    std::map<std::string, std::function<void(time_point)>> m_whenEnded;
+    time_point m_began;
+    time_point m_lastFaultEnds;
+    std::uint64_t m_routesVersion = 1;
+    std::uint64_t m_answeredBeforeTheEnd = 0;
+    std::uint32_t m_losses = 0; ///< Overlapping ones.
+};
+
+} // namespace citroncrank::soak
--- a/src/standin-packet-callers/main.cpp
+++ b/src/standin-packet-callers/main.cpp
@@ -1,30 +1,19 @@
-#include "citroncrank/datagram_socket.h"
-#include "citroncrank/http_connection.h"
-#include "citroncrank/plane_loop.h"
+#include "citroncrank/standin_callers.h"
 #include "citroncrank/standin_http_server.h"
-#include "citroncrank/standin_packet.h"
-
-#include "documents.h"
-#include "packet_codec.h"
 
 #include <CLI/CLI.hpp>
-#include <algorithm>
-#include <atomic>
 #include <chrono>
 #include <iostream>
-#include <memory>
-#include <thread>
-#include <vector>
 
 using namespace citroncrank;
 
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
-constexpr milliseconds kCheckPeriod{500};
-constexpr milliseconds kCheckDeadline{400};
-constexpr int kMissesOutOfRotation = 2;
+// The first checks of readiness have ended by then.
+constexpr milliseconds kWarmUp{1000};
 
 struct options
 {
@@ -38,92 +27,20 @@
     std::uint64_t seed = 1;
 };
 
-/// A balancer in the rotation of the routers.
-struct rotation_entry
-{
-    host_address packets;
-    host_address http;
-    std::atomic<int> misses = kMissesOutOfRotation;
-};
-
-using rotation = std::vector<std::unique_ptr<rotation_entry>>;
-
-void checkReadiness(const rotation &balancers, const std::atomic<bool> &isStopped)
-{
-    while (!isStopped) {
-        for (const auto &balancer : balancers) {
-            http_connection connection({balancer->http, kCheckDeadline});
-            http_call_failure failure = http_call_failure::not_sent;
-            const auto answer = connection.call({"GET", platform::kReadinessPath, "", {}, true}, &failure);
-            constexpr unsigned kStatusOk = 200;
-            balancer->misses = answer && answer->status == kStatusOk ? 0 : balancer->misses + 1;
-        }
-        std::this_thread::sleep_for(kCheckPeriod);
-    }
-}
-
-/// Balancer of a flow: the same one while the rotation does not change.
-std::optional<host_address> balancerOf(const rotation &balancers, const flow_key &flow)
-{
-    std::optional<host_address> best;
-    std::uint64_t bestScore = 0;
-    const std::uint64_t hash = hashPair((std::uint64_t(flow.caller.ip) << 16U) | flow.caller.port, flow.service.port);
-    for (const auto &balancer : balancers) {
-        const std::uint64_t score = hashPair(hash, balancer->packets.ip);
-        if (balancer->misses < kMissesOutOfRotation && (!best || score > bestScore)) {
-            best = balancer->packets;
-            bestScore = score;
-        }
-    }
-    return best;
-}
-
-struct caller_end
-{
-    standin_packet_caller caller;
-    datagram_socket socket;
-    time_point nextBegin;
-};
-
-bool parseRotation(const options &settings, rotation *balancers)
+std::optional<std::vector<rotation_member>> parseMembers(const options &settings)
 {
+    std::vector<rotation_member> members;
     for (const std::string &text : settings.balancers) {
-        const auto mark = text.find('=');
-        const auto packets = parseStandinAddress(text.substr(0, mark));
-        const auto http = mark == std::string::npos ? std::nullopt : parseStandinAddress(text.substr(mark + 1));
-        if (!packets || !http)
-            return false;
-        balancers->push_back(std::make_unique<rotation_entry>());
-        balancers->back()->packets = *packets;
-        balancers->back()->http = *http;
+        const auto member = parseRotationMember(text);
+        if (!member)
+            return std::nullopt;
+        members.push_back(*member);
     }
-    return true;
+    return members;
 }
 
-void advance(caller_end *end, const rotation &balancers, duration pause, bool mayBegin, time_point now)
+int report(const standin_caller_counts &total)
 {
-    end->caller.advance(now);
-    if (mayBegin && end->caller.isIdle() && now >= end->nextBegin) {
-        end->caller.begin(now);
-        end->nextBegin = now + pause;
-    }
-    for (std::string &datagram : end->caller.takeOutgoing()) {
-        const auto header = platform::decodePacketHeader(datagram);
-        if (const auto balancer = balancerOf(balancers, flowFromCaller(*header)))
-            end->socket.queue(*balancer, std::move(datagram));
-    }
-    end->socket.flush();
-}
-
-int report(const std::vector<std::unique_ptr<caller_end>> &ends)
-{
-    standin_caller_counts total;
-    for (const auto &end : ends) {
-        total.answered += end->caller.counts().answered;
-        total.reset += end->caller.counts().reset;
-        total.wrong += end->caller.counts().wrong;
-        total.timedOut += end->caller.counts().timedOut;
-    }
     std::cout << "standin-packet-callers: answered=" << total.answered << " resets=" << total.reset
               << " wrong=" << total.wrong << " timed_out=" << total.timedOut << std::endl;
     return total.wrong == 0 && total.timedOut == 0 && total.answered > 0 ? 0 : 1;
@@ -131,55 +48,37 @@
 
 int run(const options &settings)
 {
-    rotation balancers;
+    const auto members = parseMembers(settings);
     const auto service = parseStandinAddress(settings.service);
     const auto first = parseStandinAddress(settings.firstCaller);
-    if (!service || !first || !parseRotation(settings, &balancers)) {
+    if (!service || !first || !members) {
         std::cerr << "standin-packet-callers: an address cannot be read\n";
         return 2;
     }
     plane_loop loop;
-    std::vector<std::unique_ptr<caller_end>> ends;
-    for (std::uint32_t i = 0; i < settings.callers; ++i) {
-        const host_address address{first->ip + i, first->port};
-        ends.push_back(std::unique_ptr<caller_end>(
-            new caller_end{.caller = standin_packet_caller(
-                               {.address = address, .service = *service, .requestsPerFlow = settings.requestsPerFlow},
-                               settings.seed + i),
-                           .socket = {},
-                           .nextBegin = {}}));
-        std::error_code reason;
-        caller_end *const end = ends.back().get();
-        if (!end->socket.open(address, &reason)) {
-            std::cerr << "standin-packet-callers: cannot listen: " << reason.message() << "\n";
-            return 1;
-        }
-        loop.watch(end->socket.descriptor(), [end] {
-            end->socket.receiveWaiting([end](const host_address &, std::string_view datagram) {
-                if (const auto header = platform::decodePacketHeader(datagram))
-                    end->caller.receive({*header, std::string(datagram)}, monotonicNow());
-            });
-        });
+    standin_caller_group callers({.first = *first,
+                                  .service = *service,
+                                  .callers = settings.callers,
+                                  .requestsPerFlow = settings.requestsPerFlow,
+                                  .pause = milliseconds(settings.pauseMs),
+                                  .seed = settings.seed});
+    std::error_code reason;
+    if (!callers.open(&loop, &reason)) {
+        std::cerr << "standin-packet-callers: cannot listen: " << reason.message() << "\n";
+        return 1;
     }
-    std::atomic<bool> isStopped = false;
-    std::thread checking([&] { checkReadiness(balancers, isStopped); });
+    const standin_rotation rotation(*members);
     const time_point began = monotonicNow();
-    const time_point until = began + std::chrono::seconds(settings.seconds);
-    const duration pause = milliseconds(settings.pauseMs);
+    const time_point until = began + seconds(settings.seconds);
     loop.afterRound([&] {
         const time_point now = monotonicNow();
-        const bool mayBegin = now > began + 2 * kCheckPeriod && now < until;
-        for (const auto &end : ends)
-            advance(end.get(), balancers, pause, mayBegin, now);
-        const bool isIdle = std::all_of(ends.begin(), ends.end(), [](const auto &end) { return end->caller.isIdle(); });
-        if (now >= until && isIdle)
+        callers.advance(rotation, now > began + kWarmUp && now < until, now);
+        if (now >= until && callers.isIdle())
             loop.stop();
     });
     const auto timer = loop.timers().subscribe(milliseconds(2), [](time_point) {});
     loop.run();
-    isStopped = true;
-    checking.join();
-    return report(ends);
+    return report(callers.counts());
 }
 
 } // namespace
--- a/src/standin-packet-upstream/main.cpp
+++ b/src/standin-packet-upstream/main.cpp
@@ -29,6 +29,7 @@
     std::string domain = "rvk-a";
     std::uint32_t slots = 2;
     std::uint32_t workMs = 5;
+    bool isPrintingRuns = false;
 };
 
 int serve(const options &settings)
@@ -78,6 +79,11 @@
         for (std::string &datagram : upstream.takeOutgoing())
             socket.queue(*agentPackets, std::move(datagram));
         socket.flush();
+        for (const std::string &id : upstream.takeStarted()) {
+            if (settings.isPrintingRuns)
+                std::cout << "standin-packet-upstream: run, request=" << id << " service=" << settings.service
+                          << std::endl;
+        }
     });
     loop.catchSignals([&] { sender.drain(); }, [] {});
     std::cout << "standin-packet-upstream: listening on " << settings.address << std::endl;
@@ -102,6 +108,7 @@
     app.add_option("--id", settings.id, "Id")->required();
     app.add_option("--slots", settings.slots, "Requests at once")->capture_default_str();
     app.add_option("--work-ms", settings.workMs, "Time of one request")->capture_default_str();
+    app.add_flag("--print-runs", settings.isPrintingRuns, "Print the id of each request that it starts");
     CLI11_PARSE(app, argumentCount, arguments);
     return serve(settings);
 }
