Agents and upstreams whose clock was set back are believed once their predecessor is silent

Cause: found by reading. After a jump back (clock_step) a process that starts twice within the jump seems older than its predecessor: its reports, or the announcements of the upstream, were turned down until the clock had caught up. Change: an older incarnation is taken when the known one no longer reports, an earlier start when the known upstream no longer announces itself. Late messages of an earlier start are still turned down while the present one is heard. Tests: BelievesAnAgentWhoseClockWasSetBack and TakesAnUpstreamWhoseClockWasSetBack fail before.

--- a/src/libplane/agent_directory.cpp
+++ b/src/libplane/agent_directory.cpp
@@ -49,8 +49,12 @@
 bool agent_directory::reported(const host_address &address, const agent_report &report, time_point now)
 {
     agent_record &agent = m_agents[address];
-    const auto order = std::tie(report.incarnation, report.number);
-    if (agent.heardAt && order <= std::tie(agent.report.incarnation, agent.report.number))
+    // Incarnations come from the time of day, which may have jumped back when the agent started again.
+    const bool isOlder =
+        agent.heardAt
+        && std::tie(report.incarnation, report.number) <= std::tie(agent.report.incarnation, agent.report.number);
+    const bool isRestarted = report.incarnation != agent.report.incarnation && !isFresh(agent, now);
+    if (isOlder && !isRestarted)
         return false;
     agent.address = address;
     agent.report = report;
--- a/src/libplane/agent_directory_test.cpp
+++ b/src/libplane/agent_directory_test.cpp
@@ -127,3 +127,18 @@
     agents.flowSent(kAgentA);
     EXPECT_EQ(agents.trialCandidate(kService, now), std::nullopt);
 }
+
+// Guards against an agent that is not believed because the time of day had jumped back when it started again (clock_step).
+TEST(AgentDirectory, BelievesAnAgentWhoseClockWasSetBack)
+{
+    agent_directory agents;
+    time_point now{};
+    agent_report earlier = makeReport(7);
+    earlier.incarnation = 5000;
+    agents.reported(kAgentA, earlier, now);
+    const agent_report restarted = makeReport(1);
+    now += milliseconds(200);
+    EXPECT_FALSE(agents.reported(kAgentA, restarted, now)) << "a late one of an earlier start";
+    now += milliseconds(800);
+    EXPECT_TRUE(agents.reported(kAgentA, restarted, now));
+}
--- a/src/libplane/packet_agent_test.cpp
+++ b/src/libplane/packet_agent_test.cpp
@@ -131,6 +131,18 @@
               announcement_result::foreign);
 }
 
+// Guards against an upstream that stays out because the time of day had jumped back when it started (clock_step): its start seems
+// to be earlier than that of the one before it.
+TEST_F(PacketAgent, TakesAnUpstreamWhoseClockWasSetBack)
+{
+    EXPECT_EQ(announce(1, false, 900), announcement_result::earlier_start) << "a late one of an earlier start";
+    now += seconds(3);
+    core.advance(now, &actions);
+    ASSERT_EQ(core.state(), agent_state::silent);
+    EXPECT_EQ(announce(1, false, 900), announcement_result::accepted);
+    EXPECT_EQ(core.state(), agent_state::ready);
+}
+
 // Guards against open flows that are lost when the agent restarts: the upstream's own packets and what it returns show
 // what it holds.
 TEST_F(PacketAgent, LearnsFlowsOfItsUpstreamAfterARestart)
--- a/src/libplane/packet_agent_upstream.cpp
+++ b/src/libplane/packet_agent_upstream.cpp
@@ -29,7 +29,10 @@
     if (announcement.service != m_settings.service || announcement.address != m_settings.upstream)
         return announcement_result::foreign;
     const bool isOtherStart = m_upstream && m_upstream->startedAtMs != announcement.startedAtMs;
-    if (isOtherStart && announcement.startedAtMs < m_upstream->startedAtMs)
+    // Late announcements of an earlier start arrive while the present one is there. The time of day may have jumped back, so that
+    // the start of its successor seems earlier.
+    const bool isThere = m_state == agent_state::ready || m_state == agent_state::draining;
+    if (isOtherStart && isThere && announcement.startedAtMs < m_upstream->startedAtMs)
         return announcement_result::earlier_start;
     if (m_upstream && !isOtherStart && announcement.number <= m_upstream->number)
         return announcement_result::out_of_order;
