--- a/src/include/citroncrank/standin_packet.h
+++ b/src/include/citroncrank/standin_packet.h
@@ -110,8 +110,8 @@
     enum class kind : std::uint8_t {
         sent,
         answered,
-        reset,    ///< The attempt, or an idle flow, ended with a reset.
-        timedOut, ///< The request had no answer in time.
+        reset,     ///< The attempt, or an idle flow, ended with a reset.
+        timed_out, ///< The request had no answer in time.
     };
     kind what = kind::sent;
     std::string attemptId; ///< Each attempt has an id of its own.
--- a/src/libplanenode/listener_probe_test.cpp
+++ b/src/libplanenode/listener_probe_test.cpp
@@ -2,6 +2,7 @@
 
 #include "citroncrank/socket_address.h"
 
+#include <cerrno>
 #include <chrono>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
@@ -53,7 +54,8 @@
     int waiting[3] = {}; // Fill the queue of the listener.
     for (int &connection : waiting) {
         connection = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-        ::connect(connection, reinterpret_cast<const sockaddr *>(&target), sizeof target);
+        EXPECT_EQ(::connect(connection, reinterpret_cast<const sockaddr *>(&target), sizeof target), -1);
+        EXPECT_EQ(errno, EINPROGRESS);
     }
     EXPECT_EQ(probeListener(address, std::chrono::milliseconds(30), &reason), std::nullopt);
     EXPECT_EQ(reason, std::errc::timed_out);
--- a/src/soak/child_process.cpp
+++ b/src/soak/child_process.cpp
@@ -51,6 +51,7 @@
                           std::error_code *lastReason)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string &word : command)
         arguments.push_back(const_cast<char *>(word.c_str()));
     arguments.push_back(nullptr);
--- a/src/soak/promise_checker.cpp
+++ b/src/soak/promise_checker.cpp
@@ -57,7 +57,7 @@
     case standin_caller_event::kind::reset:
         checkReset(event, now);
         return;
-    case standin_caller_event::kind::timedOut:
+    case standin_caller_event::kind::timed_out:
         checkTimeout(event, now);
         return;
     }
--- a/src/soak/promise_checker_test.cpp
+++ b/src/soak/promise_checker_test.cpp
@@ -88,7 +88,7 @@
 TEST_F(PromiseChecker, RequestsTimeOutUnderFaultsOnly)
 {
     const auto timeOut = [&] {
-        checker.saw({.what = standin_caller_event::kind::timedOut, .flow = kFlow, .began = now - seconds(3)}, now);
+        checker.saw({.what = standin_caller_event::kind::timed_out, .flow = kFlow, .began = now - seconds(3)}, now);
     };
     checker.begin(disturbance_kind::planned, "agent1", now - seconds(2));
     timeOut();
--- a/src/soak/tcp_proxy.cpp
+++ b/src/soak/tcp_proxy.cpp
@@ -34,9 +34,9 @@
         return "delay";
     case proxy_mode::refuse:
         return "refuse";
-    case proxy_mode::cutThere:
+    case proxy_mode::cut_there:
         return "cut_there";
-    case proxy_mode::cutBack:
+    case proxy_mode::cut_back:
         return "cut_back";
     case proxy_mode::silence:
         return "silence";
@@ -121,8 +121,8 @@
 bool tcp_proxy::carry(connection *carried, proxy_mode mode, time_point now)
 {
     const duration delay = mode == proxy_mode::delay ? kDelay : duration(0);
-    const bool isLostThere = carried->isSilent || mode == proxy_mode::cutThere;
-    const bool isLostBack = carried->isSilent || mode == proxy_mode::cutBack;
+    const bool isLostThere = carried->isSilent || mode == proxy_mode::cut_there;
+    const bool isLostBack = carried->isSilent || mode == proxy_mode::cut_back;
     return move(carried->client, carried->server, &carried->there, isLostThere, delay, now)
            && move(carried->server, carried->client, &carried->back, isLostBack, delay, now);
 }
--- a/src/soak/tcp_proxy.h
+++ b/src/soak/tcp_proxy.h
@@ -17,11 +17,11 @@
 
 enum class proxy_mode : std::uint8_t {
     pass,
-    delay,    ///< Bytes arrive late, both ways.
-    refuse,   ///< Connections are reset, open ones and new ones.
-    cutThere, ///< What clients send is lost.
-    cutBack,  ///< What the server answers is lost, so calls take effect without an answer.
-    silence,  ///< Open connections carry nothing any more, also after the mode has ended; new ones work.
+    delay,     ///< Bytes arrive late, both ways.
+    refuse,    ///< Connections are reset, open ones and new ones.
+    cut_there, ///< What clients send is lost.
+    cut_back,  ///< What the server answers is lost, so calls take effect without an answer.
+    silence,   ///< Open connections carry nothing any more, also after the mode has ended; new ones work.
 };
 constexpr int kProxyModeCount = 6;
 const char *toString(proxy_mode mode);
--- a/src/soak/tcp_proxy_test.cpp
+++ b/src/soak/tcp_proxy_test.cpp
@@ -52,7 +52,7 @@
 TEST_F(TcpProxy, DisturbsWhileTheModeLasts)
 {
     EXPECT_TRUE(isAnswered());
-    for (const proxy_mode mode : {proxy_mode::refuse, proxy_mode::cutThere, proxy_mode::cutBack}) {
+    for (const proxy_mode mode : {proxy_mode::refuse, proxy_mode::cut_there, proxy_mode::cut_back}) {
         set(mode);
         EXPECT_FALSE(isAnswered()) << toString(mode);
         set(proxy_mode::pass);
