--- a/src/include/citroncrank/request_queue.h
+++ b/src/include/citroncrank/request_queue.h
@@ -26,8 +26,8 @@
     auto operator<=>(const waiting_request &) const = default;
 };
 
-/// Serves requests that can still be answered in time before those that cannot, and gives every kind a part of the slots
-/// so that none is starved. Not thread safe.
+/// Serves requests that can still be answered in time before those that cannot. Gives every priority a part of the slots,
+/// and late requests a turn shortly before their callers give up. Not thread safe.
 class request_queue
 {
 public:
@@ -47,6 +47,7 @@
 private:
     std::optional<std::uint32_t> nextPriority(bool longestUnserved, time_point now) const;
     const waiting_request *nextInTime(std::size_t inTimeLimit, bool longestUnserved, time_point now) const;
+    const waiting_request *nextLastChance(time_point now) const;
     const waiting_request *nextLate(time_point now) const;
 
     /// Ordered, so that the same input gives the same decisions in every process.
--- a/src/libplane/request_queue.cpp
+++ b/src/libplane/request_queue.cpp
@@ -6,11 +6,16 @@
 
 namespace {
 
-// Of each round of turns one goes to requests that are late already and one to the priority that was not served for longest,
-// so that neither a flood of urgent requests nor an overload starves the others.
-constexpr std::uint32_t kTurnsPerRound = 4;
-constexpr std::uint32_t kTurnForUnserved = 2;
-constexpr std::uint32_t kTurnForLate = 3;
+// One turn of each round goes to the priority that was not served for longest, so that a flood of urgent requests does not
+// starve the others.
+constexpr std::uint64_t kTurnsPerRound = 4;
+constexpr std::uint64_t kTurnForUnserved = 2;
+// One turn of so many goes to a late request whose caller is about to give up. A late answer takes the slot of one in time,
+// so late requests otherwise wait until none in time does.
+constexpr std::uint64_t kTurnsPerLastChance = 8;
+constexpr std::uint64_t kTurnForLastChance = 3;
+// Leaves time for one turn in eight at an upstream with two slots, and for the work.
+constexpr duration kLastChanceTime = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -77,18 +82,31 @@
     return earliest;
 }
 
+const waiting_request *request_queue::nextLastChance(time_point now) const
+{
+    const waiting_request *chosen = nullptr;
+    for (const auto &[flow, request] : m_waiting) {
+        if (request.startBy >= now || request.deadline - now > kLastChanceTime)
+            continue;
+        if (chosen == nullptr
+            || std::tie(request.priority, request.deadline) < std::tie(chosen->priority, chosen->deadline))
+            chosen = &request;
+    }
+    return chosen;
+}
+
 std::optional<flow_key> request_queue::takeNext(std::size_t inTimeLimit, time_point now)
 {
-    const std::uint64_t turn = ++m_turns % kTurnsPerRound;
-    const waiting_request *const late = nextLate(now);
-    const waiting_request *const inTime = nextInTime(inTimeLimit, turn == kTurnForUnserved, now);
-    const waiting_request *next = inTime;
-    if (inTime == nullptr || (late != nullptr && turn == kTurnForLate))
-        next = late;
+    ++m_turns;
+    const waiting_request *const inTime = nextInTime(inTimeLimit, m_turns % kTurnsPerRound == kTurnForUnserved, now);
+    const bool isLastChanceTurn = m_turns % kTurnsPerLastChance == kTurnForLastChance;
+    const waiting_request *next = isLastChanceTurn || inTime == nullptr ? nextLastChance(now) : nullptr;
+    if (next == nullptr)
+        next = inTime != nullptr ? inTime : nextLate(now);
     if (next == nullptr)
         return std::nullopt;
     const flow_key flow = next->flow;
-    if (next != late)
+    if (next == inTime)
         m_lastServed[next->priority] = m_turns;
     m_waiting.erase(flow);
     return flow;
