--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -113,6 +113,8 @@
     const packet_agent_counts &counts() const { return m_counts; }
     std::size_t flowCount() const { return m_flows.size(); }
     std::size_t busy() const { return m_working + m_expected + m_queue.size() + m_waitingProbes.size(); }
+    /// Requests that a new one competes with for a slot. Late ones wait until none in time does.
+    std::size_t competing(time_point now) const;
     /// Takes the requests that were answered since the last call.
     std::vector<request_observation> takeObservations();
 
@@ -168,7 +170,7 @@
     void passOn(forwarded_packet arrived, const char *reason, const flow_key &flow, plane_actions *out);
     std::optional<not_taken_reason> openingRefusal(const std::string &service) const;
     const char *reasonToPassOn(bool isTrial, time_point now) const;
-    bool hasFreeSlot() const;
+    bool hasFreeSlot(time_point now) const;
     bool isOverloaded(const request_limits &limits) const;
     bool mayBeOf(const agent_flow &flow, const packet_header &header) const;
     void deliver(const flow_key &key, agent_flow *flow, packet content, time_point now, plane_actions *out);
--- a/src/include/citroncrank/plane_message.h
+++ b/src/include/citroncrank/plane_message.h
@@ -114,7 +114,7 @@
     std::uint64_t number = 0;      ///< Increases with each report of the incarnation, so that a late one is noticed.
     agent_state state = agent_state::unconfirmed;
     std::uint16_t slots = 0;
-    std::uint16_t busy = 0;               ///< Requests at work and opened flows whose request is on its way.
+    std::uint16_t busy = 0;               ///< Requests at work, on their way, or waiting and in time.
     std::uint32_t flows = 0;              ///< Open flows.
     std::uint32_t meanBusyMilli = 0;      ///< Thousandths: `busy` averaged over about a second.
     std::uint32_t coldMilliseconds = 0;   ///< How much longer the upstream is slow after its start.
--- a/src/include/citroncrank/request_queue.h
+++ b/src/include/citroncrank/request_queue.h
@@ -43,6 +43,8 @@
     /// Takes the requests whose callers have given up.
     std::vector<flow_key> takeExpired(time_point now);
     std::size_t size() const { return m_waiting.size(); }
+    /// Waiting requests that can still be answered in time.
+    std::size_t inTime(time_point now) const;
 
 private:
     std::optional<std::uint32_t> nextPriority(bool longestUnserved, time_point now) const;
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -150,7 +150,7 @@
         return "unconfirmed";
     if (m_health.isFailing() && !(isTrial && m_health.isTrialDue(now)))
         return "failing";
-    return hasFreeSlot() ? nullptr : "no_free_slot";
+    return hasFreeSlot(now) ? nullptr : "no_free_slot";
 }
 
 void packet_agent::turnAway(forwarded_packet arrived, not_taken_reason reason, plane_actions *out)
--- a/src/libplane/packet_agent_requests.cpp
+++ b/src/libplane/packet_agent_requests.cpp
@@ -58,9 +58,14 @@
     return slots() + kReadyRequests;
 }
 
-bool packet_agent::hasFreeSlot() const
+std::size_t packet_agent::competing(time_point now) const
 {
-    return busy() < slots();
+    return m_working + m_expected + m_queue.inTime(now) + m_waitingProbes.size();
+}
+
+bool packet_agent::hasFreeSlot(time_point now) const
+{
+    return competing(now) < slots();
 }
 
 // The time until a request that arrives now would be answered is longer than its caller waits.
@@ -262,7 +267,7 @@
 {
     const double elapsed = std::chrono::duration<double>(now - m_meanAt).count();
     const double kept = std::exp(-elapsed / kMeanSeconds);
-    m_meanBusy = m_meanBusy * kept + double(m_working + m_queue.size()) * (1 - kept);
+    m_meanBusy = m_meanBusy * kept + double(m_working + m_queue.inTime(now)) * (1 - kept);
     m_meanAt = now;
 }
 
--- a/src/libplane/packet_agent_requests_test.cpp
+++ b/src/libplane/packet_agent_requests_test.cpp
@@ -293,3 +293,44 @@
     ASSERT_EQ(denials.size(), 1U);
     EXPECT_TRUE(denials[0].second.isUnsure);
 }
+
+// Guards against new flows that crowd at a few agents after an outage while others, whose waiting requests are all late, answer those
+// (fleetbench run ofnbokun-grown trouble-1, 38 to 40: new flows went to 8 of 41 agents).
+TEST_F(PacketAgent, LateWaitingRequestsAreNoLoadForNewFlows)
+{
+    const request_limits limits{.priority = 1, .latencyTargetMs = 300, .timeoutMs = 2500};
+    const auto request = [&](std::uint16_t port, const std::string &remaining) {
+        packet_header header = callerPacket(kUpstreamFirst + 1).header;
+        header.source.port = port;
+        actions.clear();
+        core.message(
+            kBalancer,
+            forwarded_packet{.purpose = forward_purpose::carry,
+                             .service = kService,
+                             .origin = kBalancer,
+                             .limits = limits,
+                             .packetBytes =
+                                 makePacket(header, "GET / HTTP/1.1\r\nTest-Left: " + remaining + "\r\n\r\n").bytes},
+            now, &actions);
+    };
+    const auto openOn = [&](std::uint16_t port) {
+        packet_header header = openingPacket().header;
+        header.source.port = port;
+        forward(makePacket(header), forward_purpose::open);
+        packet_header answer = upstreamPacket(kUpstreamFirst, {}, true).header;
+        answer.destination.port = port;
+        fromUpstream(makePacket(answer));
+    };
+    for (std::uint16_t port = 1; port <= 9; ++port)
+        openOn(port);
+    for (std::uint16_t port = 1; port <= 3; ++port)
+        request(port, "2500");
+    for (std::uint16_t port = 4; port <= 8; ++port)
+        request(port, "1500");
+    EXPECT_EQ(core.busy(), 9U) << "three at work, five waiting, one on its way";
+    EXPECT_EQ(core.report(now).busy, 4U);
+    request(9, "2400");
+    EXPECT_EQ(core.report(now).busy, 4U) << "it waits and can be in time";
+    now += seconds(1);
+    EXPECT_EQ(core.report(now).busy, 3U);
+}
--- a/src/libplane/packet_agent_upstream.cpp
+++ b/src/libplane/packet_agent_upstream.cpp
@@ -151,7 +151,7 @@
             .number = ++m_reportNumber,
             .state = m_state,
             .slots = std::uint16_t(slots()),
-            .busy = std::uint16_t(std::min<std::size_t>(busy(), UINT16_MAX)),
+            .busy = std::uint16_t(std::min<std::size_t>(competing(now), UINT16_MAX)),
             .flows = std::uint32_t(m_flows.size()),
             .meanBusyMilli = std::uint32_t(m_meanBusy * 1000),
             .coldMilliseconds = std::uint32_t(wholeMilliseconds(cold)),
--- a/src/libplane/request_queue.cpp
+++ b/src/libplane/request_queue.cpp
@@ -1,5 +1,6 @@
 #include "citroncrank/request_queue.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace citroncrank {
@@ -29,6 +30,12 @@
     return m_waiting.erase(flow) > 0;
 }
 
+std::size_t request_queue::inTime(time_point now) const
+{
+    return std::size_t(std::count_if(m_waiting.begin(), m_waiting.end(),
+                                     [now](const auto &entry) { return entry.second.startBy >= now; }));
+}
+
 std::optional<std::uint32_t> request_queue::nextPriority(bool longestUnserved, time_point now) const
 {
     std::optional<std::uint32_t> best;
