--- a/src/include/citroncrank/upstream_health.h
+++ b/src/include/citroncrank/upstream_health.h
@@ -49,8 +49,9 @@
     std::uint32_t m_failedInRow = 0;
     std::optional<time_point> m_agedAt;
     std::optional<time_point> m_lastEvidence; ///< Last outcome or trial.
-    time_point m_failingSince;                ///< Or since the trial period grew last.
-    duration m_trialPeriod{0};                ///< Grows while trials fail.
+    time_point m_lastFailure;
+    time_point m_failingSince; ///< Or since the trial period grew last.
+    duration m_trialPeriod{0}; ///< Grows while trials fail.
 };
 
 } // namespace citroncrank
--- a/src/libplane/upstream_health.cpp
+++ b/src/libplane/upstream_health.cpp
@@ -22,6 +22,8 @@
 constexpr duration kRowTime = milliseconds(1000);
 // An upstream that fails half of its requests passes this many trials once in 32 times.
 constexpr std::uint32_t kTrialsToReturn = 5;
+// One that answers many requests a second passes them by chance. A request that hangs is known as such after 0.7 s.
+constexpr duration kCleanTime = milliseconds(1000);
 constexpr duration kFirstTrialPeriod = milliseconds(200);
 // Each failed trial costs a caller a request. An upstream that has recovered is found so within this time.
 constexpr duration kMaxTrialPeriod = milliseconds(1600);
@@ -69,13 +71,15 @@
     ++m_answeredInRow;
     m_failedInRow = 0;
     m_trialPeriod = kFirstTrialPeriod;
-    if (m_isFailing && m_answeredInRow >= kTrialsToReturn)
+    const bool isClean = now - m_lastFailure >= kCleanTime || m_failures < kFailingShare * m_outcomes;
+    if (m_isFailing && m_answeredInRow >= kTrialsToReturn && isClean)
         reset();
 }
 
 void upstream_health::noteFailure(time_point now)
 {
     m_failures += 1;
+    m_lastFailure = now;
     m_answeredInRow = 0;
     ++m_failedInRow;
     if (!m_isFailing) {
--- a/src/libplane/upstream_health_test.cpp
+++ b/src/libplane/upstream_health_test.cpp
@@ -118,6 +118,22 @@
     EXPECT_TRUE(health.isFailing());
 }
 
+// Guards against an upstream that fails a part of its requests and is back after five that it happens to answer (fleetbench
+// run ofnbokun-grown trouble-1, srv_grey: six upstreams returned after 2 to 3 s and hung further requests).
+TEST_F(UpstreamHealth, AFewAnswersBetweenFailuresDoNotBringItBack)
+{
+    note(upstream_outcome::failed, 4);
+    ASSERT_TRUE(health.isFailing());
+    // Two of five requests fail, five in a row are answered now and then.
+    const std::vector<bool> answered = {true, true,  false, true, true,  true, true,  true,  false, false,
+                                        true, false, true,  true, false, true, false, false, true,  false};
+    for (int i = 0; i < 200; ++i) {
+        now += milliseconds(50);
+        note(answered[std::size_t(i) % answered.size()] ? upstream_outcome::answered : upstream_outcome::unanswered, 1);
+        ASSERT_TRUE(health.isFailing()) << i;
+    }
+}
+
 // Guards against failures of long ago that add up.
 TEST_F(UpstreamHealth, OldFailuresLoseWeight)
 {
