--- a/src/include/citroncrank/store_worker.h
+++ b/src/include/citroncrank/store_worker.h
@@ -24,6 +24,7 @@
 
 namespace citroncrank {
 
+class change_pacing;
 class watch_cursor;
 
 /// Writes a line about the store to the log. Called in the worker's thread.
@@ -169,6 +170,7 @@
     std::string m_key;
     listed_node m_self;
     bool m_goesOnWatching;
+    std::unique_ptr<change_pacing> m_pacing;
     receiver m_receive;
     forgotten_source m_forgotten;
     std::map<std::string, object_entry> m_entries;
--- a/src/libplanenode/store_worker.cpp
+++ b/src/libplanenode/store_worker.cpp
@@ -281,6 +281,7 @@
     , m_key(platform::kNodesPrefix + std::move(nodeName))
     , m_self(std::move(self))
     , m_goesOnWatching(goesOnWatching)
+    , m_pacing(std::make_unique<change_pacing>())
     , m_receive(std::move(receive))
     , m_storeAddress(store)
 {}
@@ -394,7 +395,7 @@
     if (!result->changes.empty())
         publish();
     removeEntries();
-    return duration(0);
+    return m_pacing->pauseAfter(!result->changes.empty());
 }
 
 // Removal is conditional on the version, so an entry that its node has written again stays.
--- a/src/libplanenode/watch_cursor_pvt.h
+++ b/src/libplanenode/watch_cursor_pvt.h
@@ -1,11 +1,15 @@
 #pragma once
 
 /// @file
-/// Where the next watch of the platform's store starts.
+/// Where and when the next watch of the platform's store starts.
 
 #include "citroncrank/platform_client.h"
+#include "citroncrank/time.h"
 
+#include <algorithm>
+#include <chrono>
 #include <optional>
+#include <utility>
 
 namespace citroncrank {
 
@@ -33,4 +37,27 @@
     std::optional<object_version> m_from;
 };
 
+/// Pause between two watches, so that changes in quick succession are read together. When all nodes start, each of them writes an
+/// entry, and without a pause every balancer would read each of them with a call of its own.
+class change_pacing
+{
+public:
+    /// After a watch that was answered.
+    duration pauseAfter(bool hadChanges)
+    {
+        if (!hadChanges) {
+            m_next = kFirstPause;
+            return duration(0);
+        }
+        return std::exchange(m_next, std::min(2 * m_next, kMaxPause));
+    }
+
+private:
+    // Nodes make themselves known to each other directly, so a listing may be late by this.
+    static constexpr duration kFirstPause = std::chrono::milliseconds(250);
+    static constexpr duration kMaxPause = std::chrono::seconds(2);
+
+    duration m_next = kFirstPause;
+};
+
 } // namespace citroncrank
--- a/src/libplanenode/watch_cursor_test.cpp
+++ b/src/libplanenode/watch_cursor_test.cpp
@@ -18,3 +18,18 @@
     cursor.historyGone();
     EXPECT_FALSE(cursor.from());
 }
+
+// Guards against a call of every balancer for each node when all nodes start (fleetbench run ofnbokun-grown trouble-1: 734 of 2,760
+// calls to the store before the traffic), and against a listing that stays slow when the changes have ended.
+TEST(ChangePacing, ChangesInQuickSuccessionAreReadTogether)
+{
+    using std::chrono::milliseconds;
+    change_pacing pacing;
+    EXPECT_EQ(pacing.pauseAfter(false), duration(0));
+    EXPECT_EQ(pacing.pauseAfter(true), milliseconds(250));
+    EXPECT_EQ(pacing.pauseAfter(true), milliseconds(500));
+    for (int i = 0; i < 10; ++i)
+        EXPECT_LE(pacing.pauseAfter(true), milliseconds(2000));
+    EXPECT_EQ(pacing.pauseAfter(false), duration(0));
+    EXPECT_EQ(pacing.pauseAfter(true), milliseconds(250));
+}
