HTTP client: bytes behind an answer and answers without a length end the connection

Cause: what was read behind an answer stayed in the client's buffer, so a second copy of an answer was taken for the answer to the next call on that connection; an answer without a length counted as whole when its connection broke. Ruled out: copies that arrive after the answer was read (the idle connection is checked before each call; its test passed before). Change: the connection is closed when bytes are left behind an answer; an answer that ends with its connection is none.

--- a/src/libplatform/http_connection.cpp
+++ b/src/libplatform/http_connection.cpp
@@ -140,9 +140,11 @@
         http::response_parser<http::string_body> parser;
         parser.body_limit(m_settings.maxAnswerBytes);
         error = run([&](auto handler) { http::async_read(m_stream, m_buffer, parser, handler); });
-        if (error || !parser.get().keep_alive())
+        // Bytes behind the answer belong to no call. The next call must not take them for its own answer.
+        if (error || !parser.get().keep_alive() || m_buffer.size() > 0)
             m_stream.close();
-        if (error)
+        // An answer that ends with its connection may have broken off.
+        if (error || parser.get().need_eof())
             return exchange_result::sent_without_answer;
         *response = parser.release();
         return exchange_result::answered;
