--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -35,6 +35,7 @@
     std::uint32_t sentSinceReport = 0;  ///< New flows sent there after the last report.
     bool isListed = false;              ///< The platform's store has an entry of it.
     std::optional<time_point> listedAt; ///< Since when.
+    bool isEntryMissed = false;         ///< Reported without an entry when takeMissingEntries() was last called.
     bool isKnownSilent = false;         ///< takeNewlySilent() has named it since its last report.
     auto operator<=>(const agent_record &) const = default;
 };
@@ -75,6 +76,8 @@
     /// Listed agents that were not heard for `age`. Empty while fewer than half of the listed ones are heard, since this host
     /// may then be the one that is cut off.
     std::vector<host_address> forgottenEntries(duration age, time_point now) const;
+    /// Agents that report although the store does not list them, now and at the call before.
+    std::vector<host_address> takeMissingEntries(time_point now);
     /// Whether any agent was heard recently.
     bool hasFreshAgent(time_point now) const;
     /// Agents of the service whose upstreams may hold a flow, heard or not; of all services if `service` is empty.
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace citroncrank {
@@ -106,6 +107,8 @@
     void restore(flow_snapshot snapshot, time_point now, plane_actions *out);
     /// Takes the open flows if they should be written to the store now.
     std::optional<flow_snapshot> takeDueSnapshot(time_point now);
+    /// Whether a balancer has told since the last call that the store lacks this agent's entry.
+    bool takeEntryRequest() { return std::exchange(m_isEntryMissing, false); }
     /// Balancers that the store lists.
     void applyBalancers(const std::vector<host_address> &balancers, time_point now, plane_actions *out);
     /// Takes over the seeds, the announcement period and the flow lifetime. All else stays as it was at the start.
@@ -241,6 +244,7 @@
     snapshot_pace m_snapshotPace;
     std::optional<time_point> m_nextSnapshotCheck;
     std::size_t m_fleetAgents = 1; ///< As the balancers tell.
+    bool m_isEntryMissing = false;
     std::optional<time_point> m_leftAt;
     flow_map m_flows;
     std::deque<std::pair<time_point, flow_key>> m_expectations;
--- a/src/include/citroncrank/plane_message.h
+++ b/src/include/citroncrank/plane_message.h
@@ -163,6 +163,7 @@
     host_address http;                   ///< Serves the routes in force to other balancers.
     std::vector<host_address> balancers; ///< Known balancers, this one left out.
     std::uint32_t agents = 0;            ///< Known agents; they share the writing calls of the store.
+    bool isEntryMissing = false;         ///< To an agent: the store does not list it, though it reports.
     auto operator<=>(const balancer_hello &) const = default;
 };
 
--- a/src/include/citroncrank/store_worker.h
+++ b/src/include/citroncrank/store_worker.h
@@ -135,8 +135,8 @@
     bool m_isMissing = false; ///< A newer version was seen at the last step.
 };
 
-/// Keeps this node's entry in the store and reads the others'. A balancer goes on watching them; an agent stops once both
-/// is done, since balancers make themselves known to it.
+/// Keeps this node's entry in the store and reads the others'. A balancer goes on watching them; an agent waits for renewEntry()
+/// once both is done, since balancers make themselves known to it.
 class nodes_worker : public store_worker
 {
 public:
@@ -151,6 +151,8 @@
     /// Lets the worker write this node's entry. An agent is listed once its upstream has announced itself.
     /// `slots` is 0 for a balancer.
     void allowEntry(std::uint32_t slots);
+    /// Lets the worker read the entries again and write this node's if it is missing.
+    void renewEntry();
     /// Lets the worker remove entries. Must be called before start().
     void removeForgotten(forgotten_source source) { m_forgotten = std::move(source); }
     /// Removes this node's entry, for a node that does not come back. Call after stop(). Waits for the store a short time.
@@ -175,6 +177,7 @@
     forgotten_source m_forgotten;
     std::map<std::string, object_entry> m_entries;
     std::atomic<bool> m_isEntryAllowed = false;
+    std::atomic<bool> m_isRenewalAsked = false;
     std::atomic<std::uint32_t> m_slots = 0;
     bool m_isOwnWritten = false;
     object_version m_ownVersion = 0;
--- a/src/libplane/agent_directory.cpp
+++ b/src/libplane/agent_directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 namespace citroncrank {
 
@@ -225,6 +226,17 @@
     return forgotten;
 }
 
+std::vector<host_address> agent_directory::takeMissingEntries(time_point now)
+{
+    std::vector<host_address> missing;
+    for (auto &[address, agent] : m_agents) {
+        const bool isMissing = !agent.isListed && isFresh(agent, now) && mayOwn(agent);
+        if (std::exchange(agent.isEntryMissed, isMissing) && isMissing)
+            missing.push_back(address);
+    }
+    return missing;
+}
+
 bool agent_directory::hasFreshAgent(time_point now) const
 {
     return std::any_of(m_agents.begin(), m_agents.end(), [&](const auto &entry) { return isFresh(entry.second, now); });
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -100,6 +100,7 @@
     const bool isNew = !m_balancers.contains(from);
     m_balancers[from] = now;
     m_fleetAgents = std::max<std::size_t>(1, hello->agents);
+    m_isEntryMissing = m_isEntryMissing || (hello->isEntryMissing && m_upstream);
     for (const host_address &other : hello->balancers) {
         if (m_balancers.try_emplace(other, now).second)
             out->emplace_back(send_to_node{other, agent_hello{report(now)}});
--- a/src/libplane/packet_agent_test.cpp
+++ b/src/libplane/packet_agent_test.cpp
@@ -380,3 +380,12 @@
     core.upstreamAbsent(now, &actions);
     EXPECT_EQ(core.state(), agent_state::ready) << "an upstream that announces itself is there";
 }
+
+TEST_F(PacketAgent, EntryThatABalancerMissesIsWrittenAgainOnce)
+{
+    core.message(kBalancer, balancer_hello{.incarnation = 1}, now, &actions);
+    EXPECT_FALSE(core.takeEntryRequest());
+    core.message(kBalancer, balancer_hello{.incarnation = 1, .isEntryMissing = true}, now, &actions);
+    EXPECT_TRUE(core.takeEntryRequest());
+    EXPECT_FALSE(core.takeEntryRequest());
+}
--- a/src/libplane/packet_balancer_nodes.cpp
+++ b/src/libplane/packet_balancer_nodes.cpp
@@ -132,9 +132,23 @@
     }
     for (const host_address &target : targets)
         out->emplace_back(send_to_node{target, hello()});
+    if (m_isListingKnown && m_helloRound % kAgentHelloRounds == 0)
+        askForEntries(now, out);
     ++m_helloRound;
 }
 
+// The entry of an agent that was silent for long is removed. When it is heard again it must be listed again: a balancer that starts
+// decides by the listing which agents may hold a flow.
+void packet_balancer::askForEntries(time_point now, plane_actions *out)
+{
+    for (const host_address &agent : m_agents.takeMissingEntries(now)) {
+        balancer_hello request = hello();
+        request.isEntryMissing = true;
+        log(decision_kind::belief, absl::StrCat("agent has no entry, agent=", toString(agent)), out);
+        out->emplace_back(send_to_node{agent, std::move(request)});
+    }
+}
+
 // Each balancer waits longer the later it stands in the order of addresses, so that one of them removes an entry and the
 // others find it gone.
 std::vector<host_address> packet_balancer::forgottenNodes(time_point now) const
--- a/src/libplane/packet_balancer_test.cpp
+++ b/src/libplane/packet_balancer_test.cpp
@@ -202,3 +202,34 @@
     ASSERT_EQ(forwarded.size(), 1U);
     EXPECT_EQ(forwarded[0].second.service, kService);
 }
+
+// Guards against the reset of living flows after a restart of all balancers: an agent was silent for so long that its entry was
+// removed, and a balancer that starts decides by the listing who may hold a flow.
+TEST_F(PacketBalancer, AgentThatIsHeardAgainIsAskedForItsEntry)
+{
+    const auto missing = [&] {
+        std::vector<host_address> asked;
+        for (const auto &[to, hello] : messagesOf<balancer_hello>(actions)) {
+            if (hello.isEntryMissing)
+                asked.push_back(to);
+        }
+        return asked;
+    };
+    core.applyListing({{kAgentA, true, kService, "nbi-west"}}, now, &actions);
+    for (int second = 0; second < 25; ++second) {
+        advance(kHelloPeriod);
+        report();
+        core.advance(now, &actions);
+        EXPECT_TRUE(second >= 9 || missing().empty()) << "its entry may be on its way";
+    }
+    ASSERT_FALSE(missing().empty());
+    EXPECT_EQ(missing().front(), kAgentB);
+    core.applyListing({{kAgentA, true, kService, "nbi-west"}, {kAgentB, true, kService, "nbi-west"}}, now, &actions);
+    actions.clear();
+    for (int second = 0; second < 25; ++second) {
+        advance(kHelloPeriod);
+        report();
+        core.advance(now, &actions);
+    }
+    EXPECT_TRUE(missing().empty());
+}
--- a/src/libplane/plane_message.cpp
+++ b/src/libplane/plane_message.cpp
@@ -103,7 +103,7 @@
     const auto http = toWire(message.http);
     const auto domain = out->CreateString(message.domain);
     return wire::CreateBalancerHello(*out, domain, message.incarnation, message.routesVersion, &http, balancers,
-                                     message.agents)
+                                     message.agents, message.isEntryMissing)
         .Union();
 }
 
@@ -245,7 +245,8 @@
                           .routesVersion = source.routes_version(),
                           .http = fromWire(source.http()),
                           .balancers = fromWire(source.balancers()),
-                          .agents = source.agents()};
+                          .agents = source.agents(),
+                          .isEntryMissing = source.entry_missing()};
 }
 
 std::optional<plane_message> decodeBody(const wire::AgentHello &source)
--- a/src/libplanenode/agent_node.cpp
+++ b/src/libplanenode/agent_node.cpp
@@ -197,6 +197,8 @@
 {
     m_core.advance(now, &m_actions);
     perform(&m_actions);
+    if (m_core.takeEntryRequest())
+        m_nodes.renewEntry();
     if (const auto snapshot = m_core.takeDueSnapshot(now))
         m_snapshots.offer(formatFlowSnapshot(*snapshot));
     m_busy.set(double(m_core.busy()));
--- a/src/libplanenode/store_worker.cpp
+++ b/src/libplanenode/store_worker.cpp
@@ -31,7 +31,7 @@
 constexpr milliseconds kConfigWatchWait{1500};
 // Between two watches entries of nodes that are gone are removed.
 constexpr milliseconds kNodesWatchWait{8000};
-// allowEntry() ends this wait.
+// allowEntry() and renewEntry() end this wait.
 constexpr duration kEntryWait = seconds(60);
 constexpr duration kPeerCheckPeriod = milliseconds(250);
 // How long a node waits for its own watch before it asks another balancer for a version.
@@ -295,11 +295,15 @@
 
 std::optional<duration> nodes_worker::step()
 {
+    if (m_isRenewalAsked.exchange(false)) {
+        cursor().historyGone();
+        m_isOwnWritten = false;
+    }
     if (!cursor().from())
         return readAll();
     if (!m_isOwnWritten)
         return m_isEntryAllowed ? checkOwn() : std::optional<duration>(kEntryWait);
-    return m_goesOnWatching ? wait() : std::nullopt;
+    return m_goesOnWatching ? wait() : std::optional<duration>(kEntryWait);
 }
 
 void nodes_worker::allowEntry(std::uint32_t slots)
@@ -309,6 +313,12 @@
         wake();
 }
 
+void nodes_worker::renewEntry()
+{
+    m_isRenewalAsked = true;
+    wake();
+}
+
 std::optional<duration> nodes_worker::readAll()
 {
     std::map<std::string, object_entry> entries;
--- a/testsuite/packet-lib.sh
+++ b/testsuite/packet-lib.sh
@@ -1,6 +1,6 @@
 # Functions of the cases that run the packet programs on loopback, one address per node. Sourced after lib.sh.
 store=127.0.70.1:27169
-source "$(dirname "${BASH_SOURCE[0]}")/../platform/standin/put-routes.sh"
+source "$(dirname "${BASH_SOURCE[0]}")/../platform/standin/store.sh"
 packets_port=27172
 http_port=27167
 
@@ -51,11 +51,13 @@
 # metric IP NAME: value of a metric of a node, 0 without it.
 metric() { curl -sf -m 2 "http://$1:$http_port/metrics" | awk -v n="$2" '$1 == n { v = $2 } END { print v + 0 }'; }
 
-start_callers() { # SECONDS
+start_callers() { # SECONDS [OPTIONS]
+    local seconds=$1
+    shift
     local rotation=()
     for i in 1 2 3; do rotation+=(--balancer "127.0.71.$i:$packets_port=127.0.71.$i:$http_port"); done
     start callers "$bin/standin-packet-callers" "${rotation[@]}" --service-address 198.18.0.1:443 \
-        --first-caller "127.0.77.1:$packets_port" --callers 8 --seconds "$1"
+        --first-caller "127.0.77.1:$packets_port" --callers 8 --seconds "$seconds" "$@"
 }
 
 # stop_and_wait NAME SIGNAL: ends a process of this case.
