--- a/src/libplanenode/store_worker.cpp
+++ b/src/libplanenode/store_worker.cpp
@@ -26,9 +26,9 @@
 constexpr duration kFirstRetryDelay = milliseconds(100);
 constexpr duration kMaxRetryDelay = seconds(1);
 constexpr std::uint32_t kMaxDoublings = 4;
-// A watch may hang without notice. With the deadline of a call this leaves time to read a change again before the
-// three seconds within which it must be in force.
-constexpr milliseconds kConfigWatchWait{1500};
+// A watch that hangs alone delays nothing, since the balancers whose watches were answered tell the others. When all connections go
+// silent together, keep-alive probes end the watches after three seconds.
+constexpr milliseconds kConfigWatchWait{5000};
 // Between two watches entries of nodes that are gone are removed.
 constexpr milliseconds kNodesWatchWait{8000};
 // allowEntry() and renewEntry() end this wait.
