HTTP endpoint: a stop answers requests that wait to be accepted or read

Cause: closing the listening socket reset the connections in its queue, and a connection whose request lay unread in the socket counted as idle. An upstream's announcement, or another balancer's read of the routes, was cut off by a planned stop under load. Ruled out: requests that were being read or answered (StopCompletesTheRequestInProgress passed before). Change: a stop accepts what waits, and ends only connections that have sent nothing. Before: StopAnswersTheRequestsThatWait fails for each of 8 requests.

--- a/src/libruntime/http_endpoint.cpp
+++ b/src/libruntime/http_endpoint.cpp
@@ -150,10 +150,24 @@
         session->start();
     }
 
+    // Closing a listening socket resets the connections that wait to be accepted, with the requests that were sent on them.
+    void admitWaiting(tcp::acceptor *acceptor)
+    {
+        boost::system::error_code error;
+        acceptor->non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(m_loop);
+            acceptor->accept(socket, error);
+            if (!error)
+                admit(std::move(socket));
+        }
+    }
+
     void closeAll()
     {
         boost::system::error_code ignored;
         for (const auto &source : m_listeners) {
+            admitWaiting(&source->acceptor);
             source->acceptor.close(ignored);
             source->retry.cancel();
         }
--- a/src/libruntime/http_endpoint_test.cpp
+++ b/src/libruntime/http_endpoint_test.cpp
@@ -10,8 +10,10 @@
 #include <cerrno>
 #include <future>
 #include <gtest/gtest.h>
+#include <memory>
 #include <stdexcept>
 #include <thread>
+#include <vector>
 
 namespace citroncrank {
 namespace {
@@ -227,6 +229,39 @@
 }
 
 // Guards against a process that runs without its endpoint.
+// Guards against requests that are cut off by a stop under load: their connections wait to be accepted, or were accepted and not read
+// yet, while the endpoint answers another request.
+TEST_F(HttpEndpointTest, StopAnswersTheRequestsThatWait)
+{
+    constexpr int kWaiting = 8;
+    std::promise<void> entered;
+    std::promise<void> release;
+    http_endpoint busy({.address = {kLoopback, 0}}, registry, {});
+    busy.handle("GET", "/slow", [&](const http_request &) {
+        entered.set_value();
+        release.get_future().wait();
+        return http_reply{.body = "done"};
+    });
+    busy.handle("GET", "/quick", [](const http_request &) { return http_reply{.body = "done"}; });
+    ASSERT_FALSE(busy.start());
+    raw_caller idle(busy.address());
+    raw_caller slow(busy.address());
+    slow.send("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n");
+    entered.get_future().wait();
+    std::vector<std::unique_ptr<raw_caller>> waiting;
+    for (int i = 0; i < kWaiting; ++i) {
+        waiting.push_back(std::make_unique<raw_caller>(busy.address()));
+        waiting.back()->send("GET /quick HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
+    std::thread stopping([&] { busy.stop(); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    release.set_value();
+    EXPECT_TRUE(slow.readUntilClosed().ends_with("done"));
+    for (const auto &caller : waiting)
+        EXPECT_TRUE(caller->readUntilClosed().ends_with("done"));
+    stopping.join();
+}
+
 TEST_F(HttpEndpointTest, AddressInUseIsReported)
 {
     start();
--- a/src/libruntime/http_session.cpp
+++ b/src/libruntime/http_session.cpp
@@ -55,7 +55,10 @@
 void http_session::stop()
 {
     m_stopping = true;
-    const bool idle = !m_sending && m_buffer.size() == 0 && m_parser && !m_parser->got_some();
+    // What the caller has sent may lie unread in the socket.
+    boost::system::error_code failure;
+    const bool hasUnread = m_stream.socket().available(failure) > 0;
+    const bool idle = !m_sending && !hasUnread && m_buffer.size() == 0 && m_parser && !m_parser->got_some();
     if (idle)
         m_stream.cancel();
 }
