--- a/src/include/citroncrank/agent_node.h
+++ b/src/include/citroncrank/agent_node.h
@@ -3,10 +3,10 @@
 /// @file
 /// Process of a packet agent.
 
+#include "citroncrank/nodes_worker.h"
 #include "citroncrank/packet_agent.h"
 #include "citroncrank/plane_node.h"
 #include "citroncrank/snapshot_worker.h"
-#include "citroncrank/store_worker.h"
 
 #include <functional>
 #include <string>
--- a/src/include/citroncrank/balancer_node.h
+++ b/src/include/citroncrank/balancer_node.h
@@ -3,9 +3,10 @@
 /// @file
 /// Process of a packet balancer.
 
+#include "citroncrank/config_worker.h"
+#include "citroncrank/nodes_worker.h"
 #include "citroncrank/packet_balancer.h"
 #include "citroncrank/plane_node.h"
-#include "citroncrank/store_worker.h"
 
 #include <atomic>
 #include <mutex>
