--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -35,8 +35,6 @@
               "    const auto contains = [](const std::vector<host_address> &agents",
               "    if (!flow.askedAgents.empty())\n        return false;\n"
               "    const auto contains = [](const std::vector<host_address> &agents"),
-    Mechanism("long watch of the configuration", "src/libplanenode/config_worker.cpp",
-              "kConfigWatchWait{5000}", "kConfigWatchWait{1500}"),
     Mechanism("requests wait at the agent", PLANE + "packet_agent_requests.cpp",
               "return slots() + kReadyRequests;", "return slots() + 1000;"),
     Mechanism("one request ready at the upstream", PLANE + "packet_agent_requests.cpp",
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -155,8 +155,6 @@
     void noteBalancer(const host_address &address, time_point now);
     balancer_hello hello() const;
     void sendHellos(time_point now, plane_actions *out);
-    void tellOthersOfRoutes(plane_actions *out);
-    std::vector<host_address> someBalancers(std::size_t most);
     void askForEntries(time_point now, plane_actions *out);
     void forgetFlows(time_point now);
     bool isStarting(time_point now) const;
--- a/src/include/citroncrank/store_worker.h
+++ b/src/include/citroncrank/store_worker.h
@@ -22,6 +22,9 @@
 /// Writes a line about the store to the log. Called in the worker's thread.
 using store_log = std::function<void(const std::string &text)>;
 
+/// Of one call. Reads take a few milliseconds; a store that is slow by a factor of a hundred still answers in time.
+constexpr std::chrono::milliseconds kStoreCallDeadline{800};
+
 /// Worker with a store client of its own. Reports the store as lost and back, and waits between failed calls.
 class store_worker : public worker_thread
 {
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -361,7 +361,6 @@
         absl::StrCat("routes in force, version=", m_routes->version, " before=", earlier ? earlier->version : 0,
                      " routes=", m_routes->routes.size()),
         out);
-    tellOthersOfRoutes(out);
     replayHeld(now, out);
 }
 
--- a/src/libplane/packet_balancer_nodes.cpp
+++ b/src/libplane/packet_balancer_nodes.cpp
@@ -12,8 +12,6 @@
 
 // Each balancer tells this many others a second, so that news reaches n balancers in about log3(n) seconds.
 constexpr std::size_t kHelloFanOut = 3;
-// One in e^6 (400) balancers gets no such hello, and hears of the news with the next round of hellos.
-constexpr std::size_t kNewsFanOut = 6;
 // Agents drop a balancer that they have not heard for longer.
 constexpr std::uint64_t kAgentHelloRounds = 10;
 constexpr std::size_t kMaxListedBalancers = 64;
@@ -118,27 +116,14 @@
     return result;
 }
 
-/// At most `most` of the other balancers, drawn anew at each call.
-std::vector<host_address> packet_balancer::someBalancers(std::size_t most)
-{
-    std::vector<host_address> chosen;
-    for (const auto &[address, heard] : m_balancers)
-        chosen.push_back(address);
-    std::shuffle(chosen.begin(), chosen.end(), m_random);
-    chosen.resize(std::min(most, chosen.size()));
-    return chosen;
-}
-
-// Every balancer that learns of new routes passes the news on, so it reaches those whose own watch of the store hangs.
-void packet_balancer::tellOthersOfRoutes(plane_actions *out)
-{
-    for (const host_address &balancer : someBalancers(kNewsFanOut))
-        out->emplace_back(send_to_node{balancer, hello()});
-}
-
 void packet_balancer::sendHellos(time_point now, plane_actions *out)
 {
-    std::vector<host_address> targets = someBalancers(m_helloRound > 0 ? kHelloFanOut : m_balancers.size());
+    std::vector<host_address> targets;
+    for (const auto &[address, heard] : m_balancers)
+        targets.push_back(address);
+    std::shuffle(targets.begin(), targets.end(), m_random);
+    if (targets.size() > kHelloFanOut && m_helloRound > 0)
+        targets.resize(kHelloFanOut);
     if (m_balancers.empty() || m_helloRound == 0)
         targets.insert(targets.end(), m_settings.seeds.begin(), m_settings.seeds.end());
     if (m_helloRound % kAgentHelloRounds == 0) {
--- a/src/libplane/packet_balancer_test.cpp
+++ b/src/libplane/packet_balancer_test.cpp
@@ -233,19 +233,3 @@
     }
     EXPECT_TRUE(missing().empty());
 }
-
-// Guards against routes that are late at a balancer whose watch of the store hangs: hellos of a round reach three others a second.
-TEST_F(PacketBalancer, NewRoutesAreToldAtOnce)
-{
-    core.message(kOtherBalancer, balancer_hello{.incarnation = 1, .domain = "nbi-west", .routesVersion = 5}, now,
-                 &actions);
-    actions.clear();
-    core.applyRoutes(makeRoutes(6), now, &actions);
-    const auto told = messagesOf<balancer_hello>(actions);
-    ASSERT_EQ(told.size(), 1U);
-    EXPECT_EQ(told.front().first, kOtherBalancer);
-    EXPECT_EQ(told.front().second.routesVersion, 6U);
-    actions.clear();
-    core.applyRoutes(makeRoutes(6), now, &actions);
-    EXPECT_TRUE(messagesOf<balancer_hello>(actions).empty());
-}
--- a/src/libplanenode/config_worker.cpp
+++ b/src/libplanenode/config_worker.cpp
@@ -13,9 +13,12 @@
 
 using std::chrono::milliseconds;
 
-// A watch that hangs alone delays nothing, since the balancers whose watches were answered tell the others. When all connections go
-// silent together, keep-alive probes end the watches after three seconds.
-constexpr milliseconds kConfigWatchWait{5000};
+// A watch may miss a change without notice, also at all balancers at once while the store drops its history. Only the next call
+// then reads it.
+constexpr milliseconds kConfigWatchWait{1500};
+// A configuration is in force everywhere within this time of its confirmation.
+constexpr milliseconds kConfigBound{3000};
+static_assert(kConfigWatchWait + kStoreCallDeadline < kConfigBound);
 constexpr duration kPeerCheckPeriod = milliseconds(250);
 // How long a node waits for its own watch before it asks another balancer for a version.
 constexpr duration kPeerPatience = milliseconds(300);
--- a/src/libplanenode/store_worker.cpp
+++ b/src/libplanenode/store_worker.cpp
@@ -12,8 +12,6 @@
 
 using std::chrono::milliseconds;
 
-// Reads take a few milliseconds; a store that is slow by a factor of a hundred still answers in time.
-constexpr milliseconds kCallDeadline{800};
 constexpr duration kFirstRetryDelay = milliseconds(100);
 constexpr duration kMaxRetryDelay = std::chrono::seconds(1);
 constexpr std::uint32_t kMaxDoublings = 4;
@@ -23,7 +21,7 @@
 store_worker::store_worker(std::string name, const host_address &store, store_log log)
     : m_name(std::move(name))
     , m_log(std::move(log))
-    , m_store({store, kCallDeadline})
+    , m_store({store, kStoreCallDeadline})
     , m_cursor(std::make_unique<watch_cursor>())
     , m_random(std::random_device{}())
 {}
