agent: idle flows of an upstream that has started again are reset when its new start announces itself

Hypothesis: callers lose a request on each idle flow of an upstream that crashed and is back, though its agent lived all the time. Ruled out: resets by silence (it proves nothing); by the time of day (it may jump). Proof is the order of announcements: a flow that was open when the earlier start announced itself for the last time was opened there. Change: those flows are reset, paced as after a restart; flows that came later are left to what the upstream returns. Before: IdleFlowsOfACrashedUpstreamAreResetWhenItIsBack and FlowsOfALaterStartAreWritten fail.

--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -221,8 +221,9 @@
     bool isStartSeen(const upstream_announcement &first, plane_actions *out) const;
     upstream_evidence evidence() const;
     void resolveRestored(time_point now, plane_actions *out);
+    void endFlowsOfEarlierStart(time_point now, plane_actions *out);
     bool restoreFlow(const snapshot_flow &entry, snapshot_verdict verdict, time_point now);
-    void sendRestoredResets(plane_actions *out);
+    void sendResets(plane_actions *out);
     bool isInSnapshot(const agent_flow &flow, time_point now) const;
     bool knowsAllFlows(time_point now) const;
     bool isOtherService(const std::string &service) const;
@@ -240,7 +241,7 @@
     bool m_sawUpstreamStart = false;          ///< The upstream's present start is later than this agent's.
     std::uint32_t m_announcementsOfStart = 0; ///< Accepted ones of the upstream's present start.
     std::optional<flow_snapshot> m_restored;  ///< Until it is known what became of its flows.
-    std::deque<reset_flow> m_restoredResets;  ///< Of flows that ended with an earlier start of the upstream.
+    std::deque<reset_flow> m_resetsToSend;    ///< Of flows that ended with an earlier start of the upstream.
     snapshot_pace m_snapshotPace;
     std::optional<time_point> m_nextSnapshotCheck;
     std::size_t m_fleetAgents = 1; ///< As the balancers tell.
--- a/src/libplane/flow_snapshot.cpp
+++ b/src/libplane/flow_snapshot.cpp
@@ -46,6 +46,8 @@
 /// Changes of `current` that a reader of `written` lacks.
 std::size_t lackingFlows(const flow_snapshot &written, const flow_snapshot &current)
 {
+    if (written.upstreamStartedAtMs != current.upstreamStartedAtMs)
+        return current.flows.size();
     std::size_t lacking = 0;
     auto known = written.flows.begin();
     for (const snapshot_flow &entry : current.flows) {
--- a/src/libplane/flow_snapshot_test.cpp
+++ b/src/libplane/flow_snapshot_test.cpp
@@ -101,6 +101,16 @@
     EXPECT_FALSE(pace.isDue(makeSnapshot(40), seconds(1), time_point{} + seconds(60))) << "ended flows cost no call";
 }
 
+// Guards against flows that are taken for dead because the last snapshot names the earlier start of their upstream.
+TEST(SnapshotPace, FlowsOfALaterStartAreWritten)
+{
+    snapshot_pace pace;
+    pace.noteWritten(makeSnapshot(10), time_point{});
+    flow_snapshot later = makeSnapshot(5);
+    later.upstreamStartedAtMs = kStart + 1;
+    EXPECT_TRUE(pace.isDue(later, seconds(1), time_point{} + seconds(1)));
+}
+
 // Guards against a reset that the caller does not take, since the flow went on after the snapshot.
 TEST(SnapshotPace, AcknowledgementsAreRenewed)
 {
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -429,7 +429,7 @@
     dropExpired(now, out);
     findUnanswered(now, out);
     dispatch(now, out);
-    sendRestoredResets(out);
+    sendResets(out);
     while (!m_expectations.empty() && m_expectations.front().first <= now) {
         const auto found = m_flows.find(m_expectations.front().second);
         if (found != m_flows.end() && found->second.isExpected) {
--- a/src/libplane/packet_agent_snapshot.cpp
+++ b/src/libplane/packet_agent_snapshot.cpp
@@ -37,7 +37,7 @@
         out);
     m_restored = std::move(snapshot);
     resolveRestored(now, out);
-    sendRestoredResets(out);
+    sendResets(out);
 }
 
 upstream_evidence packet_agent::evidence() const
@@ -93,16 +93,16 @@
     flow.upstreamEnd = entry.callerAcknowledged;
     flow.knowsUpstreamFirst = true;
     flow.knowsUpstreamEnd = true;
-    m_restoredResets.push_back({entry.flow, entry.callerAcknowledged});
+    m_resetsToSend.push_back({entry.flow, entry.callerAcknowledged});
     return true;
 }
 
-void packet_agent::sendRestoredResets(plane_actions *out)
+void packet_agent::sendResets(plane_actions *out)
 {
-    const std::size_t count = std::min(kResetsPerTick, m_restoredResets.size());
+    const std::size_t count = std::min(kResetsPerTick, m_resetsToSend.size());
     for (std::size_t i = 0; i < count; ++i) {
-        const reset_flow reset = m_restoredResets.front();
-        m_restoredResets.pop_front();
+        const reset_flow reset = m_resetsToSend.front();
+        m_resetsToSend.pop_front();
         const auto found = m_flows.find(reset.flow);
         if (found == m_flows.end() || found->second.phase != flow_phase::ended)
             continue; // Opened anew meanwhile.
--- a/src/libplane/packet_agent_test.cpp
+++ b/src/libplane/packet_agent_test.cpp
@@ -105,6 +105,32 @@
     EXPECT_EQ(core.state(), agent_state::ready);
 }
 
+// Guards against callers that lose a request on each idle flow of an upstream that has crashed and started again.
+TEST_F(PacketAgent, IdleFlowsOfACrashedUpstreamAreResetWhenItIsBack)
+{
+    open();
+    for (std::uint64_t number = 3; number < 8; ++number) {
+        now += milliseconds(770);
+        announce(number);
+    }
+    actions.clear();
+    now += seconds(2);
+    announce(1, false, 2000);
+    core.advance(now, &actions);
+    ASSERT_EQ(resets(), 1U);
+    EXPECT_EQ(actionsOf<reset_flow>(actions).front(), (reset_flow{kFlow, kUpstreamFirst + 1}));
+}
+
+// Guards against the reset of living flows: the only announcement of the earlier start may have been a late one.
+TEST_F(PacketAgent, OneAnnouncementOfAnEarlierStartEndsNoFlow)
+{
+    open();
+    now += seconds(5);
+    announce(1, false, 2000);
+    core.advance(now, &actions);
+    EXPECT_EQ(resets(), 0U);
+}
+
 // Guards against the reset of flows that a restarted upstream took before it announced its new start (schedule of
 // packet_promises_test, seed 3), and against slots that the requests of its earlier start occupy.
 TEST_F(PacketAgent, RestartedUpstreamKeepsItsNewFlows)
--- a/src/libplane/packet_agent_upstream.cpp
+++ b/src/libplane/packet_agent_upstream.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint64_t kFirstAnnouncement = 1;
 // Announcements that an upstream may have sent elsewhere while this agent started.
 constexpr std::uint64_t kLatestFirstAnnouncement = 3;
+// An upstream gives an announcement up after a second, so a later one is not taken for the state of that time.
+constexpr duration kLatestAnnouncement = seconds(1);
 constexpr duration kReportPeriod = milliseconds(200);
 // Reports of one agent stay under this many a second however many balancers there are.
 constexpr std::int64_t kMaxReportsPerSecond = 40;
@@ -42,6 +44,7 @@
                          " before=", m_upstream->startedAtMs, " flows=", m_flows.size(), " working=", m_working),
             out);
         forgetWork(now);
+        endFlowsOfEarlierStart(now, out);
         m_health.reset();
         // A single announcement of the earlier start may have been a late one, from before this agent's start.
         m_sawUpstreamStart = m_sawUpstreamStart || m_announcementsOfStart > 1 || isStartSeen(announcement, out);
@@ -113,6 +116,31 @@
     }
 }
 
+// A flow that was open when the earlier start of the upstream announced itself for the last time was opened there, so it has ended: its
+// caller is told before it loses a request on it. Flows that came later may be the present upstream's. A single announcement may have been
+// a late one, which says nothing of that time.
+void packet_agent::endFlowsOfEarlierStart(time_point now, plane_actions *out)
+{
+    if (m_announcementsOfStart < 2)
+        return;
+    const time_point lastOfEarlier = *m_announcedAt - m_settings.announcementPeriod - kLatestAnnouncement;
+    std::size_t count = 0;
+    for (auto &[key, flow] : m_flows) {
+        const bool isOpen = flow.phase == flow_phase::open && (flow.isConfirmed || flow.isRestored);
+        if (!isOpen || flow.firstSeen >= lastOfEarlier)
+            continue;
+        releaseWork(key, &flow, now);
+        flow.phase = flow_phase::ended;
+        flow.lastSeen = now;
+        ++count;
+        if (!flow.callerFinished || !flow.upstreamFinished)
+            m_resetsToSend.push_back({key, flow.callerAcknowledged});
+    }
+    std::sort(m_resetsToSend.begin(), m_resetsToSend.end());
+    if (count > 0)
+        log(decision_kind::belief, absl::StrCat("ended flows, reason=upstream_restarted count=", count), out);
+}
+
 // The upstream that held the flows has ended, so their callers are told at once instead of by their own timeouts.
 void packet_agent::endFlows(const char *reason, time_point now, plane_actions *out)
 {
