--- a/src/include/citroncrank/version.h
+++ b/src/include/citroncrank/version.h
@@ -5,6 +5,6 @@
 
 namespace citroncrank {
 
-constexpr const char *kVersion = "0.2.0";
+constexpr const char *kVersion = "0.3.0";
 
 } // namespace citroncrank
