--- a/src/include/citroncrank/settings.h
+++ b/src/include/citroncrank/settings.h
@@ -20,6 +20,7 @@
 enum class settings_type : std::uint8_t {
     text,
     integer,
+    number,   ///< Whole number or decimal fraction, read as a whole number and rounded down.
     boolean,  ///< true or false.
     duration, ///< Whole number with a unit: us, ms, s, m or h.
     address,  ///< IPv4 address and port, "127.0.0.1:9000".
@@ -35,7 +36,7 @@
     bool required = false;
     /// In the notation of the file; items of a list are separated by commas. An optional key without it may be absent.
     std::optional<std::string> defaultValue = std::nullopt;
-    /// Inclusive bounds: the value of an integer, the microseconds of a duration, the port of an address, the bytes of a
+    /// Inclusive bounds: the value of an integer or number, the microseconds of a duration, the port of an address, the bytes of a
     /// text or secret, the number of items of a list.
     std::optional<std::int64_t> minimum = std::nullopt;
     std::optional<std::int64_t> maximum = std::nullopt;
--- a/src/libplanenode/agent_node.cpp
+++ b/src/libplanenode/agent_node.cpp
@@ -107,7 +107,8 @@
     watchSignalsAndSettings([this] { m_loop.stop(); });
     log(decision_kind::lifecycle,
         absl::StrCat("started, node=", m_settings.name, " incarnation=", m_incarnation, " service=", m_file.service,
-                     " upstream=", toString(m_file.upstream), " plane=", toString(m_settings.plane)));
+                     " upstream=", toString(m_file.upstream), " plane=", toString(m_settings.plane), " store_writes=",
+                     m_settings.storeWritesPerSecond, " snapshot_pause_ms=", wholeMilliseconds(m_file.snapshotPause)));
     probeUpstream();
     m_nodes.start();
     m_snapshots.start();
--- a/src/libplanenode/plane_settings.cpp
+++ b/src/libplanenode/plane_settings.cpp
@@ -27,7 +27,7 @@
          .description = "Address of the platform's store.",
          .required = true},
         {.path = "store-writes",
-         .type = settings_type::integer,
+         .type = settings_type::number,
          .description = "Writing calls that the platform's store takes from all nodes together.",
          .defaultValue = "400",
          .minimum = 1,
--- a/src/libruntime/settings_test.cpp
+++ b/src/libruntime/settings_test.cpp
@@ -74,6 +74,23 @@
     EXPECT_EQ(values->getSecret("key"), std::string("\0\xFF\x10\xAB", 4));
 }
 
+// Guards against a process that does not start because a platform gives a rate as a fraction.
+TEST(Settings, NumbersAreRoundedDown)
+{
+    const settings_table table = {
+        {.path = "rate", .type = settings_type::number, .description = "Rate.", .minimum = 1}};
+    const auto rate = [&](const std::string &text) -> std::optional<std::int64_t> {
+        std::vector<settings_fault> faults;
+        const auto values = parseSettings("rate: " + text + "\n", "agent.yaml", table, &faults);
+        return values ? std::optional(values->getInteger("rate")) : std::nullopt;
+    };
+    EXPECT_EQ(rate("400"), 400);
+    EXPECT_EQ(rate("400.0"), 400);
+    EXPECT_EQ(rate("412.9"), 412);
+    for (const char *const wrong : {"0.5", "many", "nan", "inf", "1e300", "\"\""})
+        EXPECT_EQ(rate(wrong), std::nullopt) << wrong;
+}
+
 // Guards against defaults that are not in force, and against a getter that returns a made-up value.
 TEST(Settings, DefaultsAndAbsentKeys)
 {
--- a/src/libruntime/settings_text.cpp
+++ b/src/libruntime/settings_text.cpp
@@ -50,6 +50,8 @@
         return "text";
     case settings_type::integer:
         return "integer";
+    case settings_type::number:
+        return "number";
     case settings_type::boolean:
         return "boolean";
     case settings_type::duration:
--- a/src/libruntime/settings_value.cpp
+++ b/src/libruntime/settings_value.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_split.h>
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 
 namespace citroncrank {
@@ -23,6 +24,9 @@
 constexpr std::array<duration_unit, 5> kUnits{
     {{"h", 3'600'000'000}, {"m", 60'000'000}, {"s", 1'000'000}, {"ms", 1'000}, {"us", 1}}};
 
+// Every whole number up to here has a double of its own.
+constexpr double kMaxNumber = 1e15;
+
 using parsed_value = std::variant<settings_value, value_fault>;
 
 std::optional<std::string> decodeHex(std::string_view digits)
@@ -41,6 +45,10 @@
         if (std::int64_t value = 0; absl::SimpleAtoi(text, &value))
             return value;
         return std::nullopt;
+    case settings_type::number:
+        if (double value = 0; absl::SimpleAtod(text, &value) && std::abs(value) < kMaxNumber)
+            return std::int64_t(std::floor(value));
+        return std::nullopt;
     case settings_type::boolean:
         if (text == "true" || text == "false")
             return text == "true";
@@ -85,6 +93,7 @@
     case settings_type::secret:
         return " bytes";
     case settings_type::integer:
+    case settings_type::number:
         return key.unit.empty() ? "" : absl::StrCat(" ", key.unit);
     case settings_type::address:
         return " (port)";
@@ -147,6 +156,8 @@
         return "a text";
     case settings_type::integer:
         return "a whole number";
+    case settings_type::number:
+        return "a number";
     case settings_type::boolean:
         return "true or false";
     case settings_type::duration:
