agent: a planned stop waits for the requests at work

Change: from SIGTERM on no request begins and new flows go elsewhere; the agent ends when the requests at work are answered, after 0.5 s at most. An idle agent ends at once as before.

--- a/src/include/citroncrank/agent_node.h
+++ b/src/include/citroncrank/agent_node.h
@@ -30,6 +30,7 @@
     void applySettings(const settings_values &values) override;
     void onUpstreamDatagram(std::string_view datagram);
     void probeUpstream();
+    void beginStop();
     void receiveSnapshot(const std::string &text);
     void tick(time_point now);
     void showCount(const char *decision, std::uint64_t count);
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -113,6 +113,10 @@
     void applyBalancers(const std::vector<host_address> &balancers, time_point now, plane_actions *out);
     /// Takes over the seeds, the announcement period and the flow lifetime. All else stays as it was at the start.
     void changeSettings(const packet_agent_settings &changed);
+    /// The process is to end: requests at work are still answered, no other one begins.
+    void beginStop(time_point now, plane_actions *out);
+    /// Whether the requests that were at work at beginStop() have been answered, or have taken too long.
+    bool isDoneStopping(time_point now) const;
     /// The process is about to end.
     void stop(time_point now, plane_actions *out);
     /// Periodic work. Call about every kAgentTick.
@@ -247,6 +251,8 @@
     std::size_t m_fleetAgents = 1; ///< As the balancers tell.
     bool m_isEntryMissing = false;
     std::optional<time_point> m_leftAt;
+    std::optional<time_point> m_stoppingSince;
+    time_point m_upstreamPacketAt; ///< Last one.
     flow_map m_flows;
     std::deque<std::pair<time_point, flow_key>> m_expectations;
     absl::btree_map<host_address, time_point> m_balancers; ///< And when each was last heard of.
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -22,6 +22,10 @@
 constexpr int kMissedAnnouncements = 3;
 // An upstream ends within this time of saying that it leaves.
 constexpr duration kLeaveLinger = milliseconds(250);
+// The answers of typical requests are out by then; the upstream repeats those that are not.
+constexpr duration kStopPatience = milliseconds(500);
+// Packets of one answer follow each other sooner.
+constexpr duration kAnswerGap = milliseconds(20);
 constexpr duration kOpeningFlowTime = seconds(5);
 constexpr duration kFinishedFlowTime = seconds(5);
 constexpr duration kEndedFlowTime = seconds(5);
@@ -340,6 +344,7 @@
 
 void packet_agent::upstreamPacket(packet arrived, time_point now, plane_actions *out)
 {
+    m_upstreamPacketAt = now;
     if (arrived.header.returned) {
         upstreamReturned(std::move(arrived), now, out);
         dispatch(now, out);
@@ -459,6 +464,25 @@
     }
 }
 
+// An answer that leaves the upstream while this agent is away is lost, and its caller waits for the upstream's next repetition. Requests
+// that arrive meanwhile are not lost: their callers send them again, to this agent's next start.
+void packet_agent::beginStop(time_point now, plane_actions *out)
+{
+    if (m_stoppingSince)
+        return;
+    m_stoppingSince = now;
+    if (m_state != agent_state::left)
+        setState(agent_state::stopping, "process ends", now, out);
+}
+
+bool packet_agent::isDoneStopping(time_point now) const
+{
+    if (!m_stoppingSince)
+        return false;
+    const bool isAnswered = m_working == 0 && now - m_upstreamPacketAt >= kAnswerGap;
+    return isAnswered || now - *m_stoppingSince >= kStopPatience;
+}
+
 void packet_agent::stop(time_point now, plane_actions *out)
 {
     if (m_leftAt)
--- a/src/libplane/packet_agent_requests.cpp
+++ b/src/libplane/packet_agent_requests.cpp
@@ -156,7 +156,7 @@
     flow->requestDeadline = request.deadline;
     m_meanSlackMs += kMeanWeight * (std::max(0.0, toMilliseconds(request.startBy - now)) - m_meanSlackMs);
     const bool isProbe = flow->phase == flow_phase::probing;
-    if (m_working < capacity() && (isProbe ? m_waitingProbes.empty() : m_queue.size() == 0)) {
+    if (!m_stoppingSince && m_working < capacity() && (isProbe ? m_waitingProbes.empty() : m_queue.size() == 0)) {
         startWork(key, flow, now, out);
         return;
     }
@@ -183,7 +183,7 @@
 
 void packet_agent::dispatch(time_point now, plane_actions *out)
 {
-    while (m_working < capacity()) {
+    while (!m_stoppingSince && m_working < capacity()) {
         const auto key = takeNextWaiting(now, out);
         const auto found = key ? m_flows.find(*key) : m_flows.end();
         if (found == m_flows.end())
--- a/src/libplane/packet_agent_requests_test.cpp
+++ b/src/libplane/packet_agent_requests_test.cpp
@@ -5,6 +5,45 @@
 using namespace citroncrank;
 using namespace citroncrank::plane_test;
 
+// Guards against requests that are cut off by a planned stop of their agent (packet-soak --seed 2038: two stops within 1.3 s, and the
+// repetitions of the answer fell into both).
+TEST_F(PacketAgent, AStopWaitsForRequestsAtWork)
+{
+    open();
+    forward(callerPacket(kUpstreamFirst + 1, "GET / HTTP/1.1\r\n\r\n"));
+    ASSERT_EQ(delivered(), 1U);
+    now += seconds(1);
+    core.beginStop(now, &actions);
+    EXPECT_EQ(core.state(), agent_state::stopping);
+    EXPECT_FALSE(core.isDoneStopping(now));
+    fromUpstream(upstreamPacket(kUpstreamFirst + 1, "HTTP/1.1 200 OK\r\n\r\n"));
+    EXPECT_EQ(actionsOf<send_to_caller>(actions).size(), 1U);
+    EXPECT_FALSE(core.isDoneStopping(now)) << "further packets of the answer may follow";
+    EXPECT_TRUE(core.isDoneStopping(now + milliseconds(20)));
+}
+
+TEST_F(PacketAgent, AStopBeginsNoRequestAndEndsInTime)
+{
+    open();
+    forward(callerPacket(kUpstreamFirst + 1, "GET / HTTP/1.1\r\n\r\n"));
+    now += seconds(1);
+    core.beginStop(now, &actions);
+    packet_header other = callerPacket(77).header;
+    other.source.port = 7;
+    forward(makePacket(other, "GET / HTTP/1.1\r\n\r\n"));
+    EXPECT_EQ(delivered(), 0U);
+    EXPECT_FALSE(core.isDoneStopping(now + milliseconds(499)));
+    EXPECT_TRUE(core.isDoneStopping(now + milliseconds(500)));
+}
+
+TEST_F(PacketAgent, AnIdleAgentStopsAtOnce)
+{
+    now += seconds(1);
+    EXPECT_FALSE(core.isDoneStopping(now));
+    core.beginStop(now, &actions);
+    EXPECT_TRUE(core.isDoneStopping(now));
+}
+
 // Guards against an upstream that gets more requests than it has slots while another has room.
 TEST_F(PacketAgent, PassesAFlowOnWhenNoSlotIsFree)
 {
--- a/src/libplanenode/agent_node.cpp
+++ b/src/libplanenode/agent_node.cpp
@@ -104,7 +104,7 @@
 
 void agent_node::run()
 {
-    watchSignalsAndSettings([this] { m_loop.stop(); });
+    watchSignalsAndSettings([this] { beginStop(); });
     log(decision_kind::lifecycle,
         absl::StrCat("started, node=", m_settings.name, " incarnation=", m_incarnation, " service=", m_file.service,
                      " upstream=", toString(m_file.upstream), " plane=", toString(m_settings.plane), " store_writes=",
@@ -115,7 +115,6 @@
     m_timers.push_back(m_loop.timers().subscribe(kAgentTick, [this](time_point now) { tick(now); }));
     tick(monotonicNow());
     m_loop.run();
-    // The upstream has no other way out while this process is away, so it ends at once.
     m_core.stop(monotonicNow(), &m_actions);
     perform(&m_actions);
     log(decision_kind::lifecycle, absl::StrCat("stopped, flows=", m_core.flowCount(), " busy=", m_core.busy()));
@@ -141,6 +140,16 @@
     perform(&m_actions);
 }
 
+// The upstream has no other way out while this process is away, so it waits for requests at work only.
+void agent_node::beginStop()
+{
+    const time_point now = monotonicNow();
+    m_core.beginStop(now, &m_actions);
+    perform(&m_actions);
+    if (m_core.isDoneStopping(now))
+        m_loop.stop();
+}
+
 void agent_node::receiveSnapshot(const std::string &text)
 {
     snapshot_fault fault = snapshot_fault::not_text;
@@ -198,6 +207,8 @@
 {
     m_core.advance(now, &m_actions);
     perform(&m_actions);
+    if (m_core.isDoneStopping(now))
+        m_loop.stop();
     if (m_core.takeEntryRequest())
         m_nodes.renewEntry();
     if (const auto snapshot = m_core.takeDueSnapshot(now))
