balancer: requests wait for an agent that restarts by plan

Cause: during a planned restart of an agent balancers sent its flows' packets to a host without a process. Ruled out: the agent could take the request and leave the answer to the upstream's repetitions, which keep the same times. Change: while the owner's last report says that it restarts, packets with data wait at the balancer, 16 a flow and 1.2 s at most, and are sent when it reports again. Acknowledgements go on. A silent agent is not treated so: silence tells nothing of its return.

--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -85,6 +85,11 @@
     std::size_t balancerCount() const { return m_balancers.size(); }
 
 private:
+    struct held_packet
+    {
+        packet content;
+        time_point since;
+    };
     struct balancer_flow
     {
         host_address owner;
@@ -96,17 +101,13 @@
         std::vector<host_address> unsureAgents; ///< Agents whose upstreams may hold it.
         std::vector<host_address> sentTo;       ///< Agents that got lastPacket to find out.
         time_point askedAt;
-        std::vector<std::string> heldPackets; ///< Arrived after the question, sent once the owner is known.
-        packet lastPacket;                    ///< While the owner is unknown, for agents that become known later.
+        std::vector<std::string> heldPackets;   ///< Arrived after the question, sent once the owner is known.
+        packet lastPacket;                      ///< While the owner is unknown, for agents that become known later.
+        std::vector<held_packet> awaitingAgent; ///< While the owner restarts by plan.
         bool finished = false;
         time_point lastSeen;
         time_point firstSeen;
     };
-    struct held_packet
-    {
-        packet content;
-        time_point since;
-    };
 
     /// Agents for an opening packet, best first.
     struct placement
@@ -127,6 +128,8 @@
                  std::string packetBytes, std::vector<host_address> alternates, plane_actions *out) const;
     void openFlow(packet arrived, const packet_route &route, time_point now, plane_actions *out);
     void continueFlow(packet arrived, time_point now, plane_actions *out);
+    bool isRestartingByPlan(const host_address &agent) const;
+    void sendAwaiting(const host_address &agent, time_point now, plane_actions *out);
     void askForOwner(packet arrived, balancer_flow *flow, std::optional<host_address> except, time_point now,
                      plane_actions *out);
     std::string serviceForAgent(const balancer_flow &flow, const host_address &agent) const;
--- a/src/libplane/packet_balancer.cpp
+++ b/src/libplane/packet_balancer.cpp
@@ -243,9 +243,34 @@
             askForOwner(std::move(arrived), &flow, std::nullopt, now, out);
         return;
     }
+    // Acknowledgements go on, since the agent still passes on the answers of requests at work.
+    if (arrived.header.dataBytes > 0 && isRestartingByPlan(flow.owner) && flow.awaitingAgent.size() < kMaxHeldPerFlow) {
+        flow.awaitingAgent.push_back({std::move(arrived), now});
+        return;
+    }
     forward(flow.owner, forward_purpose::carry, flow.service, key, std::move(arrived.bytes), {}, out);
 }
 
+bool packet_balancer::isRestartingByPlan(const host_address &agent) const
+{
+    const agent_record *const record = m_agents.find(agent);
+    return record != nullptr && record->report.state == agent_state::stopping;
+}
+
+// Load pattern: agents that are restarted one after the other. A packet that reaches a host whose agent is away is lost, and its caller
+// may repeat it just when the agent is away again.
+void packet_balancer::sendAwaiting(const host_address &agent, time_point now, plane_actions *out)
+{
+    for (auto &[key, flow] : m_flows) {
+        if (flow.owner != agent || flow.awaitingAgent.empty())
+            continue;
+        for (held_packet &waiting : std::exchange(flow.awaitingAgent, {})) {
+            if (now - waiting.since <= kMaxHold)
+                forward(agent, forward_purpose::carry, flow.service, key, std::move(waiting.content.bytes), {}, out);
+        }
+    }
+}
+
 void packet_balancer::message(const host_address &from, plane_message arrived, time_point now, plane_actions *out)
 {
     struct visitor
--- a/src/libplane/packet_balancer_nodes.cpp
+++ b/src/libplane/packet_balancer_nodes.cpp
@@ -28,8 +28,11 @@
     const agent_record *const before = m_agents.find(agent);
     const bool isNews = before == nullptr || !before->heardAt || before->report.state != report.state
                         || before->report.incarnation != report.incarnation || !m_agents.isFresh(*before, now);
+    const bool wasRestarting = isRestartingByPlan(agent);
     if (!m_agents.reported(agent, report, now) || !isNews)
         return;
+    if (wasRestarting && !isRestartingByPlan(agent))
+        sendAwaiting(agent, now, out);
     log(decision_kind::belief,
         absl::StrCat("agent reported, agent=", toString(agent), " service=", report.service,
                      " state=", toString(report.state), " incarnation=", report.incarnation, " number=", report.number),
--- a/src/libplane/packet_balancer_test.cpp
+++ b/src/libplane/packet_balancer_test.cpp
@@ -233,3 +233,46 @@
     }
     EXPECT_TRUE(missing().empty());
 }
+
+// Guards against requests that are lost because an agent is restarted by plan (packet-soak --seed 2038: the repetitions of a request fell
+// into two such restarts).
+TEST_F(PacketBalancer, PacketsWaitForAnAgentThatRestartsByPlan)
+{
+    fromCaller(openingPacket());
+    const host_address owner = forwarded().front().first;
+    core.message(owner, makeReport(++number, agent_state::stopping), now, &actions);
+    actions.clear();
+    fromCaller(callerPacket(1, "GET"));
+    fromCaller(callerPacket(1, "more", 104));
+    EXPECT_TRUE(forwarded().empty());
+    fromCaller(callerPacket(2));
+    EXPECT_EQ(forwarded().size(), 1U) << "an acknowledgement";
+    actions.clear();
+    advance(milliseconds(600));
+    agent_report back = makeReport(1, agent_state::unconfirmed);
+    back.incarnation = 2;
+    core.message(owner, back, now, &actions);
+    ASSERT_EQ(forwarded().size(), 2U);
+    EXPECT_EQ(forwarded()[0].first, owner);
+    EXPECT_EQ(forwarded()[0].second.packetBytes, callerPacket(1, "GET").bytes);
+    actions.clear();
+    fromCaller(callerPacket(3, "GET", 108));
+    EXPECT_EQ(forwarded().size(), 1U);
+}
+
+// Guards against old packets that reach an upstream after their caller has given up, and against memory for flows of an agent that stays
+// away.
+TEST_F(PacketBalancer, PacketsDoNotWaitForLong)
+{
+    fromCaller(openingPacket());
+    const host_address owner = forwarded().front().first;
+    core.message(owner, makeReport(++number, agent_state::stopping), now, &actions);
+    actions.clear();
+    for (std::uint32_t i = 0; i < 20; ++i)
+        fromCaller(callerPacket(1, "GET", 101 + i));
+    EXPECT_EQ(forwarded().size(), 4U) << "at most 16 wait";
+    actions.clear();
+    advance(seconds(2));
+    core.message(owner, makeReport(++number), now, &actions);
+    EXPECT_TRUE(forwarded().empty());
+}
