HTTP client: an answer with a length is whole though its connection ends

Cause: the check for answers without a length used need_eof(), which is also true for an answer with a length whose server closes the connection. Ruled out: load (the answer is refused each time). Change: only an answer with neither a length nor chunks, and that may have a body, is refused.

--- a/src/libplatform/http_connection.cpp
+++ b/src/libplatform/http_connection.cpp
@@ -143,8 +143,10 @@
         // Bytes behind the answer belong to no call. The next call must not take them for its own answer.
         if (error || !parser.get().keep_alive() || m_buffer.size() > 0)
             m_stream.close();
-        // An answer that ends with its connection may have broken off.
-        if (error || parser.get().need_eof())
+        // Without a length the answer ends with its connection, and may have broken off.
+        const bool hasLength = parser.chunked() || parser.get().has_content_length();
+        const bool hasNoBody = parser.get().result() == http::status::no_content;
+        if (error || !(hasLength || hasNoBody))
             return exchange_result::sent_without_answer;
         *response = parser.release();
         return exchange_result::answered;
--- a/src/libplatform/http_connection_test.cpp
+++ b/src/libplatform/http_connection_test.cpp
@@ -144,6 +144,16 @@
     EXPECT_EQ(read(&connection), "whole");
 }
 
+// Guards against whole answers that are refused because the server closes the connection behind them (e2e_client).
+TEST(HttpConnection, AnswerWithALengthIsWholeThoughItsConnectionEnds)
+{
+    scripted_server server({{"HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nwhole", "", true},
+                            {"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n", "", true}});
+    http_connection connection({server.address(), milliseconds(500)});
+    EXPECT_EQ(read(&connection), "whole");
+    EXPECT_EQ(read(&connection), "");
+}
+
 // Guards against a connection for each call.
 TEST(HttpConnection, ConnectionIsKeptBetweenCalls)
 {
