--- a/src/include/citroncrank/agent_node.h
+++ b/src/include/citroncrank/agent_node.h
@@ -5,6 +5,7 @@
 
 #include "citroncrank/packet_agent.h"
 #include "citroncrank/plane_node.h"
+#include "citroncrank/snapshot_worker.h"
 #include "citroncrank/store_worker.h"
 
 #include <functional>
@@ -29,6 +30,7 @@
     void applySettings(const settings_values &values) override;
     void onUpstreamDatagram(std::string_view datagram);
     void probeUpstream();
+    void receiveSnapshot(const std::string &text);
     void tick(time_point now);
     void showCount(const char *decision, std::uint64_t count);
     http_reply announcement(const http_request &request);
@@ -42,6 +44,7 @@
     datagram_socket m_fromUpstream;
     http_endpoint m_http;
     nodes_worker m_nodes;
+    snapshot_worker m_snapshots;
     metric_counter &m_upstreamPackets;
     metric_histogram &m_latency;
     metric_gauge &m_busy;
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -4,6 +4,7 @@
 /// Decisions of an agent: which packets its upstream gets, what it holds, what it has at work. No input or output of
 /// its own.
 
+#include "citroncrank/flow_snapshot.h"
 #include "citroncrank/plane_action.h"
 #include "citroncrank/request_head.h"
 #include "citroncrank/request_queue.h"
@@ -33,6 +34,8 @@
     std::vector<host_address> seeds; ///< Balancers that may be up.
     duration announcementPeriod{0};  ///< Expected time between two announcements of the upstream.
     duration flowLifetime{0};        ///< Older flows may be forgotten.
+    duration snapshotPause{0};       ///< Shortest time between two snapshots of the open flows. 0: none are made.
+    std::uint32_t storeWritesPerSecond = 1; ///< Writing calls that the store takes from all nodes together.
 };
 
 /// What an upstream says of itself.
@@ -99,6 +102,10 @@
     /// Slots of the upstream as an earlier start of this agent wrote them to the store; used until the upstream announces itself.
     /// 0: the store does not tell.
     void assumeSlots(std::uint32_t slots);
+    /// The open flows as an earlier start of this agent wrote them to the store.
+    void restore(flow_snapshot snapshot, time_point now, plane_actions *out);
+    /// Takes the open flows if they should be written to the store now.
+    std::optional<flow_snapshot> takeDueSnapshot(time_point now);
     /// Balancers that the store lists.
     void applyBalancers(const std::vector<host_address> &balancers, time_point now, plane_actions *out);
     /// Takes over the seeds, the announcement period and the flow lifetime. All else stays as it was at the start.
@@ -146,6 +153,7 @@
         std::uint32_t callerAcknowledged = 0;
         bool isConfirmed =
             false; ///< The caller has opened the flow here, and not at another upstream that answered too.
+        bool isRestored = false; ///< Known from a snapshot only; the upstream has not sent a packet of it since.
         bool callerFinished = false;
         bool upstreamFinished = false;
         bool isExpected = false; ///< Counts as a request that is on its way.
@@ -208,6 +216,11 @@
     void forgetFlows(time_point now);
     duration reportPeriod() const;
     bool isStartSeen(const upstream_announcement &first, plane_actions *out) const;
+    upstream_evidence evidence() const;
+    void resolveRestored(time_point now, plane_actions *out);
+    bool restoreFlow(const snapshot_flow &entry, snapshot_verdict verdict, time_point now);
+    void sendRestoredResets(plane_actions *out);
+    bool isInSnapshot(const agent_flow &flow, time_point now) const;
     bool knowsAllFlows(time_point now) const;
     bool isOtherService(const std::string &service) const;
     void log(decision_kind kind, std::string text, plane_actions *out) const;
@@ -221,7 +234,13 @@
     std::optional<time_point> m_announcedAt;
     std::uint32_t m_assumedSlots; ///< Until the upstream announces itself.
     bool m_wasUpstreamAbsent = false;
-    bool m_sawUpstreamStart = false; ///< The upstream's present start is later than this agent's.
+    bool m_sawUpstreamStart = false;          ///< The upstream's present start is later than this agent's.
+    std::uint32_t m_announcementsOfStart = 0; ///< Accepted ones of the upstream's present start.
+    std::optional<flow_snapshot> m_restored;  ///< Until it is known what became of its flows.
+    std::deque<reset_flow> m_restoredResets;  ///< Of flows that ended with an earlier start of the upstream.
+    snapshot_pace m_snapshotPace;
+    std::optional<time_point> m_nextSnapshotCheck;
+    std::size_t m_fleetAgents = 1; ///< As the balancers tell.
     std::optional<time_point> m_leftAt;
     flow_map m_flows;
     std::deque<std::pair<time_point, flow_key>> m_expectations;
--- a/src/include/citroncrank/plane_message.h
+++ b/src/include/citroncrank/plane_message.h
@@ -162,6 +162,7 @@
     std::uint64_t routesVersion = 0;     ///< 0: none.
     host_address http;                   ///< Serves the routes in force to other balancers.
     std::vector<host_address> balancers; ///< Known balancers, this one left out.
+    std::uint32_t agents = 0;            ///< Known agents; they share the writing calls of the store.
     auto operator<=>(const balancer_hello &) const = default;
 };
 
--- a/src/include/citroncrank/plane_settings.h
+++ b/src/include/citroncrank/plane_settings.h
@@ -17,12 +17,13 @@
 {
     std::string name;
     std::string region;
-    std::string domain;              ///< Failure domain.
-    host_address plane;              ///< For datagrams of other nodes.
-    host_address http;               ///< Readiness, metrics, and the routes in force for other nodes.
-    std::uint16_t callerPort = 0;    ///< Port at which callers receive packets.
-    host_address platform;           ///< The platform's store.
-    std::vector<host_address> seeds; ///< Balancers that may be up; each uses this node's plane port.
+    std::string domain;                     ///< Failure domain.
+    host_address plane;                     ///< For datagrams of other nodes.
+    host_address http;                      ///< Readiness, metrics, and the routes in force for other nodes.
+    std::uint16_t callerPort = 0;           ///< Port at which callers receive packets.
+    host_address platform;                  ///< The platform's store.
+    std::uint32_t storeWritesPerSecond = 0; ///< Writing calls that the store takes from all nodes together.
+    std::vector<host_address> seeds;        ///< Balancers that may be up; each uses this node's plane port.
     duration flowLifetime{0};
     duration stopTime{0}; ///< The process is killed this long after SIGTERM.
     bool operator==(const plane_settings &) const = default;
@@ -43,6 +44,7 @@
     host_address upstream;        ///< Where the upstream receives packets.
     std::string service;
     duration announcementPeriod{0};
+    duration snapshotPause{0}; ///< Shortest time between two snapshots of the open flows. 0: none are made.
     bool operator==(const packet_agent_file &) const = default;
 };
 
--- a/src/libplane/packet_agent.cpp
+++ b/src/libplane/packet_agent.cpp
@@ -67,6 +67,8 @@
     m_settings.seeds = changed.seeds;
     m_settings.announcementPeriod = changed.announcementPeriod;
     m_settings.flowLifetime = changed.flowLifetime;
+    m_settings.snapshotPause = changed.snapshotPause;
+    m_settings.storeWritesPerSecond = changed.storeWritesPerSecond;
     m_nextSeedHello = std::nullopt;
 }
 
@@ -97,6 +99,7 @@
     }
     const bool isNew = !m_balancers.contains(from);
     m_balancers[from] = now;
+    m_fleetAgents = std::max<std::size_t>(1, hello->agents);
     for (const host_address &other : hello->balancers) {
         if (m_balancers.try_emplace(other, now).second)
             out->emplace_back(send_to_node{other, agent_hello{report(now)}});
@@ -261,16 +264,16 @@
         out->emplace_back(send_to_node{from, owner_denial{question.flow, !isDenied}});
         return;
     }
-    if (found->second.phase == flow_phase::ended) {
-        ++m_counts.resets;
-        out->emplace_back(reset_flow{question.flow, question.acknowledged});
-        return;
-    }
     if (!mayBeOf(found->second, header)) {
         releaseWork(question.flow, &found->second, now);
         out->emplace_back(send_to_node{from, owner_denial{question.flow, false}});
         return;
     }
+    if (found->second.phase == flow_phase::ended) {
+        ++m_counts.resets;
+        out->emplace_back(reset_flow{question.flow, question.acknowledged});
+        return;
+    }
     found->second.origin = from;
     found->second.lastSeen = now;
     out->emplace_back(send_to_node{from, owner_notice{question.flow}});
@@ -366,6 +369,7 @@
         if (flow.phase == flow_phase::probing && flow.origin != host_address{} && !arrived.header.open)
             out->emplace_back(send_to_node{flow.origin, owner_notice{key}});
         flow.isConfirmed = flow.isConfirmed || (!arrived.header.open && !arrived.header.reset);
+        flow.isRestored = flow.isRestored && !flow.isConfirmed;
         flow.phase = flow_phase::open;
         flow.alternates.clear();
         if (flow.request == request_phase::working || flow.awaitsHead)
@@ -403,7 +407,7 @@
         passOn(std::move(returned), "returned", key, out);
         return;
     }
-    if (!content.header.open && flow.isConfirmed) {
+    if (!content.header.open && flow.isConfirmed && !flow.isRestored) {
         // The upstream held this flow and lost it, so no one else holds it.
         ++m_counts.resets;
         out->emplace_back(reset_flow{key, content.header.acknowledged});
@@ -424,6 +428,7 @@
     dropExpired(now, out);
     findUnanswered(now, out);
     dispatch(now, out);
+    sendRestoredResets(out);
     while (!m_expectations.empty() && m_expectations.front().first <= now) {
         const auto found = m_flows.find(m_expectations.front().second);
         if (found != m_flows.end() && found->second.isExpected) {
--- a/src/libplane/packet_agent_requests.cpp
+++ b/src/libplane/packet_agent_requests.cpp
@@ -89,7 +89,8 @@
     flow->lastSeen = now;
     if (header.acknowledges)
         flow->callerAcknowledged = header.acknowledged;
-    flow->isConfirmed = flow->isConfirmed || (!header.open && flow->phase == flow_phase::open);
+    // What a snapshot says of a flow is confirmed by the upstream only.
+    flow->isConfirmed = flow->isConfirmed || (!header.open && flow->phase == flow_phase::open && !flow->isRestored);
     flow->callerFinished = flow->callerFinished || header.finish || header.reset;
     if (header.reset)
         releaseWork(key, flow, now);
--- /dev/null
+++ b/src/libplane/packet_agent_snapshot.cpp
@@ -0,0 +1,140 @@
+#include "citroncrank/packet_agent.h"
+
+#include "packet_agent_pvt.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <chrono>
+
+namespace citroncrank {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Callers have given up by then what they asked for before this start, and opened other flows.
+constexpr duration kRestoreTime = std::chrono::seconds(10);
+constexpr duration kSnapshotCheckPeriod = milliseconds(500);
+// Flows of one request have ended by then. They come and go too fast for a snapshot.
+constexpr duration kSnapshotMinAge = milliseconds(500);
+// An upstream that has announced itself so often and does not match a snapshot never will.
+constexpr std::uint32_t kAnnouncementsToDecide = 3;
+// Resets per kAgentTick: 6 KB for a link that answers to callers use too.
+constexpr std::size_t kResetsPerTick = 200;
+
+} // namespace
+
+void packet_agent::restore(flow_snapshot snapshot, time_point now, plane_actions *out)
+{
+    if (now - m_startedAt > kRestoreTime) {
+        log(decision_kind::owner, absl::StrCat("left snapshot of flows out, reason=late count=", snapshot.flows.size()),
+            out);
+        return;
+    }
+    log(decision_kind::owner,
+        absl::StrCat("read snapshot of flows, count=", snapshot.flows.size(),
+                     " upstream_started_at_ms=", snapshot.upstreamStartedAtMs),
+        out);
+    m_restored = std::move(snapshot);
+    resolveRestored(now, out);
+    sendRestoredResets(out);
+}
+
+upstream_evidence packet_agent::evidence() const
+{
+    return {.isAbsent = m_wasUpstreamAbsent && !m_upstream,
+            .startedAtMs = m_upstream ? std::optional(m_upstream->startedAtMs) : std::nullopt,
+            .isStartSeen = m_sawUpstreamStart,
+            .announcements = m_announcementsOfStart};
+}
+
+void packet_agent::resolveRestored(time_point now, plane_actions *out)
+{
+    if (!m_restored)
+        return;
+    const snapshot_verdict verdict = judgeSnapshot(*m_restored, evidence());
+    if (verdict == snapshot_verdict::unknown && m_announcementsOfStart < kAnnouncementsToDecide)
+        return;
+    const flow_snapshot resolved = std::move(*m_restored);
+    m_restored = std::nullopt;
+    std::size_t taken = 0;
+    for (const snapshot_flow &entry : resolved.flows) {
+        if (verdict != snapshot_verdict::unknown && restoreFlow(entry, verdict, now))
+            ++taken;
+    }
+    log(decision_kind::owner,
+        absl::StrCat("took snapshot of flows, verdict=", toString(verdict), " count=", resolved.flows.size(),
+                     " taken=", taken, " snapshot_started_at_ms=", resolved.upstreamStartedAtMs,
+                     " upstream_started_at_ms=", m_upstream ? m_upstream->startedAtMs : 0),
+        out);
+}
+
+// What this agent has seen of a flow since its start is newer than the snapshot, also if the flow's key was used anew.
+bool packet_agent::restoreFlow(const snapshot_flow &entry, snapshot_verdict verdict, time_point now)
+{
+    if (m_flows.size() >= kMaxSnapshotFlows)
+        return false;
+    const auto [found, isNew] = m_flows.try_emplace(entry.flow);
+    if (!isNew)
+        return false;
+    agent_flow &flow = found->second;
+    flow.service = m_settings.service;
+    flow.callerAcknowledged = entry.callerAcknowledged;
+    flow.firstSeen = now;
+    flow.lastSeen = now;
+    flow.isRestored = true;
+    if (verdict == snapshot_verdict::living) {
+        flow.phase = flow_phase::open;
+        return true;
+    }
+    // A flow that was opened with the same key at another upstream since then has other sequence numbers, and mayBeOf() tells.
+    flow.phase = flow_phase::ended;
+    flow.upstreamFirst = entry.callerAcknowledged;
+    flow.upstreamEnd = entry.callerAcknowledged;
+    flow.knowsUpstreamFirst = true;
+    flow.knowsUpstreamEnd = true;
+    m_restoredResets.push_back({entry.flow, entry.callerAcknowledged});
+    return true;
+}
+
+void packet_agent::sendRestoredResets(plane_actions *out)
+{
+    const std::size_t count = std::min(kResetsPerTick, m_restoredResets.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        const reset_flow reset = m_restoredResets.front();
+        m_restoredResets.pop_front();
+        const auto found = m_flows.find(reset.flow);
+        if (found == m_flows.end() || found->second.phase != flow_phase::ended)
+            continue; // Opened anew meanwhile.
+        ++m_counts.resets;
+        out->emplace_back(reset);
+    }
+}
+
+bool packet_agent::isInSnapshot(const agent_flow &flow, time_point now) const
+{
+    return flow.phase == flow_phase::open && (flow.isConfirmed || flow.isRestored) && !flow.callerFinished
+           && !flow.upstreamFinished && now - flow.firstSeen >= kSnapshotMinAge;
+}
+
+std::optional<flow_snapshot> packet_agent::takeDueSnapshot(time_point now)
+{
+    const bool isOff = m_settings.snapshotPause == duration(0);
+    if (isOff || !m_upstream || m_restored || (m_nextSnapshotCheck && now < *m_nextSnapshotCheck))
+        return std::nullopt;
+    m_nextSnapshotCheck = now + kSnapshotCheckPeriod;
+    flow_snapshot current{.upstreamStartedAtMs = m_upstream->startedAtMs, .flows = {}};
+    for (const auto &[key, flow] : m_flows) {
+        if (isInSnapshot(flow, now) && current.flows.size() < kMaxSnapshotFlows)
+            current.flows.push_back({key, flow.callerAcknowledged});
+    }
+    std::sort(current.flows.begin(), current.flows.end());
+    const duration pause =
+        std::max(m_settings.snapshotPause, pauseForFleet(m_fleetAgents, m_settings.storeWritesPerSecond));
+    if (!m_snapshotPace.isDue(current, pause, now))
+        return std::nullopt;
+    m_snapshotPace.noteWritten(current, now);
+    return current;
+}
+
+} // namespace citroncrank
--- /dev/null
+++ b/src/libplane/packet_agent_snapshot_test.cpp
@@ -0,0 +1,197 @@
+#include "packet_agent_fixture_test.h"
+
+using namespace citroncrank;
+using namespace citroncrank::plane_test;
+
+namespace {
+
+constexpr std::uint64_t kStart = 1000;
+
+/// An agent that has just restarted, with what an earlier start of it knew.
+class RestartedAgent : public PacketAgent
+{
+public:
+    RestartedAgent() { restart(); }
+
+    void restart()
+    {
+        core = packet_agent({.self = kAgentA,
+                             .service = kService,
+                             .domain = "nbi-west",
+                             .incarnation = 2,
+                             .upstream = kUpstream,
+                             .announcementPeriod = milliseconds(770),
+                             .flowLifetime = seconds(60),
+                             .snapshotPause = seconds(1),
+                             .storeWritesPerSecond = 400},
+                            decodeTestHeader, readTestHead, now);
+        actions.clear();
+    }
+
+    void restore(std::uint32_t acknowledged = kUpstreamFirst + 1)
+    {
+        actions.clear();
+        core.restore({.upstreamStartedAtMs = kStart, .flows = {{kFlow, acknowledged}}}, now, &actions);
+    }
+
+    void ask()
+    {
+        actions.clear();
+        core.message(kBalancer, owner_question{kFlow, kService, true, kUpstreamFirst + 1}, now, &actions);
+    }
+};
+
+} // namespace
+
+// Guards against idle flows that are found dead only by losing a request (fleetbench run gclqa-quotes trouble-1, untouched: 177
+// submissions, which may run once at most, lost after a loss of power).
+TEST_F(RestartedAgent, FlowsOfAnEarlierUpstreamAreResetAtOnce)
+{
+    restore();
+    EXPECT_EQ(resets(), 0U) << "the upstream may still run";
+    announce(1, false, kStart + 1);
+    core.advance(now, &actions);
+    ASSERT_EQ(resets(), 1U);
+    EXPECT_EQ(actionsOf<reset_flow>(actions).front().sequence, kUpstreamFirst + 1);
+    actions.clear();
+    core.advance(now + kAgentTick, &actions);
+    EXPECT_EQ(resets(), 0U) << "one reset each";
+}
+
+TEST_F(RestartedAgent, SnapshotThatArrivesBehindTheAnnouncementIsUsed)
+{
+    announce(1, false, kStart + 1);
+    restore();
+    EXPECT_EQ(resets(), 1U);
+}
+
+TEST_F(RestartedAgent, FlowsOfAnAbsentUpstreamAreReset)
+{
+    core.upstreamAbsent(now, &actions);
+    restore();
+    EXPECT_EQ(resets(), 1U);
+}
+
+// Guards against a reset of a living flow: the first announcement after the restart is a late one of an earlier upstream, or seems
+// to be of a later one, since the time of day was set back.
+TEST_F(RestartedAgent, OneLateAnnouncementResetsNothing)
+{
+    restore();
+    announce(7, false, kStart - 500);
+    announce(9, false, kStart + 500);
+    core.advance(now, &actions);
+    EXPECT_EQ(resets(), 0U);
+}
+
+// Guards against a search through all agents for each open flow when processes are killed and upstreams live.
+TEST_F(RestartedAgent, FlowsOfTheSameUpstreamAreItsOwn)
+{
+    restore();
+    announce(5, false, kStart);
+    ask();
+    ASSERT_EQ(messagesOf<owner_notice>(actions).size(), 1U);
+    forward(callerPacket(kUpstreamFirst + 1, "GET"));
+    EXPECT_EQ(delivered(), 1U);
+}
+
+// Guards against a reset on the word of an old snapshot: the flow may have ended here and been opened elsewhere with the same key.
+TEST_F(RestartedAgent, RestoredFlowThatTheUpstreamReturnsIsNotReset)
+{
+    restore();
+    announce(5, false, kStart);
+    const packet content = callerPacket(kUpstreamFirst + 1, "GET");
+    forward(content);
+    fromUpstream(returned(content));
+    EXPECT_EQ(resets(), 0U);
+    EXPECT_EQ(denials(), std::vector{not_taken_reason::unknown_flow});
+}
+
+TEST_F(RestartedAgent, KeyOfADeadFlowThatWasOpenedElsewhereIsDenied)
+{
+    restore();
+    announce(1, false, kStart + 1);
+    actions.clear();
+    core.message(kBalancer, owner_question{kFlow, kService, true, kUpstreamFirst - 90'000}, now, &actions);
+    EXPECT_EQ(resets(), 0U);
+    ASSERT_EQ(messagesOf<owner_denial>(actions).size(), 1U);
+}
+
+// Guards against a reset of a flow that was opened anew with the same key before the snapshot was read.
+TEST_F(RestartedAgent, FlowSeenSinceTheStartIsNewerThanTheSnapshot)
+{
+    announce(1, false, kStart + 1);
+    open();
+    restore();
+    EXPECT_EQ(resets(), 0U);
+    ask();
+    EXPECT_EQ(messagesOf<owner_notice>(actions).size(), 1U);
+}
+
+TEST_F(RestartedAgent, KeyThatIsOpenedBeforeItsResetIsNotReset)
+{
+    flow_snapshot many{.upstreamStartedAtMs = kStart, .flows = {}};
+    for (std::uint16_t port = 1; port <= 1000; ++port)
+        many.flows.push_back({{{1, port}, kServiceAddress}, 1});
+    many.flows.push_back({kFlow, kUpstreamFirst + 1});
+    announce(1, false, kStart + 1);
+    core.restore(many, now, &actions);
+    EXPECT_LT(resets(), many.flows.size()) << "resets are paced";
+    open();
+    std::size_t sent = 0;
+    for (int tick = 0; tick < 20; ++tick) {
+        actions.clear();
+        core.advance(now += kAgentTick, &actions);
+        for (const reset_flow &reset : actionsOf<reset_flow>(actions))
+            sent += reset.flow == kFlow ? 1 : 0;
+    }
+    EXPECT_EQ(sent, 0U);
+}
+
+TEST_F(RestartedAgent, SnapshotThatIsReadLateIsLeftOut)
+{
+    announce(1, false, kStart + 1);
+    now += seconds(11);
+    restore();
+    EXPECT_EQ(resets(), 0U);
+}
+
+// What is written: confirmed flows, and those of a snapshot that was taken over.
+TEST_F(RestartedAgent, SnapshotHoldsOpenFlows)
+{
+    announce(1, false, kStart);
+    open();
+    now += seconds(1);
+    const auto taken = core.takeDueSnapshot(now);
+    ASSERT_TRUE(taken);
+    EXPECT_EQ(taken->upstreamStartedAtMs, kStart);
+    ASSERT_EQ(taken->flows.size(), 1U);
+    EXPECT_EQ(taken->flows.front(), (snapshot_flow{kFlow, kUpstreamFirst + 1}));
+    EXPECT_FALSE(core.takeDueSnapshot(now + seconds(30))) << "nothing has changed";
+    restart();
+    announce(5, false, kStart);
+    core.restore(*taken, now, &actions);
+    now += seconds(1);
+    const auto again = core.takeDueSnapshot(now);
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->flows, taken->flows) << "a second restart in a row loses nothing";
+}
+
+TEST_F(RestartedAgent, SnapshotIsNotReplacedBeforeItIsResolved)
+{
+    restore();
+    announce(7, false, kStart - 500);
+    open();
+    EXPECT_FALSE(core.takeDueSnapshot(now + seconds(5)));
+}
+
+// Guards against denials of living flows: after the late announcement the agent took the running upstream for one that had started
+// beside it, so it believed that it knew all flows.
+TEST_F(RestartedAgent, LateAnnouncementDoesNotMakeTheAgentKnowAllFlows)
+{
+    announce(7, false, kStart - 500);
+    announce(9, false, kStart);
+    ask();
+    const auto denials = messagesOf<owner_denial>(actions);
+    ASSERT_EQ(denials.size(), 1U);
+    EXPECT_TRUE(denials.front().second.isUnsure);
+}
--- a/src/libplane/packet_agent_upstream.cpp
+++ b/src/libplane/packet_agent_upstream.cpp
@@ -43,10 +43,12 @@
             out);
         forgetWork(now);
         m_health.reset();
-        m_sawUpstreamStart = true;
+        // A single announcement of the earlier start may have been a late one, from before this agent's start.
+        m_sawUpstreamStart = m_sawUpstreamStart || m_announcementsOfStart > 1 || isStartSeen(announcement, out);
     }
     if (!m_upstream)
         m_sawUpstreamStart = isStartSeen(announcement, out);
+    m_announcementsOfStart = isOtherStart ? 1 : m_announcementsOfStart + 1;
     m_upstream = announcement;
     m_announcedAt = now;
     m_leftAt = std::nullopt;
@@ -54,6 +56,7 @@
              absl::StrCat("announcement=", announcement.number, " upstream=", announcement.id,
                           " started_at_ms=", announcement.startedAtMs, " slots=", announcement.slots),
              now, out);
+    resolveRestored(now, out);
     return announcement_result::accepted;
 }
 
@@ -62,7 +65,7 @@
 {
     if (first.number == kFirstAnnouncement)
         return true;
-    if (m_wasUpstreamAbsent && first.number > kLatestFirstAnnouncement)
+    if (!m_upstream && m_wasUpstreamAbsent && first.number > kLatestFirstAnnouncement)
         log(decision_kind::belief,
             absl::StrCat("upstream ran although nothing listened at its address, upstream=", first.id,
                          " announcement=", first.number),
@@ -76,6 +79,7 @@
         return;
     m_wasUpstreamAbsent = true;
     setState(agent_state::left, "nothing listens at its address", now, out);
+    resolveRestored(now, out);
 }
 
 announcement_result packet_agent::leave(const std::string &upstreamId, time_point now, plane_actions *out)
@@ -114,7 +118,7 @@
 {
     std::vector<reset_flow> resets;
     for (auto &[key, flow] : m_flows) {
-        if (!flow.isConfirmed || flow.phase == flow_phase::ended)
+        if ((!flow.isConfirmed && !flow.isRestored) || flow.phase == flow_phase::ended)
             continue;
         releaseWork(key, &flow, now);
         flow.phase = flow_phase::ended;
--- a/src/libplane/packet_balancer_nodes.cpp
+++ b/src/libplane/packet_balancer_nodes.cpp
@@ -106,7 +106,8 @@
                           .domain = m_settings.domain,
                           .routesVersion = routesVersion(),
                           .http = m_settings.http,
-                          .balancers = {}};
+                          .balancers = {},
+                          .agents = std::uint32_t(m_agents.size())};
     for (const auto &[address, heard] : m_balancers) {
         if (result.balancers.size() == kMaxListedBalancers)
             break;
--- a/src/libplane/plane_message.cpp
+++ b/src/libplane/plane_message.cpp
@@ -102,7 +102,8 @@
     const auto balancers = toWire(out, message.balancers);
     const auto http = toWire(message.http);
     const auto domain = out->CreateString(message.domain);
-    return wire::CreateBalancerHello(*out, domain, message.incarnation, message.routesVersion, &http, balancers)
+    return wire::CreateBalancerHello(*out, domain, message.incarnation, message.routesVersion, &http, balancers,
+                                     message.agents)
         .Union();
 }
 
@@ -243,7 +244,8 @@
                           .domain = fromWire(source.domain()),
                           .routesVersion = source.routes_version(),
                           .http = fromWire(source.http()),
-                          .balancers = fromWire(source.balancers())};
+                          .balancers = fromWire(source.balancers()),
+                          .agents = source.agents()};
 }
 
 std::optional<plane_message> decodeBody(const wire::AgentHello &source)
--- a/src/libplanenode/agent_node.cpp
+++ b/src/libplanenode/agent_node.cpp
@@ -36,7 +36,9 @@
             .upstream = file.upstream,
             .seeds = file.node.seeds,
             .announcementPeriod = file.announcementPeriod,
-            .flowLifetime = file.node.flowLifetime};
+            .flowLifetime = file.node.flowLifetime,
+            .snapshotPause = file.snapshotPause,
+            .storeWritesPerSecond = file.node.storeWritesPerSecond};
 }
 
 listed_node selfOf(const packet_agent_file &file)
@@ -71,6 +73,8 @@
               });
           },
           storeLog())
+    , m_snapshots(
+          m_settings.platform, m_settings.name, [this](const std::string &text) { receiveSnapshot(text); }, storeLog())
     , m_upstreamPackets(m_metrics.counter("citroncrank_agent_upstream_packets_total", "Packets sent by the upstream."))
     , m_latency(m_metrics.histogram("citroncrank_agent_request_seconds",
                                     "From the first packet of a request to the first packet of its answer.",
@@ -106,6 +110,7 @@
                      " upstream=", toString(m_file.upstream), " plane=", toString(m_settings.plane)));
     probeUpstream();
     m_nodes.start();
+    m_snapshots.start();
     m_timers.push_back(m_loop.timers().subscribe(kAgentTick, [this](time_point now) { tick(now); }));
     tick(monotonicNow());
     m_loop.run();
@@ -115,8 +120,11 @@
     log(decision_kind::lifecycle, absl::StrCat("stopped, flows=", m_core.flowCount(), " busy=", m_core.busy()));
     flush();
     m_nodes.stop();
-    if (m_core.state() == agent_state::left)
+    m_snapshots.stop();
+    if (m_core.state() == agent_state::left) {
         m_nodes.removeOwn();
+        m_snapshots.removeOwn();
+    }
     m_http.stop();
 }
 
@@ -132,6 +140,21 @@
     perform(&m_actions);
 }
 
+void agent_node::receiveSnapshot(const std::string &text)
+{
+    snapshot_fault fault = snapshot_fault::not_text;
+    auto snapshot = parseFlowSnapshot(text, &fault);
+    if (!snapshot) {
+        m_log.write(std::size_t(decision_kind::belief),
+                    absl::StrCat("left snapshot of flows out, reason=", toString(fault), " bytes=", text.size()));
+        return;
+    }
+    m_loop.post([this, snapshot = std::move(*snapshot)] {
+        m_core.restore(snapshot, monotonicNow(), &m_actions);
+        perform(&m_actions);
+    });
+}
+
 void agent_node::applySettings(const settings_values &values)
 {
     plane_node::applySettings(values);
@@ -174,6 +197,8 @@
 {
     m_core.advance(now, &m_actions);
     perform(&m_actions);
+    if (const auto snapshot = m_core.takeDueSnapshot(now))
+        m_snapshots.offer(formatFlowSnapshot(*snapshot));
     m_busy.set(double(m_core.busy()));
     m_flows.set(double(m_core.flowCount()));
     const packet_agent_counts &counts = m_core.counts();
--- a/src/libplanenode/plane_settings.cpp
+++ b/src/libplanenode/plane_settings.cpp
@@ -26,6 +26,14 @@
          .type = settings_type::address,
          .description = "Address of the platform's store.",
          .required = true},
+        {.path = "store-writes",
+         .type = settings_type::integer,
+         .description = "Writing calls that the platform's store takes from all nodes together.",
+         .defaultValue = "400",
+         .minimum = 1,
+         .maximum = 1'000'000,
+         .unit = "calls per second",
+         .isReloadable = true},
         {.path = "seeds",
          .type = settings_type::address,
          .description = "Balancers that may be up. The port is ignored: each uses the port of listen.plane.",
@@ -83,6 +91,12 @@
                      .description = "Expected time between two announcements of the upstream.",
                      .defaultValue = "1s",
                      .isReloadable = true});
+    table.push_back(
+        {.path = "snapshot-pause",
+         .type = settings_type::duration,
+         .description = "Shortest time between two snapshots of the open flows in the platform's store. 0s: none.",
+         .defaultValue = "1s",
+         .isReloadable = true});
     return table;
 }
 
@@ -95,6 +109,7 @@
                         .http = values.getAddress("listen.http"),
                         .callerPort = values.getAddress("caller-address").port,
                         .platform = values.getAddress("platform"),
+                        .storeWritesPerSecond = std::uint32_t(values.getInteger("store-writes")),
                         .seeds = {},
                         .flowLifetime = values.getDuration("flow-lifetime"),
                         .stopTime = values.getDuration("stop-time")};
@@ -117,7 +132,8 @@
             .announcements = values.getAddress("listen.announcements"),
             .upstream = values.getAddress("upstream.address"),
             .service = values.getText("upstream.service"),
-            .announcementPeriod = values.getDuration("upstream.announcement-period")};
+            .announcementPeriod = values.getDuration("upstream.announcement-period"),
+            .snapshotPause = values.getDuration("snapshot-pause")};
 }
 
 } // namespace citroncrank
--- /dev/null
+++ b/src/libplanenode/snapshot_worker.cpp
@@ -0,0 +1,141 @@
+#include "citroncrank/snapshot_worker.h"
+
+#include "names.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/json.hpp>
+#include <chrono>
+#include <utility>
+
+namespace citroncrank {
+
+namespace json = boost::json;
+
+namespace {
+
+// offer() ends this wait.
+constexpr duration kOfferWait = std::chrono::seconds(60);
+constexpr std::chrono::milliseconds kRemoveDeadline{500};
+constexpr const char *kTextField = "flows";
+
+std::string formatSnapshotObject(const std::string &text)
+{
+    return json::serialize(json::object{{kTextField, text}});
+}
+
+std::optional<std::string> parseSnapshotObject(const std::string &value)
+{
+    boost::system::error_code reason;
+    const json::value parsed = json::parse(value, reason);
+    if (reason || !parsed.is_object())
+        return std::nullopt;
+    const json::value *const text = parsed.as_object().if_contains(kTextField);
+    return text != nullptr && text->is_string() ? std::optional(std::string(text->as_string())) : std::nullopt;
+}
+
+} // namespace
+
+snapshot_worker::snapshot_worker(const host_address &store, std::string nodeName, receiver receive, store_log log)
+    : store_worker("snapshot", store, std::move(log))
+    , m_key(platform::kSnapshotsPrefix + std::move(nodeName))
+    , m_receive(std::move(receive))
+    , m_storeAddress(store)
+{}
+
+snapshot_worker::~snapshot_worker()
+{
+    stop();
+}
+
+void snapshot_worker::offer(std::string text)
+{
+    {
+        const std::lock_guard lock(m_offerMutex);
+        m_offered = std::move(text);
+    }
+    wake();
+}
+
+std::optional<std::string> snapshot_worker::newest() const
+{
+    const std::lock_guard lock(m_offerMutex);
+    return m_offered;
+}
+
+void snapshot_worker::noteTaken(const std::string &text)
+{
+    const std::lock_guard lock(m_offerMutex);
+    if (m_offered == text)
+        m_offered = std::nullopt;
+}
+
+std::optional<duration> snapshot_worker::step()
+{
+    if (!m_isVersionKnown)
+        return read();
+    const auto text = newest();
+    return text ? write(*text) : std::optional<duration>(kOfferWait);
+}
+
+std::optional<duration> snapshot_worker::read()
+{
+    platform_failure reason = platform_failure::unavailable;
+    const auto object = store().get(m_key, &reason);
+    const bool isAbsent = !object && reason == platform_failure::not_found;
+    const duration pause = noteCall(object || isAbsent, reason);
+    if (!object && !isAbsent)
+        return pause;
+    m_isVersionKnown = true;
+    m_version = object ? object->version : 0;
+    if (std::exchange(m_isReceived, true) || !object)
+        return pause;
+    if (const auto text = parseSnapshotObject(object->value))
+        m_receive(*text);
+    else
+        log(absl::StrCat("object holds no snapshot, version=", m_version));
+    return pause;
+}
+
+std::optional<duration> snapshot_worker::write(const std::string &text)
+{
+    platform_failure reason = platform_failure::unavailable;
+    const std::string value = formatSnapshotObject(text);
+    const auto version =
+        m_version == 0 ? store().create(m_key, value, &reason) : store().update(m_key, value, m_version, &reason);
+    if (version) {
+        m_version = *version;
+        noteTaken(text);
+        return noteCall(true, reason);
+    }
+    if (reason == platform_failure::rejected) {
+        log(absl::StrCat("snapshot rejected, bytes=", text.size()));
+        noteTaken(text);
+        return noteCall(true, reason);
+    }
+    // Reading again shows whether the write took effect, or that another one did.
+    m_isVersionKnown = false;
+    const bool isAnswered = reason == platform_failure::conflict || reason == platform_failure::not_found;
+    return noteCall(isAnswered, reason);
+}
+
+bool removeSnapshot(object_store *store, const std::string &nodeName, platform_failure *lastReason)
+{
+    const std::string key = platform::kSnapshotsPrefix + nodeName;
+    const auto object = store->get(key, lastReason);
+    if (!object)
+        return *lastReason == platform_failure::not_found;
+    return store->remove(key, object->version, lastReason).has_value();
+}
+
+// A snapshot that stays is removed by a balancer later, so one attempt is enough.
+void snapshot_worker::removeOwn()
+{
+    if (m_version == 0)
+        return;
+    platform::platform_store store({m_storeAddress, kRemoveDeadline});
+    platform_failure reason = platform_failure::unavailable;
+    if (!store.remove(m_key, m_version, &reason))
+        log(absl::StrCat("own snapshot not removed, reason=", toString(reason)));
+}
+
+} // namespace citroncrank
--- a/src/libplanenode/store_worker.cpp
+++ b/src/libplanenode/store_worker.cpp
@@ -1,5 +1,6 @@
 #include "citroncrank/store_worker.h"
 
+#include "citroncrank/snapshot_worker.h"
 #include "citroncrank/timer_service.h"
 #include "documents.h"
 #include "watch_cursor_pvt.h"
@@ -8,6 +9,7 @@
 #include <boost/json.hpp>
 #include <chrono>
 #include <csignal>
+#include <cstring>
 #include <utility>
 
 namespace citroncrank {
@@ -410,6 +412,9 @@
             const bool isRemoved = store().remove(key, entry.version, &reason).has_value();
             log(absl::StrCat("entry of a silent node, key=", key, " removed=", isRemoved,
                              " reason=", isRemoved ? "silent" : toString(reason)));
+            const std::string name = key.substr(std::strlen(platform::kNodesPrefix));
+            if (isRemoved && node->isAgent && !removeSnapshot(&store(), name, &reason))
+                log(absl::StrCat("snapshot of a silent node not removed, node=", name, " reason=", toString(reason)));
         }
     }
 }
--- a/src/libproof/packet_promises_test.cpp
+++ b/src/libproof/packet_promises_test.cpp
@@ -16,6 +16,9 @@
 constexpr std::uint64_t kDefaultSchedules = 400;
 constexpr duration kLength = seconds(8);
 
+// Flows that are idle when an agent restarts are known from its snapshot only.
+constexpr duration kIdleTime = milliseconds(900);
+
 std::uint64_t scheduleCount()
 {
     const char *const text = std::getenv("PACKET_SCHEDULES");
@@ -33,6 +36,7 @@
             << " other service " << outcome.otherService << " after drain " << outcome.afterDrain;
         total.answered += outcome.answered;
         total.timedOut += outcome.timedOut;
+        total.restored += outcome.restored;
         total.overSlots = std::max(total.overSlots, outcome.overSlots);
     }
     return total;
@@ -63,6 +67,41 @@
     EXPECT_GT(total.answered, 10'000U);
 }
 
+// Snapshots that are old, late, lost, or of an earlier upstream reset no flow that lives.
+TEST(PacketPromises, SnapshotsResetNoLivingFlow)
+{
+    const packet_outcome total = runAll({.loss = 0.01,
+                                         .doubled = 0.01,
+                                         .delay = milliseconds(12),
+                                         .replacesBalancers = true,
+                                         .restartsAgents = true,
+                                         .movesFlows = true,
+                                         .drainsUpstreams = true,
+                                         .crashesUpstreams = true,
+                                         .requestsPerFlow = 200,
+                                         .requestPause = kIdleTime,
+                                         .keepsSnapshots = true});
+    EXPECT_GT(total.answered, 5'000U);
+    EXPECT_GT(total.restored, 100U);
+}
+
+// The same schedules break flows when an agent takes every snapshot for one of an upstream that has ended.
+TEST(PacketPromises, NaiveSnapshotsBreakFlows)
+{
+    std::uint64_t falseResets = 0;
+    for (std::uint64_t seed = 1; seed <= scheduleCount(); ++seed)
+        falseResets += runPacketSchedule({.seed = seed,
+                                          .delay = milliseconds(12),
+                                          .restartsAgents = true,
+                                          .requestsPerFlow = 200,
+                                          .requestPause = kIdleTime,
+                                          .keepsSnapshots = true,
+                                          .naiveSnapshots = true},
+                                         kLength)
+                           .falseResets;
+    EXPECT_GT(falseResets, 0U);
+}
+
 // P6: no new flow reaches an upstream once its drain is confirmed.
 TEST(PacketPromises, ConfirmedDrainTakesNoNewFlow)
 {
