--- /dev/null
+++ b/scripts/ablate.py
@@ -0,0 +1,142 @@
+#!/usr/bin/env python3
+"""Switches one mechanism of the packet plane off in a scratch copy and scores deployments with it.
+
+usage: scripts/ablate.py --check                     every mechanism's switch still fits the sources
+       scripts/ablate.py --list
+       scripts/ablate.py --bench PROGRAM [--folder DIR] [--only NAME,...] [--jobs N] SITE...
+
+Prints one row a mechanism: for each site the mean worth of its days with trouble and the share not served, processor time not
+charged. The first row is the untouched copy.
+"""
+
+import argparse
+import dataclasses
+import pathlib
+import re
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PLANE = "src/libplane/"
+
+
+@dataclasses.dataclass(frozen=True)
+class Mechanism:
+    name: str
+    file: str
+    on: str
+    off: str
+
+
+MECHANISMS = [
+    Mechanism("flow snapshots", "src/libplanenode/plane_settings.cpp",
+              '.snapshotPause = values.getDuration("snapshot-pause")', ".snapshotPause = duration(0)"),
+    Mechanism("probes wait for answers", PLANE + "packet_balancer_owners.cpp",
+              "    const auto contains = [](const std::vector<host_address> &agents",
+              "    if (!flow.askedAgents.empty())\n        return false;\n"
+              "    const auto contains = [](const std::vector<host_address> &agents"),
+    Mechanism("long watch of the configuration", "src/libplanenode/store_worker.cpp",
+              "kConfigWatchWait{5000}", "kConfigWatchWait{1500}"),
+    Mechanism("requests wait at the agent", PLANE + "packet_agent_requests.cpp",
+              "return slots() + kReadyRequests;", "return slots() + 1000;"),
+    Mechanism("one request ready at the upstream", PLANE + "packet_agent_requests.cpp",
+              "constexpr std::size_t kReadyRequests = 1;", "constexpr std::size_t kReadyRequests = 0;"),
+    Mechanism("newest first when overloaded", PLANE + "request_queue.cpp",
+              "return isOverloaded ? newest : oldest;", "return oldest;"),
+    Mechanism("late requests wait", PLANE + "request_queue.cpp",
+              "isLastChanceTurn || inTime == nullptr ? nextLastChance(now) : nullptr",
+              "isLastChanceTurn || inTime == nullptr || m_turns % 2 == 0 ? nextLate(now) : nullptr"),
+    Mechanism("turn for the unserved priority", PLANE + "request_queue.cpp",
+              "m_turns % kTurnsPerRound == kTurnForUnserved", "false"),
+    Mechanism("late waiting requests are no load", PLANE + "request_queue.cpp",
+              "[now](const auto &entry) { return entry.second.startBy >= now; }", "[](const auto &) { return true; }"),
+    Mechanism("full agents pass new flows on", PLANE + "packet_agent.cpp",
+              'return hasFreeSlot(now) ? nullptr : "no_free_slot";', "return nullptr;"),
+    Mechanism("flows sent count as load", PLANE + "agent_directory.cpp",
+              "(report.busy - mean) * remembered + agent.sentSinceReport;", "(report.busy - mean) * remembered;"),
+    Mechanism("busy counts are forgotten", PLANE + "agent_directory.cpp",
+              "std::exp(-milliseconds(now - *agent.heardAt) / kBusyMemoryMs)", "1.0"),
+    Mechanism("own failure domain first", PLANE + "agent_directory.cpp",
+              "constexpr double kOtherDomainLoad = 0.15;", "constexpr double kOtherDomainLoad = 0;"),
+    Mechanism("cold upstreams get less", PLANE + "agent_directory.cpp",
+              "constexpr double kColdSlowdown = 2;", "constexpr double kColdSlowdown = 1;"),
+    Mechanism("owners are handed over", PLANE + "packet_balancer_nodes.cpp",
+              "        if (!flow.isOwnerKnown || flow.finished)\n            continue;",
+              "        if (!flow.isOwnerKnown || flow.finished || flow.isOwnerKnown)\n            continue;"),
+    Mechanism("failing upstreams are avoided", PLANE + "packet_agent_health.cpp",
+              "    m_health.note(outcome, m_working < slots(), now);\n", ""),
+]
+
+
+def apply(mechanism, folder):
+    path = folder / mechanism.file
+    text = path.read_text()
+    if text.count(mechanism.on) != 1:
+        raise SystemExit(f"ablate: {mechanism.name}: its switch does not fit {mechanism.file} any more")
+    path.write_text(text.replace(mechanism.on, mechanism.off))
+
+
+def score(options, site, folder, why):
+    command = [options.bench, "score", site, "--no-cpu", "--jobs", str(options.jobs), "--why", f"ablation: {why}"]
+    result = subprocess.run(command, cwd=folder, capture_output=True, text=True)
+    days = re.findall(r"^(?:trouble|scale)-\d+ +\S+ +\S+ +(\S+) +\S+ +(\S+) +(\S+) ", result.stdout, re.MULTILINE)
+    if not days:
+        return f"failed: {(result.stdout + result.stderr).strip()[-200:]}"
+    broken = "" if "GATE passed" in result.stdout else " GATE"
+    worth = sum(float(day[0]) for day in days) / len(days)
+    unserved = sum(float(day[1]) + float(day[2]) for day in days) / len(days)
+    return f"{worth:.3f} {unserved:.4f}{broken}"
+
+
+def run(options):
+    folder = pathlib.Path(options.folder)
+    if not folder.exists():
+        subprocess.run(["git", "clone", "-q", str(ROOT), str(folder)], check=True)
+    sites = [str(pathlib.Path(site).resolve()) for site in options.sites]
+    print("| mechanism off | " + " | ".join(pathlib.Path(site).stem for site in sites) + " |")
+    print("| --- |" + " --- |" * len(sites), flush=True)
+    wanted = options.only.split(",") if options.only else None
+    for mechanism in [None] + MECHANISMS:
+        name = mechanism.name if mechanism else "none"
+        if wanted and name not in wanted:
+            continue
+        subprocess.run(["git", "checkout", "-q", "--", "src"], cwd=folder, check=True)
+        if mechanism:
+            apply(mechanism, folder)
+        print(f"| {name} | " + " | ".join(score(options, site, folder, name) for site in sites) + " |", flush=True)
+    subprocess.run(["git", "checkout", "-q", "--", "src"], cwd=folder, check=True)
+    return 0
+
+
+def check():
+    for mechanism in MECHANISMS:
+        if (ROOT / mechanism.file).read_text().count(mechanism.on) != 1:
+            print(f"ablate: {mechanism.name}: its switch does not fit {mechanism.file} any more")
+            return 1
+    print(f"ablate: {len(MECHANISMS)} switches fit")
+    return 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--check", action="store_true")
+    parser.add_argument("--list", action="store_true")
+    parser.add_argument("--bench")
+    parser.add_argument("--folder", default="/tmp/citroncrank-ablation")
+    parser.add_argument("--only")
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("sites", nargs="*")
+    options = parser.parse_args()
+    if options.check:
+        return check()
+    if options.list:
+        print("\n".join(mechanism.name for mechanism in MECHANISMS))
+        return 0
+    if not options.bench or not options.sites:
+        parser.print_help()
+        return 2
+    return run(options)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
