packet balancer: draw loads from what old reports leave open

Cause: with 60 balancers a load report is 0.7 s old at placement (p50; work takes 55 to 72 ms), and all balancers rank the agents by the same reports, equal ones by address. Ruled out: missing slots (170 of about 210 possible answers each 0.1 s while agents stood idle), the order of the queues. Change: the load of an agent is drawn from the distribution that its last report leaves open (binomial rest of the reported requests, Poisson arrivals since), so it is exact for a new report and close to the mean for an old one; equal agents come in random order. The report carries the mean processing time, in place of a constant of 80 ms; a backlog is expected to last longer. agent_record.h and agent_load.h are parted from agent_directory.h. An older agent's report has no processing time: 50 ms.

--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -3,13 +3,13 @@
 /// @file
 /// State and load of the agents as one balancer sees them, and the choice of agents for new flows.
 
-#include "citroncrank/node_message.h"
+#include "citroncrank/agent_record.h"
 #include "citroncrank/time.h"
 
 #include <absl/container/btree_map.h>
-#include <compare>
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <span>
 #include <string>
 #include <string_view>
@@ -17,33 +17,6 @@
 
 namespace citroncrank {
 
-/// How usable an agent is for new flows. Lower is better.
-enum class agent_availability : std::uint8_t {
-    ready,
-    unconfirmed, ///< Its upstream has not sent an announcement yet.
-    failing,     ///< Its upstream fails requests.
-    silent,      ///< Listed or reported before, but its reports are overdue.
-    excluded,    ///< Its upstream is draining, silent or gone, or the agent is about to restart.
-};
-
-/// One agent.
-struct agent_record
-{
-    host_address address;
-    agent_report report;                   ///< Only service and domain are set before the first report.
-    std::optional<time_point> lastHeardAt; ///< Of the last report.
-    std::uint32_t sentSinceReport = 0;     ///< New flows that this balancer sent to it after the last report.
-    bool isListed = false;                 ///< The object store has an entry for it.
-    std::optional<time_point> listedAt;    ///< Time when the agent last became listed.
-    bool wasEntryMissing = false;          ///< Reported without an entry when takeMissingEntries() was last called.
-    bool isSilenceReported = false;        ///< takeNewlySilent() has returned it since its last report.
-    std::optional<time_point> lastReplyAt; ///< Of the last message other than a report.
-    std::uint32_t unansweredQueries = 0;   ///< Owner queries sent after its last message.
-    std::optional<time_point> firstUnansweredAt; ///< When the first of the unanswered queries was sent.
-    std::optional<time_point> lastQueriedAt;     ///< When the last owner query was sent.
-    auto operator<=>(const agent_record &) const = default;
-};
-
 /// Agents by address. Not thread safe.
 class agent_directory
 {
@@ -74,10 +47,10 @@
     bool isRepetitionAllowed(const host_address &address, time_point now) const;
 
     /// Agents of the service for a new flow, least loaded first, at most `count`. Only agents that share the best
-    /// availability found, without those in `excluded`.
+    /// availability found, without those in `excluded`. Draws their loads from what the reports leave open.
     std::vector<host_address> candidates(std::string_view service, std::string_view ownDomain,
-                                         std::span<const host_address> excluded, std::size_t count,
-                                         time_point now) const;
+                                         std::span<const host_address> excluded, std::size_t count, time_point now,
+                                         std::mt19937_64 *random) const;
 
     /// Failing agent of the service whose trial is due and to which this balancer has sent no flow since its last
     /// report.
@@ -105,9 +78,6 @@
     void removeStaleNodes(duration age, time_point now);
     std::size_t size() const { return m_agents.size(); }
 
-    /// Expected fraction of the agent's slots in use, including the flows sent since the last report. May exceed 1.
-    double expectedLoad(const agent_record &agent, time_point now) const;
-
 private:
     /// Ordered, so that the same input gives the same decisions in every process.
     absl::btree_map<host_address, agent_record> m_agents;
--- a/src/include/citroncrank/node_message.h
+++ b/src/include/citroncrank/node_message.h
@@ -119,6 +119,7 @@
     std::uint32_t meanBusyMilli = 0;    ///< Thousandths: `busy` averaged over about a second.
     std::uint32_t coldMilliseconds = 0; ///< Remaining warm-up time of the upstream.
     std::uint32_t periodMilliseconds = 0; ///< Time to the next report.
+    std::uint32_t processingMilliseconds = 0; ///< Mean processing time of a request. 0: unknown.
     bool isFailing = false;               ///< The upstream fails requests; other upstreams should get new flows.
     bool isTrialDue = false;              ///< The failing upstream may get one flow as a trial.
     auto operator<=>(const agent_report &) const = default;
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -122,8 +123,10 @@
     };
 
     bool isTrialAllowed(const packet_route &route, const std::string &service) const;
-    placement placeNewFlow(const packet_route &route, const std::string &service, time_point now) const;
-    placement placeFlow(const flow_key &key, const packet_route &route, time_point now) const;
+    placement placeNewFlow(const packet_route &route, const std::string &service, time_point now);
+    placement placeFlow(const flow_key &key, const packet_route &route, time_point now);
+    std::vector<host_address> placementCandidates(const std::string &service, std::span<const host_address> excluded,
+                                                  time_point now);
     void logPlacement(const packet_header &header, const packet_route &route, const placement &chosen, time_point now,
                       packet_actions *out) const;
     forwarded_packet makeForwardedPacket(forward_purpose purpose, const std::string &service, const flow_key &key,
--- a/src/libpacket/agent_directory.cpp
+++ b/src/libpacket/agent_directory.cpp
@@ -1,7 +1,8 @@
 #include "citroncrank/agent_directory.h"
 
+#include "citroncrank/agent_load.h"
+
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -15,15 +16,9 @@
 constexpr duration kReportSlack = std::chrono::milliseconds(100);
 // Used until an agent reports its own period.
 constexpr std::uint32_t kDefaultReportPeriodMs = 200;
-// Time constant with which the reported number of busy slots decays towards its mean. It is about the processing time
-// of one request; after that the mean is the better estimate.
-constexpr double kBusyDecayMs = 80;
 // Fraction of the slots. A round trip between failure domains takes about 9 ms, as much as waiting for a sixth of a
 // typical request.
 constexpr double kOtherDomainLoad = 0.15;
-// During its warm-up an upstream needs up to twice as long for a request.
-constexpr double kColdSlowdown = 2;
-
 // A restarting agent reports again sooner than this. An agent that is silent for longer does not serve its flows, so it
 // no longer keeps them from being reset.
 constexpr duration kOwnerSilenceTimeout = std::chrono::milliseconds(1500);
@@ -67,11 +62,6 @@
     return agent.report.state != agent_state::left && !isUnannounced;
 }
 
-double milliseconds(duration value)
-{
-    return std::chrono::duration<double, std::milli>(value).count();
-}
-
 } // namespace
 
 bool agent_directory::applyReport(const host_address &address, const agent_report &report, time_point now)
@@ -203,26 +193,18 @@
     return agent != nullptr && availability(*agent, now) == agent_availability::ready;
 }
 
-double agent_directory::expectedLoad(const agent_record &agent, time_point now) const
-{
-    const agent_report &report = agent.report;
-    if (!agent.lastHeardAt || report.slots == 0)
-        return agent.sentSinceReport;
-    const double mean = report.meanBusyMilli / 1000.0;
-    const double decay = std::exp(-milliseconds(now - *agent.lastHeardAt) / kBusyDecayMs);
-    const double busy = mean + (report.busy - mean) * decay + agent.sentSinceReport;
-    const double capacity = report.coldMilliseconds > 0 ? report.slots / kColdSlowdown : report.slots;
-    return busy / capacity;
-}
-
+// Many balancers choose at the same moment by reports of about the same age. Each draws the loads of its own, so that
+// they do not all choose the agent that was the least loaded one when it reported. Agents whose drawn loads are equal
+// come in random order for the same reason.
 std::vector<host_address> agent_directory::candidates(std::string_view service, std::string_view ownDomain,
                                                       std::span<const host_address> excluded, std::size_t count,
-                                                      time_point now) const
+                                                      time_point now, std::mt19937_64 *random) const
 {
     struct ranked
     {
         agent_availability availability = agent_availability::excluded;
         double load = 0;
+        std::uint64_t tieBreak = 0;
         host_address address;
     };
     std::vector<ranked> order;
@@ -232,18 +214,17 @@
             || std::find(excluded.begin(), excluded.end(), address) != excluded.end())
             continue;
         const double domainPenalty = agent.report.domain == ownDomain ? 0 : kOtherDomainLoad;
-        order.push_back({rank, expectedLoad(agent, now) + domainPenalty, address});
+        order.push_back({rank, drawLoad(estimateLoad(agent, now), random) + domainPenalty, (*random)(), address});
     }
-    std::sort(order.begin(), order.end(), [](const ranked &left, const ranked &right) {
-        return std::tie(left.availability, left.load, left.address)
-               < std::tie(right.availability, right.load, right.address);
-    });
+    const std::size_t taken = std::min(count, order.size());
+    std::partial_sort(order.begin(), order.begin() + std::ptrdiff_t(taken), order.end(),
+                      [](const ranked &left, const ranked &right) {
+                          return std::tie(left.availability, left.load, left.tieBreak)
+                                 < std::tie(right.availability, right.load, right.tieBreak);
+                      });
     std::vector<host_address> result;
-    for (const ranked &candidate : order) {
-        if (result.size() == count || candidate.availability != order.front().availability)
-            break;
-        result.push_back(candidate.address);
-    }
+    for (std::size_t i = 0; i < taken && order[i].availability == order.front().availability; ++i)
+        result.push_back(order[i].address);
     return result;
 }
 
--- a/src/libpacket/agent_directory_test.cpp
+++ b/src/libpacket/agent_directory_test.cpp
@@ -11,7 +11,8 @@
 
 std::vector<host_address> candidateAgents(const agent_directory &agents, time_point now)
 {
-    return agents.candidates(kService, "nbi-west", {}, 3, now);
+    std::mt19937_64 random;
+    return agents.candidates(kService, "nbi-west", {}, 3, now, &random);
 }
 
 } // namespace
--- a/src/libpacket/node_message.cpp
+++ b/src/libpacket/node_message.cpp
@@ -89,7 +89,8 @@
     const auto domain = out->CreateString(report.domain);
     return wire::CreateReport(*out, service, domain, report.incarnation, report.number, std::uint8_t(report.state),
                               report.slots, report.busy, report.flows, report.meanBusyMilli, report.coldMilliseconds,
-                              report.periodMilliseconds, report.isFailing, report.isTrialDue);
+                              report.periodMilliseconds, report.isFailing, report.isTrialDue,
+                              report.processingMilliseconds);
 }
 
 flatbuffers::Offset<void> encodeBody(builder *out, const agent_report &message)
@@ -228,6 +229,7 @@
                         .meanBusyMilli = source->mean_busy_milli(),
                         .coldMilliseconds = source->cold_ms(),
                         .periodMilliseconds = source->period_ms(),
+                        .processingMilliseconds = source->processing_ms(),
                         .isFailing = source->failing(),
                         .isTrialDue = source->trial_due()};
 }
--- a/src/libpacket/packet_agent_upstream.cpp
+++ b/src/libpacket/packet_agent_upstream.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cmath>
 
 namespace citroncrank {
 
@@ -194,6 +195,7 @@
             .meanBusyMilli = std::uint32_t(m_meanBusy * 1000),
             .coldMilliseconds = std::uint32_t(wholeMilliseconds(cold)),
             .periodMilliseconds = std::uint32_t(wholeMilliseconds(reportPeriod())),
+            .processingMilliseconds = std::uint32_t(std::lround(std::max(1.0, m_meanProcessingMs))),
             .isFailing = m_health.isFailing(),
             .isTrialDue = m_health.isTrialDue(now)};
 }
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -1,5 +1,7 @@
 #include "citroncrank/packet_balancer.h"
 
+#include "citroncrank/agent_load.h"
+
 #include "packet_balancer_pvt.h"
 
 #include <absl/strings/str_cat.h>
@@ -136,11 +138,17 @@
     });
 }
 
+std::vector<host_address> packet_balancer::placementCandidates(const std::string &service,
+                                                               std::span<const host_address> excluded, time_point now)
+{
+    return m_agents.candidates(service, m_settings.domain, excluded, kMaxAlternates + 1, now, &m_random);
+}
+
 // A trial flow also gets alternates that are not failing, for the case that the failing upstream does not accept it.
 packet_balancer::placement packet_balancer::placeNewFlow(const packet_route &route, const std::string &service,
-                                                         time_point now) const
+                                                         time_point now)
 {
-    placement chosen{service, m_agents.candidates(service, m_settings.domain, {}, kMaxAlternates + 1, now)};
+    placement chosen{service, placementCandidates(service, {}, now)};
     if (chosen.agents.empty() || !m_agents.isReady(chosen.agents.front(), now))
         return chosen;
     const auto trial = m_agents.trialCandidate(service, now);
@@ -153,8 +161,7 @@
 
 // A copy of an opening packet goes to the agent of the first one while that agent is alive and its upstream serves, so
 // that the flow opens at one upstream only.
-packet_balancer::placement packet_balancer::placeFlow(const flow_key &key, const packet_route &route,
-                                                      time_point now) const
+packet_balancer::placement packet_balancer::placeFlow(const flow_key &key, const packet_route &route, time_point now)
 {
     const std::string &service = chooseService(route, key);
     const auto known = m_flows.find(key);
@@ -166,7 +173,7 @@
         return {flow.service, {flow.owner}};
     if (agent != nullptr && agent->report.state == agent_state::draining && m_agents.isFresh(*agent, now))
         return {flow.service, {flow.owner}};
-    return {service, m_agents.candidates(service, m_settings.domain, std::vector{flow.owner}, kMaxAlternates + 1, now)};
+    return {service, placementCandidates(service, std::vector{flow.owner}, now)};
 }
 
 void packet_balancer::openFlow(packet arrived, const packet_route &route, time_point now, packet_actions *out)
@@ -210,8 +217,9 @@
         absl::StrCat("placed flow, flow=", toString(flowFromCaller(header)), " copy=", header.acknowledged,
                      " service=", chosen.service, " route=", route.name, " agent=", toString(chosen.agents.front()),
                      " trial=", chosen.isTrial,
-                     " load_percent=", isHeard ? int(100 * m_agents.expectedLoad(*agent, now)) : 0, " report_age_ms=",
-                     isHeard ? wholeMilliseconds(now - *agent->lastHeardAt) : -1, " routes=", routesVersion()),
+                     " load_percent=", isHeard ? int(100 * expectedLoad(estimateLoad(*agent, now))) : 0,
+                     " report_age_ms=", isHeard ? wholeMilliseconds(now - *agent->lastHeardAt) : -1,
+                     " routes=", routesVersion()),
         out);
 }
 
@@ -360,7 +368,7 @@
     balancer_flow &flow = found->second;
     addUnique(agent, &flow.rejectedBy);
     addUnique(flow.owner, &flow.rejectedBy);
-    const auto order = m_agents.candidates(flow.service, m_settings.domain, flow.rejectedBy, kMaxAlternates + 1, now);
+    const auto order = placementCandidates(flow.service, flow.rejectedBy, now);
     if (order.empty()) {
         m_flows.erase(found);
         rejectPacket(returned, toString(reason), out);
--- a/src/libpacket/packet_fixture_test.h
+++ b/src/libpacket/packet_fixture_test.h
@@ -164,7 +164,8 @@
             .flows = 0,
             .meanBusyMilli = std::uint32_t(busy * 1000U),
             .coldMilliseconds = 0,
-            .periodMilliseconds = 200};
+            .periodMilliseconds = 200,
+            .processingMilliseconds = 50};
 }
 
 inline std::shared_ptr<const route_set> makeRoutes(std::uint64_t version, const std::string &service = kService)
--- a/src/libsimulation/packet_simulation.cpp
+++ b/src/libsimulation/packet_simulation.cpp
@@ -401,7 +401,7 @@
 
     void forwardByHash(std::size_t balancer, const packet_header &header, const std::string &bytes)
     {
-        const auto agents = m_balancers[balancer]->agents().candidates(kMainService, "a", {}, m_schedule.agents, m_now);
+        const auto agents = m_balancers[balancer]->agents().candidates(kMainService, "a", {}, m_schedule.agents, m_now, &m_random);
         if (agents.empty())
             return;
         auto sorted = agents;
