packet agent: the age of a request follows from its caller's budget, not from the route's timeout

Cause: an agent took the timeout of the route less the caller's remaining time as the age of a request. Callers with little time (4 % of them have 1 s) looked three seconds old. Change: the longest remaining time seen for a service address in the last 10 to 20 s is the budget. A request that is not the first one of a flow has no age, since callers open a new flow for each attempt. Lines on requests give age_ms, answers also target_ms. Tests that failed first: AgeOfARequestDoesNotFollowFromTheTimeoutOfItsRoute (three of six requests were late on arrival).

--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -4,6 +4,7 @@
 /// Decisions of an agent on the packet path: which packets its upstream gets, which flows the upstream holds, and which
 /// requests it has in progress. Performs no I/O; the caller carries out the returned actions.
 
+#include "citroncrank/caller_budget.h"
 #include "citroncrank/flow_snapshot.h"
 #include "citroncrank/packet_action.h"
 #include "citroncrank/request_head.h"
@@ -174,12 +175,14 @@
         bool isRestored = false;  ///< Known only from a snapshot; the upstream has sent no packet of it since.
         bool callerFinished = false;
         bool upstreamFinished = false;
-        bool isExpected = false; ///< Counts as a request that is about to arrive.
+        bool isFirstRequestDue = false; ///< Opened at this agent and has carried no request yet.
+        bool isExpected = false;        ///< Counts as a request that is about to arrive.
         request_phase request = request_phase::none;
         bool awaitsAnswerHead = false; ///< The head of the answer has not been seen yet.
         std::uint32_t answerStart = 0; ///< Sequence number at which the answer to the last request begins.
         std::string requestId;
         std::vector<packet> held;    ///< Packets of the waiting request, in order of arrival.
+        duration requestAge{0};      ///< Time from the caller's first attempt of the request to its arrival.
         time_point requestArrivedAt; ///< When the first packet of the request arrived.
         time_point processingSince;  ///< When the request was delivered to the upstream.
         time_point requestDeadline;  ///< The caller times out at this time.
@@ -206,6 +209,7 @@
     void identifyRequest(const flow_key &key, agent_flow *flow, const packet &content, packet_actions *out);
     void beginRequest(const flow_key &key, agent_flow *flow, const packet &content, time_point now,
                       packet_actions *out);
+    duration requestAge(const flow_key &key, const agent_flow &flow, const request_head &head, time_point now);
     waiting_request waitingRequest(const flow_key &key, const agent_flow &flow, const request_head &head,
                                    time_point now) const;
     void startProcessing(const flow_key &key, agent_flow *flow, time_point now, packet_actions *out);
@@ -277,6 +281,7 @@
     std::deque<std::pair<time_point, flow_key>> m_openingsSent; ///< Opening packets, in order of delivery.
     std::deque<std::pair<time_point, flow_key>> m_requestsSent; ///< Requests, in order of delivery.
     std::deque<std::pair<time_point, flow_key>> m_probesSent;   ///< Requests on flows that the upstream may not hold.
+    caller_budgets m_callerBudgets;
     request_queue m_queue;
     std::deque<flow_key> m_waitingProbes; ///< Requests on flows that the upstream may not hold, in order of arrival.
     std::size_t m_requestsInProgress = 0;
--- a/src/libpacket/packet_agent_opening.cpp
+++ b/src/libpacket/packet_agent_opening.cpp
@@ -156,6 +156,7 @@
     flow.alternates = std::move(arrived.alternates);
     flow.service = std::move(arrived.service);
     flow.limits = arrived.limits;
+    flow.isFirstRequestDue = true;
     expectRequest(key, &flow, now);
     m_openingsSent.emplace_back(now, key);
     if (m_health.isFailing())
--- a/src/libpacket/packet_agent_requests.cpp
+++ b/src/libpacket/packet_agent_requests.cpp
@@ -114,18 +114,25 @@
         logRequest(key, *flow, "request identified", out);
 }
 
+// Callers open a new flow for each attempt, so only the first request on a flow may be a repeated one.
+duration packet_agent::requestAge(const flow_key &key, const agent_flow &flow, const request_head &head, time_point now)
+{
+    if (!head.remainingMs)
+        return duration(0);
+    return m_callerBudgets.requestAge(key.service, *head.remainingMs, !flow.isFirstRequestDue, now);
+}
+
 waiting_request packet_agent::waitingRequest(const flow_key &key, const agent_flow &flow, const request_head &head,
                                              time_point now) const
 {
     const std::uint32_t timeout = flow.limits.timeoutMs == 0 ? kDefaultTimeoutMs : flow.limits.timeoutMs;
     const std::uint32_t left = std::min(head.remainingMs.value_or(timeout), timeout);
-    const double age = timeout - left;
     const double target = flow.limits.latencyTargetMs == 0 ? timeout : flow.limits.latencyTargetMs;
     return {.flow = key,
             .priority = flow.limits.priority,
             .arrival = now,
-            .startDeadline =
-                now + fromMilliseconds(target - age - kAnswerDelayMs - kProcessingTimeMargin * m_meanProcessingMs),
+            .startDeadline = now - flow.requestAge
+                             + fromMilliseconds(target - kAnswerDelayMs - kProcessingTimeMargin * m_meanProcessingMs),
             .deadline = now + milliseconds(left)};
 }
 
@@ -138,7 +145,9 @@
     ++m_counts.requests;
     flow->requestArrivedAt = now;
     request_head head = m_readHead(payload(content));
+    flow->requestAge = requestAge(key, *flow, head, now);
     const waiting_request request = waitingRequest(key, *flow, head, now);
+    flow->isFirstRequestDue = false;
     flow->requestId = std::move(head.id);
     flow->requestDeadline = request.deadline;
     m_meanSlackMs += kMeanWeight * (std::max(0.0, toMilliseconds(request.startDeadline - now)) - m_meanSlackMs);
@@ -220,7 +229,7 @@
     log(log_class::request,
         absl::StrCat(what, ", request=", flow.requestId, " flow=", toString(key),
                      " held=", flow.phase == flow_phase::probing ? "unknown" : "yes", " working=", m_requestsInProgress,
-                     " waiting=", m_queue.size(),
+                     " waiting=", m_queue.size(), " age_ms=", wholeMilliseconds(flow.requestAge),
                      " left_ms=", wholeMilliseconds(flow.requestDeadline - flow.requestArrivedAt),
                      " state=", toString(m_state), " announcement=", m_upstream ? m_upstream->number : 0),
         out);
@@ -283,7 +292,8 @@
     log(log_class::request,
         absl::StrCat("request answered, request=", flow->requestId, " flow=", toString(key),
                      " status=", observed.status, " ms=", wholeMilliseconds(observed.latency),
-                     " at_work_ms=", wholeMilliseconds(now - flow->processingSince)),
+                     " at_work_ms=", wholeMilliseconds(now - flow->processingSince),
+                     " age_ms=", wholeMilliseconds(flow->requestAge), " target_ms=", flow->limits.latencyTargetMs),
         out);
 }
 
--- a/src/libpacket/packet_agent_requests_test.cpp
+++ b/src/libpacket/packet_agent_requests_test.cpp
@@ -423,3 +423,30 @@
     now += seconds(1);
     EXPECT_EQ(core.report(now).busy, 3U);
 }
+
+// Guards against requests that count as late on arrival because the operator raised the timeout of their route above
+// the time that callers wait (config_change, timeout).
+TEST_F(PacketAgent, AgeOfARequestDoesNotFollowFromTheTimeoutOfItsRoute)
+{
+    const auto request = [&](std::uint16_t port) {
+        for (const bool isOpening : {true, false}) {
+            packet_header header =
+                isOpening ? openingPacket().header : callerPacket(kUpstreamInitialSequence + 1).header;
+            header.source.port = port;
+            core.message(
+                kBalancer,
+                forwarded_packet{
+                    .purpose = isOpening ? forward_purpose::open : forward_purpose::to_owner,
+                    .service = kService,
+                    .origin = kBalancer,
+                    .limits = {.latencyTargetMs = 300, .timeoutMs = 4000},
+                    .packetBytes =
+                        makePacket(header, isOpening ? "" : "GET / HTTP/1.1\r\nTest-Left: 2500\r\n\r\n").bytes},
+                now, &actions);
+        }
+    };
+    for (std::uint16_t port = 1; port <= 6; ++port)
+        request(port);
+    EXPECT_EQ(core.busy(), 6U);
+    EXPECT_EQ(core.competingRequests(now), 6U) << "three wait and can meet their target";
+}
