--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -32,9 +32,9 @@
     Mechanism("flow snapshots", "src/libpacketnode/packet_node_settings.cpp",
               '.minSnapshotInterval = values.getDuration("snapshot-pause")', ".minSnapshotInterval = duration(0)"),
     Mechanism("probes wait for answers", PACKET + "packet_balancer_owners.cpp",
-              "    const auto contains = [](const std::vector<host_address> &agents",
+              "    return std::any_of(flow.queriedAgents.begin(), flow.queriedAgents.end(), [&]",
               "    if (!flow.queriedAgents.empty())\n        return false;\n"
-              "    const auto contains = [](const std::vector<host_address> &agents"),
+              "    return std::any_of(flow.queriedAgents.begin(), flow.queriedAgents.end(), [&]"),
     Mechanism("requests wait at the agent", PACKET + "packet_agent_requests.cpp",
               "return slots() + kReadyRequests;", "return slots() + 1000;"),
     Mechanism("one request ready at the upstream", PACKET + "packet_agent_requests.cpp",
--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -37,6 +37,10 @@
     std::optional<time_point> listedAt;    ///< Time when the agent last became listed.
     bool wasEntryMissing = false;          ///< Reported without an entry when takeMissingEntries() was last called.
     bool isSilenceReported = false;        ///< takeNewlySilent() has returned it since its last report.
+    std::optional<time_point> lastReplyAt; ///< Of the last message other than a report.
+    std::uint32_t unansweredQueries = 0;   ///< Owner queries sent after its last message.
+    std::optional<time_point> firstUnansweredAt; ///< When the first of the unanswered queries was sent.
+    std::optional<time_point> lastQueriedAt;     ///< When the last owner query was sent.
     auto operator<=>(const agent_record &) const = default;
 };
 
@@ -52,6 +56,10 @@
     void markUnlisted(const host_address &address);
     /// Counts a new flow sent to the agent until its next report.
     void recordFlowSent(const host_address &address);
+    /// Counts an owner query sent to the agent until its next message.
+    void recordQuery(const host_address &address, time_point now);
+    /// Records a message of the agent. Returns whether a query was overdue for a reply until then.
+    bool recordReply(const host_address &address, time_point now);
 
     const agent_record *find(const host_address &address) const;
     agent_availability availability(const agent_record &agent, time_point now) const;
@@ -59,6 +67,11 @@
     bool isReady(const host_address &address, time_point now) const;
     /// Whether the last report of the agent is recent enough to treat the agent as alive.
     bool isFresh(const agent_record &agent, time_point now) const;
+    /// Whether the agent is taken as not running: it has neither reported nor replied to queries for so long that lost
+    /// messages and a restart do not explain it. Never true without an unanswered query.
+    bool isUnresponsive(const agent_record &agent, time_point now) const;
+    /// Whether an unanswered query may be repeated now. Agents that are overdue with a reply get few repetitions.
+    bool isRepetitionAllowed(const host_address &address, time_point now) const;
 
     /// Agents of the service for a new flow, least loaded first, at most `count`. Only agents that share the best
     /// availability found, without those in `excluded`.
@@ -86,7 +99,7 @@
     /// Whether a flow that the agents in `nackedBy` do not own has no owner at all. False while
     /// remainingOwnerCandidates() is not empty, and while no agent that may own flows is known.
     bool isUnowned(std::span<const host_address> nackedBy, time_point now) const;
-    /// Agents that may still own the flow: heard or listed recently, and not in `nackedBy` or with overdue reports.
+    /// Agents that may still own the flow: not unresponsive, and not in `nackedBy` or with overdue reports.
     std::vector<host_address> remainingOwnerCandidates(std::span<const host_address> nackedBy, time_point now) const;
     /// Removes agents that are not listed and whose last report is older than `age`.
     void removeStaleNodes(duration age, time_point now);
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -103,6 +103,8 @@
         std::vector<host_address> uncertainAgents; ///< Agents that cannot tell whether their upstreams hold the flow.
         std::vector<host_address> probedAgents;    ///< Agents that were sent lastPacket to test their upstreams.
         time_point queriedAt;
+        time_point repeatQueryAt;             ///< When unanswered owner queries are sent again.
+        duration repeatDelay{0};              ///< Time until the next repetition after that.
         std::vector<std::string> heldPackets; ///< Received during a pending owner query, sent once the owner is known.
         packet lastPacket; ///< Packet that caused the pending owner query, kept for agents found later.
         std::vector<held_packet> heldForRestart; ///< Data packets held during a planned restart of the owner.
@@ -137,6 +139,10 @@
     std::string serviceForAgent(const balancer_flow &flow, const host_address &agent) const;
     bool isNackedByService(const balancer_flow &flow, time_point now) const;
     void queryRemainingAgents(balancer_flow *flow, const flow_key &key, time_point now, packet_actions *out);
+    void sendOwnerQuery(const host_address &agent, const balancer_flow &flow, const flow_key &key, time_point now,
+                        packet_actions *out);
+    void repeatUnansweredQueries(balancer_flow *flow, const flow_key &key, time_point now, packet_actions *out);
+    void onAgentReply(const host_address &agent, time_point now);
     void logPendingOwnerQuery(const flow_key &key, const balancer_flow &flow, time_point now,
                               packet_actions *out) const;
     void retryOwnerQueries(time_point now, packet_actions *out);
--- a/src/libpacket/agent_directory.cpp
+++ b/src/libpacket/agent_directory.cpp
@@ -27,12 +27,37 @@
 // A restarting agent reports again sooner than this. An agent that is silent for longer does not serve its flows, so it
 // no longer keeps them from being reset.
 constexpr duration kOwnerSilenceTimeout = std::chrono::milliseconds(1500);
+// Overdue reports and unanswered queries together. At 5 % loss, that many messages of a running agent are lost in a row
+// once in three million cases.
+constexpr std::int64_t kMinMissingMessages = 5;
+// A reply takes at most a round trip between failure domains; one that is missing for longer is overdue.
+constexpr duration kReplyTimeout = std::chrono::milliseconds(50);
+// Shortest time between two queries to an agent that is overdue with a reply. Many flows may wait for its reply.
+constexpr duration kRepetitionPause = std::chrono::milliseconds(100);
 
-/// Time since the agent's last report or since it became listed, whichever is later.
+/// Time since the agent's last message or since it became listed, whichever is later.
 duration timeSinceHeard(const agent_record &agent, time_point now)
 {
     const time_point listedAt = agent.listedAt.value_or(time_point{});
-    return now - std::max(agent.lastHeardAt.value_or(listedAt), listedAt);
+    const time_point heardAt = std::max(agent.lastHeardAt.value_or(listedAt), agent.lastReplyAt.value_or(listedAt));
+    return now - std::max(heardAt, listedAt);
+}
+
+duration reportPeriod(const agent_record &agent)
+{
+    return std::chrono::milliseconds(agent.report.periodMilliseconds == 0 ? kDefaultReportPeriodMs
+                                                                          : agent.report.periodMilliseconds);
+}
+
+bool isReplyOverdue(const agent_record &agent, time_point now)
+{
+    return agent.firstUnansweredAt && now - *agent.firstUnansweredAt >= kReplyTimeout;
+}
+
+void clearUnanswered(agent_record *agent)
+{
+    agent->unansweredQueries = 0;
+    agent->firstUnansweredAt = std::nullopt;
 }
 
 // An agent is listed from its upstream's first announcement on; before that, its upstream holds no flow.
@@ -64,6 +89,7 @@
     agent.lastHeardAt = now;
     agent.sentSinceReport = 0;
     agent.isSilenceReported = false;
+    clearUnanswered(&agent);
     return true;
 }
 
@@ -95,6 +121,29 @@
         ++found->second.sentSinceReport;
 }
 
+void agent_directory::recordQuery(const host_address &address, time_point now)
+{
+    const auto found = m_agents.find(address);
+    if (found == m_agents.end())
+        return;
+    agent_record &agent = found->second;
+    if (!agent.firstUnansweredAt)
+        agent.firstUnansweredAt = now;
+    ++agent.unansweredQueries;
+    agent.lastQueriedAt = now;
+}
+
+bool agent_directory::recordReply(const host_address &address, time_point now)
+{
+    const auto found = m_agents.find(address);
+    if (found == m_agents.end())
+        return false;
+    const bool wasOverdue = isReplyOverdue(found->second, now);
+    found->second.lastReplyAt = now;
+    clearUnanswered(&found->second);
+    return wasOverdue;
+}
+
 const agent_record *agent_directory::find(const host_address &address) const
 {
     const auto found = m_agents.find(address);
@@ -105,8 +154,29 @@
 {
     if (!agent.lastHeardAt)
         return false;
-    const auto period = agent.report.periodMilliseconds == 0 ? kDefaultReportPeriodMs : agent.report.periodMilliseconds;
-    return now - *agent.lastHeardAt <= kMaxMissedReports * std::chrono::milliseconds(period) + kReportSlack;
+    return now - *agent.lastHeardAt <= kMaxMissedReports * reportPeriod(agent) + kReportSlack;
+}
+
+// In a large fleet an agent reports to each balancer rarely, so its silence shows only when it does not reply to
+// queries. Where reports are frequent, their absence shows it before the first query.
+bool agent_directory::isUnresponsive(const agent_record &agent, time_point now) const
+{
+    if (!isReplyOverdue(agent, now))
+        return false;
+    const duration sinceHeard = timeSinceHeard(agent, now);
+    const duration sinceReportDue =
+        sinceHeard + std::chrono::milliseconds(kDefaultReportPeriodMs) - reportPeriod(agent);
+    const duration silence = std::max(sinceReportDue, now - *agent.firstUnansweredAt);
+    const std::int64_t missedReports = (sinceHeard - kReportSlack) / reportPeriod(agent);
+    return silence >= kOwnerSilenceTimeout && missedReports + agent.unansweredQueries >= kMinMissingMessages;
+}
+
+bool agent_directory::isRepetitionAllowed(const host_address &address, time_point now) const
+{
+    const agent_record *const agent = find(address);
+    if (agent == nullptr)
+        return false;
+    return !isReplyOverdue(*agent, now) || !agent->lastQueriedAt || now - *agent->lastQueriedAt >= kRepetitionPause;
 }
 
 agent_availability agent_directory::availability(const agent_record &agent, time_point now) const
@@ -267,7 +337,7 @@
 {
     std::vector<host_address> result;
     for (const auto &[address, agent] : m_agents) {
-        if (!canOwnFlows(agent) || timeSinceHeard(agent, now) >= kOwnerSilenceTimeout)
+        if (!canOwnFlows(agent) || isUnresponsive(agent, now))
             continue;
         const bool isNacked = std::find(nackedBy.begin(), nackedBy.end(), address) != nackedBy.end();
         if (!isNacked || !isFresh(agent, now))
--- a/src/libpacket/agent_directory_test.cpp
+++ b/src/libpacket/agent_directory_test.cpp
@@ -83,6 +83,7 @@
     agents.markListed(kAgentA, kService, "nbi-west", now);
     agents.markListed(kAgentB, kService, "nbi-west", now);
     agents.applyReport(kAgentA, makeReport(1), now);
+    agents.recordQuery(kAgentB, now);
     const std::vector nackedBy{kAgentA};
     EXPECT_FALSE(agents.isUnowned(nackedBy, now));
     now += seconds(1);
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -311,6 +311,7 @@
             self->log(log_class::refusal, absl::StrCat("dropped forwarded packet, from=", toString(from)), out);
         }
     };
+    onAgentReply(from, now);
     std::visit(visitor{this, from, now, out}, arrived);
 }
 
--- a/src/libpacket/packet_balancer_owners.cpp
+++ b/src/libpacket/packet_balancer_owners.cpp
@@ -21,6 +21,13 @@
 constexpr duration kOwnerResolutionTimeout = std::chrono::seconds(2);
 // Agents that are not listed yet report within this time after a balancer's start.
 constexpr duration kAgentDiscoveryTime = milliseconds(300);
+// The pause before an unanswered owner query is repeated doubles each time.
+constexpr duration kFirstRepeatDelay = milliseconds(100);
+
+bool contains(const std::vector<host_address> &agents, const host_address &agent)
+{
+    return std::find(agents.begin(), agents.end(), agent) != agents.end();
+}
 
 } // namespace
 
@@ -50,6 +57,8 @@
     }
     flow->lastPacket = std::move(arrived);
     flow->queriedAt = now;
+    flow->repeatQueryAt = now + kFirstRepeatDelay;
+    flow->repeatDelay = 2 * kFirstRepeatDelay;
     if (m_pendingOwnerQueries.size() < kMaxPendingOwnerQueries)
         m_pendingOwnerQueries.insert(key);
     queryRemainingAgents(flow, key, now, out);
@@ -80,7 +89,7 @@
 {
     bool isAnyNacked = false;
     for (const host_address &agent : m_agents.ownerCandidates(flow.service)) {
-        const bool isNacked = std::find(flow.rejectedBy.begin(), flow.rejectedBy.end(), agent) != flow.rejectedBy.end();
+        const bool isNacked = contains(flow.rejectedBy, agent);
         isAnyNacked = isAnyNacked || isNacked;
         if (!isNacked && m_agents.isFresh(*m_agents.find(agent), now))
             return false;
@@ -95,21 +104,56 @@
     const bool areOthersQueried = isNackedByService(*flow, now);
     const auto agents = m_agents.ownerCandidates(areOthersQueried ? std::string() : flow->service);
     std::size_t queryCount = 0;
-    const packet_header &header = flow->lastPacket.header;
     for (const host_address &agent : agents) {
         if (!addUnique(agent, &flow->queriedAgents))
             continue;
         ++queryCount;
-        out->emplace_back(send_to_node{
-            agent, owner_query{key, serviceForAgent(*flow, agent), header.acknowledges, header.acknowledged}});
+        sendOwnerQuery(agent, *flow, key, now, out);
     }
     if (queryCount > 0)
         log(log_class::owner,
             absl::StrCat("asked agents for the owner, flow=", toString(key), " agents=", queryCount,
-                         " denied=", flow->rejectedBy.size(), " data=", header.dataBytes),
+                         " denied=", flow->rejectedBy.size(), " data=", flow->lastPacket.header.dataBytes),
             out);
 }
 
+void packet_balancer::sendOwnerQuery(const host_address &agent, const balancer_flow &flow, const flow_key &key,
+                                     time_point now, packet_actions *out)
+{
+    const packet_header &header = flow.lastPacket.header;
+    m_agents.recordQuery(agent, now);
+    out->emplace_back(
+        send_to_node{agent, owner_query{key, serviceForAgent(flow, agent), header.acknowledges, header.acknowledged}});
+}
+
+// A lost query or reply would otherwise delay the flow until its caller retransmits, and only repeated queries show that
+// an agent that reports rarely is not running.
+void packet_balancer::repeatUnansweredQueries(balancer_flow *flow, const flow_key &key, time_point now,
+                                              packet_actions *out)
+{
+    if (now < flow->repeatQueryAt)
+        return;
+    flow->repeatQueryAt = now + flow->repeatDelay;
+    flow->repeatDelay *= 2;
+    for (const host_address &agent : flow->queriedAgents) {
+        if (!contains(flow->rejectedBy, agent) && !contains(flow->uncertainAgents, agent)
+            && m_agents.isRepetitionAllowed(agent, now))
+            sendOwnerQuery(agent, *flow, key, now, out);
+    }
+}
+
+// Repetitions to an agent that was overdue with a reply were limited, so they are made up for now that it replies.
+void packet_balancer::onAgentReply(const host_address &agent, time_point now)
+{
+    if (!m_agents.recordReply(agent, now))
+        return;
+    for (const flow_key &key : m_pendingOwnerQueries) {
+        const auto found = m_flows.find(key);
+        if (found != m_flows.end())
+            found->second.repeatQueryAt = std::min(found->second.repeatQueryAt, now);
+    }
+}
+
 // After a balancer's start its agents become known one by one, and negative replies are conclusive only once all are
 // known. Without retries a caller would wait until its next retransmission.
 void packet_balancer::retryOwnerQueries(time_point now, packet_actions *out)
@@ -130,6 +174,7 @@
             continue;
         }
         queryRemainingAgents(&found->second, key, now, out);
+        repeatUnansweredQueries(&found->second, key, now, out);
         // A reply that is still missing after the timeout counts as lost.
         if (now - found->second.queriedAt >= kOwnerQueryTimeout)
             probeUncertainAgents(&found->second, key, out);
@@ -148,8 +193,7 @@
     found->second.rejectedBy.clear();
     found->second.queriedAgents.clear();
     packet last = std::exchange(found->second.lastPacket, {});
-    const bool isProbed = std::find(found->second.probedAgents.begin(), found->second.probedAgents.end(), agent)
-                          != found->second.probedAgents.end();
+    const bool isProbed = contains(found->second.probedAgents, agent);
     const bool isRecent = now - found->second.queriedAt <= kMaxQueriedPacketAge;
     if (!isProbed && isRecent && !last.bytes.empty())
         forward(agent, forward_purpose::to_owner, found->second.service, flow, std::move(last.bytes), {}, out);
@@ -186,9 +230,6 @@
 
 bool packet_balancer::isAnswerMissing(const balancer_flow &flow, time_point now) const
 {
-    const auto contains = [](const std::vector<host_address> &agents, const host_address &agent) {
-        return std::find(agents.begin(), agents.end(), agent) != agents.end();
-    };
     return std::any_of(flow.queriedAgents.begin(), flow.queriedAgents.end(), [&](const host_address &agent) {
         const agent_record *const record = m_agents.find(agent);
         const bool isAnswered = contains(flow.rejectedBy, agent) || contains(flow.uncertainAgents, agent);
--- a/src/libpacket/packet_balancer_owners_test.cpp
+++ b/src/libpacket/packet_balancer_owners_test.cpp
@@ -328,3 +328,79 @@
     core.advance(now, &actions);
     EXPECT_EQ(resets(), 1U);
 }
+
+namespace {
+
+/// Report of an agent in a fleet with many balancers.
+agent_report makeRareReport(std::uint64_t number)
+{
+    agent_report report = makeReport(number);
+    report.periodMilliseconds = 1500;
+    return report;
+}
+
+} // namespace
+
+// Guards against the reset of an open flow whose owner is alive but reports rarely, as in a large fleet (fleetbench run
+// ofnbokun-large quiet-1, FLOW at 19.356 s: 61 balancers, so each agent reports to each of them every 1.5 s).
+TEST_F(PacketBalancer, AgentThatReportsRarelyIsWaitedFor)
+{
+    ++number;
+    for (const host_address &agent : {kAgentA, kAgentB})
+        core.message(agent, makeRareReport(number), now, &actions);
+    advance(milliseconds(1800));
+    fromCaller(callerPacket(77));
+    nack(kAgentA, callerPacket(77));
+    EXPECT_EQ(resets(), 0U);
+    advance(milliseconds(100));
+    core.advance(now, &actions);
+    EXPECT_EQ(resets(), 0U);
+    core.message(kAgentB, owner_notice{kFlow}, now, &actions);
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_EQ(forwarded()[0].first, kAgentB);
+}
+
+// Guards against callers of ended flows that wait until their timeout in a large fleet, because the end of an agent
+// shows in its reports only after several of their long periods.
+TEST_F(PacketBalancer, AgentThatReportsRarelyAndAnswersNoQueryIsNotWaitedForLong)
+{
+    ++number;
+    for (const host_address &agent : {kAgentA, kAgentB})
+        core.message(agent, makeRareReport(number), now, &actions);
+    advance(milliseconds(200));
+    fromCaller(callerPacket(77));
+    nack(kAgentA, callerPacket(77));
+    const time_point queriedAt = now;
+    while (resets() == 0 && now - queriedAt < seconds(3)) {
+        advance(kBalancerTick);
+        core.advance(now, &actions);
+        nack(kAgentA, callerPacket(77));
+    }
+    EXPECT_GE(now - queriedAt, milliseconds(1500)) << "an agent that restarts is silent for that long";
+    EXPECT_LE(now - queriedAt, seconds(2));
+    // The next flow does not wait again.
+    actions.clear();
+    packet next = callerPacket(78);
+    next.header.source.port += 1;
+    core.callerPacket(makePacket(next.header), now, &actions);
+    nack(kAgentA, next);
+    EXPECT_EQ(resets(), 1U);
+}
+
+// Guards against the reset of a flow because a few datagrams of its rarely reporting owner were lost.
+TEST_F(PacketBalancer, LostRepliesOfAnAgentThatReportsRarelyAreNoSilence)
+{
+    ++number;
+    for (const host_address &agent : {kAgentA, kAgentB})
+        core.message(agent, makeRareReport(number), now, &actions);
+    advance(milliseconds(2900)); // The report of agent B that was due at 1500 ms was lost.
+    core.message(kAgentA, makeRareReport(++number), now, &actions);
+    fromCaller(callerPacket(77));
+    nack(kAgentA, callerPacket(77));
+    for (int lost = 0; lost < 3; ++lost) {
+        advance(kBalancerTick);
+        core.advance(now, &actions);
+        EXPECT_EQ(resets(), 0U) << lost;
+    }
+    EXPECT_GE(ownerQueries().size(), 3U) << "a query without a reply is repeated";
+}
--- a/src/libsimulation/packet_guarantees_test.cpp
+++ b/src/libsimulation/packet_guarantees_test.cpp
@@ -54,6 +54,51 @@
     EXPECT_GT(total.answered, 10'000U);
 }
 
+namespace {
+
+/// Number of nodes, and of schedules to run with them.
+struct fleet_size
+{
+    std::size_t balancers = 0;
+    std::size_t agents = 0;
+    std::uint64_t schedules = 0;
+};
+
+class PacketGuaranteesBySize : public ::testing::TestWithParam<fleet_size>
+{};
+
+} // namespace
+
+// P1, P3, P7 at any size of the fleet. Guards against rules that hold only while every agent reports to every balancer
+// several times a second (fleetbench run ofnbokun-large quiet-1: open flows were reset with 61 balancers).
+TEST_P(PacketGuaranteesBySize, PlannedChangesBreakNoFlow)
+{
+    packet_outcome total;
+    for (std::uint64_t seed = 1; seed <= GetParam().schedules; ++seed) {
+        const packet_outcome outcome = runPacketSchedule({.seed = seed,
+                                                          .balancers = GetParam().balancers,
+                                                          .agents = GetParam().agents,
+                                                          .callers = 12,
+                                                          .loss = 0.002,
+                                                          .maxDelay = milliseconds(8),
+                                                          .replacesBalancers = true,
+                                                          .restartsAgents = true,
+                                                          .changesRouting = true,
+                                                          .requestsPerFlow = 40,
+                                                          .requestPause = milliseconds(100)},
+                                                         kLength);
+        EXPECT_EQ(outcome.violations(), 0U) << "seed " << seed << " resets " << outcome.falseResets;
+        total.answered += outcome.answered;
+        total.timedOut += outcome.timedOut;
+    }
+    EXPECT_EQ(total.timedOut, 0U);
+    EXPECT_GT(total.answered, 500 * GetParam().schedules);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, PacketGuaranteesBySize,
+                         ::testing::Values(fleet_size{5, 10, 40}, fleet_size{60, 140, 4}, fleet_size{300, 600, 1}),
+                         [](const auto &tested) { return "Balancers" + std::to_string(tested.param.balancers); });
+
 // P1 to P6 with lost, delayed and duplicated packets, while balancers and agents are replaced and upstreams drain and
 // crash.
 TEST(PacketGuarantees, HoldUnderLossAndFailures)
--- a/src/libsimulation/packet_simulation_pvt.h
+++ b/src/libsimulation/packet_simulation_pvt.h
@@ -23,6 +23,9 @@
 struct packet_schedule
 {
     std::uint64_t seed = 1;
+    std::size_t balancers = 2;
+    std::size_t agents = 4; ///< The last one belongs to another service than the callers'.
+    std::size_t callers = 4;
     double loss = 0;        ///< Probability that a datagram is lost.
     double duplication = 0; ///< Probability that a datagram arrives twice.
     duration maxDelay{0};   ///< Longest one-way delay of a datagram.
