--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -23,6 +23,8 @@
 public:
     /// Records a report. Returns false and changes nothing if it is older than the last one.
     bool applyReport(const host_address &address, const agent_report &report, time_point now);
+    /// Records the load of a known agent, as measured after its last report.
+    void applyLoad(const agent_load_sample &load, time_point now);
     /// Records that the object store lists the agent. Values from its reports take precedence.
     void markListed(const host_address &address, const std::string &service, const std::string &domain, time_point now);
     /// Records that the object store has no entry for the agent.
--- a/src/include/citroncrank/agent_record.h
+++ b/src/include/citroncrank/agent_record.h
@@ -27,6 +27,8 @@
     host_address address;
     agent_report report;                   ///< Only service and domain are set before the first report.
     std::optional<time_point> lastHeardAt; ///< Of the last report.
+    std::optional<time_point> loadKnownAt; ///< Time of the load in `report`, which may be newer than the report.
+    std::uint32_t sentSinceLoad = 0;       ///< New flows that this balancer sent to it after that load was measured.
     std::uint32_t sentSinceReport = 0;     ///< New flows that this balancer sent to it after the last report.
     bool isListed = false;                 ///< The object store has an entry for it.
     std::optional<time_point> listedAt;    ///< Time when the agent last became listed.
--- a/src/include/citroncrank/node_message.h
+++ b/src/include/citroncrank/node_message.h
@@ -34,6 +34,18 @@
     auto operator<=>(const request_limits &) const = default;
 };
 
+/// Load of an agent at the moment when it handled an opening packet.
+struct agent_load_sample
+{
+    host_address agent;
+    std::uint16_t busy = 0; ///< Requests that compete with a new one.
+    std::uint16_t slots = 0;
+    std::uint16_t processingMilliseconds = 0; ///< Mean processing time of a request.
+    auto operator<=>(const agent_load_sample &) const = default;
+};
+/// Most samples in a message.
+constexpr std::size_t kMaxLoadSamples = 8;
+
 /// A caller's packet, forwarded to an agent.
 struct forwarded_packet
 {
@@ -43,7 +55,9 @@
     std::vector<host_address> alternates; ///< Further agents for an opening packet, best first.
     request_limits limits;
     std::string packetBytes;
-    bool isTrial = false; ///< Opens a flow at a failing upstream to test whether it has recovered.
+    bool isTrial = false;   ///< Opens a flow at a failing upstream to test whether it has recovered.
+    bool isSettled = false; ///< The receiver is the least loaded agent found; it forwards the packet to no other.
+    std::vector<agent_load_sample> visited; ///< Agents that forwarded the opening packet for lack of a free slot.
     auto operator<=>(const forwarded_packet &) const = default;
 };
 
@@ -51,6 +65,7 @@
 struct owner_notice
 {
     flow_key flow;
+    std::vector<agent_load_sample> loads; ///< Of the agents that handled the opening packet, the owner's last.
     auto operator<=>(const owner_notice &) const = default;
 };
 
@@ -118,10 +133,10 @@
     std::uint32_t flows = 0;            ///< Open flows.
     std::uint32_t meanBusyMilli = 0;    ///< Thousandths: `busy` averaged over about a second.
     std::uint32_t coldMilliseconds = 0; ///< Remaining warm-up time of the upstream.
-    std::uint32_t periodMilliseconds = 0; ///< Time to the next report.
+    std::uint32_t periodMilliseconds = 0;     ///< Time to the next report.
     std::uint32_t processingMilliseconds = 0; ///< Mean processing time of a request. 0: unknown.
-    bool isFailing = false;               ///< The upstream fails requests; other upstreams should get new flows.
-    bool isTrialDue = false;              ///< The failing upstream may get one flow as a trial.
+    bool isFailing = false;                   ///< The upstream fails requests; other upstreams should get new flows.
+    bool isTrialDue = false;                  ///< The failing upstream may get one flow as a trial.
     auto operator<=>(const agent_report &) const = default;
 };
 
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -83,6 +83,14 @@
     auto operator<=>(const packet_agent_counts &) const = default;
 };
 
+/// Why a new flow goes to an alternate if there is one.
+enum class forwarding_reason : std::uint8_t {
+    unconfirmed,  ///< The upstream may be draining or leaving, which is unknown until its first announcement.
+    failing,      ///< The upstream fails requests.
+    no_free_slot, ///< As many requests as the upstream has slots compete with a new one.
+};
+const char *toString(forwarding_reason reason);
+
 /// Not thread safe. Actions are appended to `out`.
 class packet_agent
 {
@@ -185,9 +193,11 @@
     void handleOpening(forwarded_packet arrived, packet content, time_point now, packet_actions *out);
     void handleFlowPacket(forwarded_packet arrived, packet content, time_point now, packet_actions *out);
     void rejectPacket(forwarded_packet arrived, rejection_reason reason, packet_actions *out);
+    agent_load_sample loadSample(time_point now) const;
+    void settleOnLeastLoaded(forwarded_packet *arrived, time_point now) const;
     void forwardToAlternate(forwarded_packet arrived, const char *reason, const flow_key &flow, packet_actions *out);
     std::optional<rejection_reason> openingRejectionReason(const std::string &service) const;
-    const char *forwardingReason(bool isTrial, time_point now) const;
+    std::optional<forwarding_reason> forwardingReason(bool isTrial, time_point now) const;
     bool hasFreeSlot(time_point now) const;
     bool isOverloaded(const request_limits &limits) const;
     bool acknowledgementFits(const agent_flow &flow, const packet_header &header) const;
--- a/src/libpacket/agent_directory.cpp
+++ b/src/libpacket/agent_directory.cpp
@@ -77,12 +77,26 @@
     agent.address = address;
     agent.report = report;
     agent.lastHeardAt = now;
+    agent.loadKnownAt = now;
+    agent.sentSinceLoad = 0;
     agent.sentSinceReport = 0;
     agent.isSilenceReported = false;
     clearUnanswered(&agent);
     return true;
 }
 
+void agent_directory::applyLoad(const agent_load_sample &load, time_point now)
+{
+    const auto found = m_agents.find(load.agent);
+    if (found == m_agents.end() || !found->second.lastHeardAt)
+        return;
+    agent_record &agent = found->second;
+    agent.report.busy = load.busy;
+    agent.report.processingMilliseconds = load.processingMilliseconds;
+    agent.loadKnownAt = now;
+    agent.sentSinceLoad = 0;
+}
+
 void agent_directory::markListed(const host_address &address, const std::string &service, const std::string &domain,
                                  time_point now)
 {
@@ -107,8 +121,10 @@
 void agent_directory::recordFlowSent(const host_address &address)
 {
     const auto found = m_agents.find(address);
-    if (found != m_agents.end())
-        ++found->second.sentSinceReport;
+    if (found == m_agents.end())
+        return;
+    ++found->second.sentSinceLoad;
+    ++found->second.sentSinceReport;
 }
 
 void agent_directory::recordQuery(const host_address &address, time_point now)
--- a/src/libpacket/agent_load.cpp
+++ b/src/libpacket/agent_load.cpp
@@ -27,15 +27,15 @@
 {
     const agent_report &report = agent.report;
     if (!agent.lastHeardAt || report.slots == 0)
-        return {.requests = double(agent.sentSinceReport)};
+        return {.requests = double(agent.sentSinceLoad)};
     const double slots = report.coldMilliseconds > 0 ? report.slots / kColdSlowdown : report.slots;
     const double processingMs =
         report.processingMilliseconds == 0 ? kDefaultProcessingMs : report.processingMilliseconds;
     const double mean = report.meanBusyMilli / 1000.0;
-    const double elapsedMs = milliseconds(now - *agent.lastHeardAt);
+    const double elapsedMs = milliseconds(now - agent.loadKnownAt.value_or(*agent.lastHeardAt));
     const double remaining = std::exp(-elapsedMs / (processingMs * std::max(1.0, report.busy / slots)));
     const double arrived = mean * (1 - remaining);
-    return {.requests = report.busy * remaining + arrived + agent.sentSinceReport,
+    return {.requests = report.busy * remaining + arrived + agent.sentSinceLoad,
             .deviation = std::sqrt(report.busy * remaining * (1 - remaining) + arrived),
             .slots = slots};
 }
--- a/src/libpacket/node_message.cpp
+++ b/src/libpacket/node_message.cpp
@@ -44,6 +44,28 @@
     return result;
 }
 
+flatbuffers::Offset<flatbuffers::Vector<const wire::Load *>> toWire(builder *out,
+                                                                    const std::vector<agent_load_sample> &samples)
+{
+    return out->CreateVectorOfStructs<wire::Load>(
+        std::min(kMaxLoadSamples, samples.size()), [&](std::size_t index, wire::Load *target) {
+            const agent_load_sample &sample = samples[index];
+            *target = {toWire(sample.agent), sample.busy, sample.slots, sample.processingMilliseconds};
+        });
+}
+
+std::vector<agent_load_sample> fromWire(const flatbuffers::Vector<const wire::Load *> *samples)
+{
+    std::vector<agent_load_sample> result;
+    if (samples == nullptr)
+        return result;
+    for (const wire::Load *sample : *samples) {
+        if (result.size() < kMaxLoadSamples)
+            result.push_back({fromWire(&sample->agent()), sample->busy(), sample->slots(), sample->processing_ms()});
+    }
+    return result;
+}
+
 flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> toWire(builder *out, const std::string &bytes)
 {
     return out->CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
@@ -65,16 +87,17 @@
     const auto alternates = toWire(out, message.alternates);
     const auto bytes = toWire(out, message.packetBytes);
     const auto origin = toWire(message.origin);
+    const auto visited = toWire(out, message.visited);
     return wire::CreateForward(*out, std::uint8_t(message.purpose), service, &origin, alternates, bytes,
                                message.limits.priority, message.limits.latencyTargetMs, message.limits.timeoutMs,
-                               message.isTrial)
+                               message.isTrial, message.isSettled, visited)
         .Union();
 }
 
 flatbuffers::Offset<void> encodeBody(builder *out, const owner_notice &message)
 {
     const wire::Flow flow(toWire(message.flow.caller), toWire(message.flow.service));
-    return wire::CreateOwner(*out, &flow).Union();
+    return wire::CreateOwner(*out, &flow, toWire(out, message.loads)).Union();
 }
 
 flatbuffers::Offset<void> encodeBody(builder *out, const rejection_notice &message)
@@ -195,14 +218,17 @@
                             .alternates = fromWire(source.alternates()),
                             .limits = {source.priority(), source.latency_target_ms(), source.timeout_ms()},
                             .packetBytes = fromWire(source.packet()),
-                            .isTrial = source.trial()};
+                            .isTrial = source.trial(),
+                            .isSettled = source.settled(),
+                            .visited = fromWire(source.visited())};
 }
 
 std::optional<node_message> decodeBody(const wire::Owner &source)
 {
     if (source.flow() == nullptr)
         return std::nullopt;
-    return owner_notice{{fromWire(&source.flow()->caller()), fromWire(&source.flow()->service())}};
+    return owner_notice{{fromWire(&source.flow()->caller()), fromWire(&source.flow()->service())},
+                        fromWire(source.loads())};
 }
 
 std::optional<node_message> decodeBody(const wire::NotTaken &source)
--- a/src/libpacket/packet_agent.cpp
+++ b/src/libpacket/packet_agent.cpp
@@ -32,8 +32,6 @@
 // An upstream abandons a request soon after its caller has timed out.
 constexpr duration kUnansweredGracePeriod = seconds(1);
 constexpr duration kIdleFlowTimeout = seconds(60);
-// Limits memory use, at about 300 bytes per flow.
-constexpr std::size_t kMaxFlows = 20'000;
 // An acknowledgement may be this far ahead of what the agent has seen the upstream send, if the agent missed a whole
 // window of datagrams.
 constexpr std::uint32_t kMaxAcknowledgementLeadBytes = 76'800;
@@ -133,35 +131,6 @@
         handleFlowPacket(std::move(arrived), std::move(content), now, out);
 }
 
-std::optional<rejection_reason> packet_agent::openingRejectionReason(const std::string &service) const
-{
-    if (service != m_settings.service)
-        return rejection_reason::wrong_service;
-    switch (m_state) {
-    case agent_state::draining:
-        return rejection_reason::draining;
-    case agent_state::silent:
-    case agent_state::left:
-    case agent_state::stopping:
-        return rejection_reason::not_serving;
-    case agent_state::unconfirmed:
-    case agent_state::ready:
-        break;
-    }
-    return std::nullopt;
-}
-
-// Reason to forward a new flow to an alternate if there is one, or null.
-const char *packet_agent::forwardingReason(bool isTrial, time_point now) const
-{
-    // The upstream may be draining or leaving, which is unknown until its first announcement.
-    if (m_state == agent_state::unconfirmed)
-        return "unconfirmed";
-    if (m_health.isFailing() && !(isTrial && m_health.isTrialDue(now)))
-        return "failing";
-    return hasFreeSlot(now) ? nullptr : "no_free_slot";
-}
-
 void packet_agent::rejectPacket(forwarded_packet arrived, rejection_reason reason, packet_actions *out)
 {
     ++m_counts.rejected;
@@ -169,75 +138,6 @@
         send_to_node{arrived.origin, rejection_notice{reason, arrived.purpose, std::move(arrived.packetBytes)}});
 }
 
-void packet_agent::forwardToAlternate(forwarded_packet arrived, const char *reason, const flow_key &flow,
-                                      packet_actions *out)
-{
-    ++m_counts.forwardedToAlternate;
-    const host_address next = arrived.alternates.front();
-    arrived.alternates.erase(arrived.alternates.begin());
-    arrived.isTrial = false;
-    log(log_class::placement,
-        absl::StrCat("passed flow on, flow=", toString(flow), " reason=", reason, " busy=", busy(),
-                     " to=", toString(next)),
-        out);
-    out->emplace_back(send_to_node{next, std::move(arrived)});
-}
-
-void packet_agent::handleOpening(forwarded_packet arrived, packet content, time_point now, packet_actions *out)
-{
-    const flow_key key = flowFromCaller(content.header);
-    const auto known = m_flows.find(key);
-    const bool isDuplicate = known != m_flows.end()
-                             && (known->second.phase == flow_phase::opening || known->second.phase == flow_phase::open);
-    if (isDuplicate) {
-        known->second.origin = arrived.origin;
-        deliver(key, &known->second, std::move(content), now, out);
-        return;
-    }
-    if (const auto rejection = openingRejectionReason(arrived.service)) {
-        log(log_class::refusal,
-            absl::StrCat("turned flow away, flow=", toString(key), " reason=", toString(*rejection),
-                         " state=", toString(m_state), " asked_service=", arrived.service),
-            out);
-        arrived.packetBytes = std::move(content.bytes);
-        if (!arrived.alternates.empty())
-            forwardToAlternate(std::move(arrived), toString(*rejection), key, out);
-        else
-            rejectPacket(std::move(arrived), *rejection, out);
-        return;
-    }
-    const char *const reason = forwardingReason(arrived.isTrial, now);
-    if (reason != nullptr && !arrived.alternates.empty()) {
-        arrived.packetBytes = std::move(content.bytes);
-        forwardToAlternate(std::move(arrived), reason, key, out);
-        return;
-    }
-    if (m_flows.size() >= kMaxFlows || isOverloaded(arrived.limits)) {
-        arrived.packetBytes = std::move(content.bytes);
-        rejectPacket(std::move(arrived), rejection_reason::full, out);
-        return;
-    }
-    ++m_counts.opened;
-    agent_flow &flow = m_flows[key];
-    flow = agent_flow{};
-    flow.phase = flow_phase::opening;
-    flow.firstSeen = now;
-    flow.origin = arrived.origin;
-    flow.alternates = std::move(arrived.alternates);
-    flow.service = std::move(arrived.service);
-    flow.limits = arrived.limits;
-    expectRequest(key, &flow, now);
-    m_openingsSent.emplace_back(now, key);
-    if (m_health.isFailing())
-        m_health.recordTrial(now);
-    log(log_class::placement,
-        absl::StrCat("took flow, flow=", toString(key), " busy=", busy(), " flows=", m_flows.size(),
-                     " state=", toString(m_state), " announcement=", m_upstream ? m_upstream->number : 0),
-        out);
-    out->emplace_back(send_to_node{flow.origin, owner_notice{key}});
-    deliver(key, &flow, std::move(content), now, out);
-}
-
 // Duplicates of an opening packet may have opened the flow at two upstreams. The caller continues with one of them and
 // acknowledges the sequence numbers of that one.
 bool packet_agent::acknowledgementFits(const agent_flow &flow, const packet_header &header) const
@@ -292,7 +192,7 @@
     auto found = m_flows.find(key);
     const bool isOtherUpstreams = found != m_flows.end() && !acknowledgementFits(found->second, content.header);
     const bool isUnknown = found == m_flows.end() && (hasSeenAllFlows(now) || isOtherService(arrived.service));
-    if (isOtherUpstreams || isUnknown || (found == m_flows.end() && m_flows.size() >= kMaxFlows)) {
+    if (isOtherUpstreams || isUnknown || (found == m_flows.end() && m_flows.size() >= kMaxAgentFlows)) {
         if (isOtherUpstreams) {
             log(log_class::owner,
                 absl::StrCat("flow is another upstream's, flow=", toString(key), " acknowledged=",
@@ -354,7 +254,7 @@
     }
     const flow_key key = flowFromUpstream(arrived.header);
     const auto found = m_flows.find(key);
-    if (found == m_flows.end() && m_flows.size() < kMaxFlows) {
+    if (found == m_flows.end() && m_flows.size() < kMaxAgentFlows) {
         // After a restart of this agent, packets from the upstream show which flows it holds.
         m_flows[key].firstSeen = now;
         m_flows[key].service = m_settings.service;
--- a/src/libpacket/packet_agent_pvt.h
+++ b/src/libpacket/packet_agent_pvt.h
@@ -32,6 +32,9 @@
 /// Outcome that an answer with this status counts as.
 upstream_outcome classifyStatus(std::uint32_t status);
 
+/// Limits memory use, at about 300 bytes per flow.
+constexpr std::size_t kMaxAgentFlows = 20'000;
+
 /// Slots assumed until the upstream's first announcement. No known deployment has fewer.
 constexpr std::uint32_t kAssumedSlots = 2;
 
--- a/src/libpacket/packet_agent_requests.cpp
+++ b/src/libpacket/packet_agent_requests.cpp
@@ -63,20 +63,6 @@
     return m_requestsInProgress + m_expected + m_queue.countWithinTarget(now) + m_waitingProbes.size();
 }
 
-bool packet_agent::hasFreeSlot(time_point now) const
-{
-    return competingRequests(now) < slots();
-}
-
-// Whether the caller of a request that arrives now would time out before its answer.
-bool packet_agent::isOverloaded(const request_limits &limits) const
-{
-    if (!m_upstream || limits.timeoutMs == 0)
-        return false;
-    const double wait = double(m_queue.size()) * m_meanProcessingMs / slots();
-    return wait + m_meanProcessingMs > limits.timeoutMs;
-}
-
 // Number of waiting requests that the upstream can start within the mean slack.
 std::size_t packet_agent::maxWithinTarget() const
 {
--- a/src/libpacket/packet_agent_requests_test.cpp
+++ b/src/libpacket/packet_agent_requests_test.cpp
@@ -56,6 +56,50 @@
     EXPECT_EQ(delivered(), 1U);
 }
 
+namespace {
+
+forwarded_packet openingWithoutAlternates(std::vector<agent_load_sample> visited)
+{
+    return {.purpose = forward_purpose::open,
+            .service = kService,
+            .origin = kBalancer,
+            .packetBytes = openingPacket().bytes,
+            .visited = std::move(visited)};
+}
+
+} // namespace
+
+// Guards against a flow that stays at the last agent asked although fewer requests wait at an earlier one (fleetbench
+// run ofnbokun-large trouble-1: 54 requests waited at one agent after the loss of power, few at others).
+TEST_F(PacketAgent, FlowThatFindsNoFreeSlotGoesToTheLeastLoadedAgent)
+{
+    fillSlots();
+    actions.clear();
+    core.message(kBalancer, openingWithoutAlternates({{kAgentB, 9, 2, 50}, {kAgentC, 2, 4, 50}}), now, &actions);
+    ASSERT_EQ(messagesOf<forwarded_packet>(actions).size(), 1U);
+    EXPECT_EQ(messagesOf<forwarded_packet>(actions)[0].first, kAgentC);
+    EXPECT_TRUE(messagesOf<forwarded_packet>(actions)[0].second.isSettled);
+    EXPECT_EQ(messagesOf<forwarded_packet>(actions)[0].second.visited.size(), 3U);
+    actions.clear();
+    core.message(kBalancer, openingWithoutAlternates({{kAgentB, 9, 2, 50}}), now, &actions);
+    EXPECT_EQ(delivered(), 1U) << "this agent is the least loaded one";
+}
+
+// Guards against a flow that agents without a free slot send to each other.
+TEST_F(PacketAgent, SettledFlowIsTakenWhateverTheLoad)
+{
+    fillSlots();
+    actions.clear();
+    forwarded_packet settled = openingWithoutAlternates({{kAgentB, 0, 2, 50}});
+    settled.isSettled = true;
+    core.message(kBalancer, settled, now, &actions);
+    EXPECT_EQ(delivered(), 1U);
+    const auto notices = messagesOf<owner_notice>(actions);
+    ASSERT_EQ(notices.size(), 1U);
+    ASSERT_EQ(notices[0].second.loads.size(), 2U);
+    EXPECT_EQ(notices[0].second.loads[1], (agent_load_sample{kAgentA, 3, 2, 50}));
+}
+
 // Guards against a busy count that does not decrease when a request is answered.
 TEST_F(PacketAgent, CountsRequestsInProgress)
 {
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -292,7 +292,12 @@
         time_point now;
         packet_actions *out;
 
-        void operator()(const owner_notice &notice) const { self->learnOwner(from, notice.flow, now, out); }
+        void operator()(const owner_notice &notice) const
+        {
+            for (const agent_load_sample &load : notice.loads)
+                self->m_agents.applyLoad(load, now);
+            self->learnOwner(from, notice.flow, now, out);
+        }
         void operator()(const rejection_notice &notice) const { self->onRejection(from, notice, now, out); }
         void operator()(const agent_report &report) const { self->onAgentReport(from, report, now, out); }
         void operator()(const balancer_hello &hello) const { self->onBalancerHello(from, hello, now, out); }
--- a/src/libsimulation/packet_simulation.cpp
+++ b/src/libsimulation/packet_simulation.cpp
@@ -158,7 +158,7 @@
         host.upstream = std::make_unique<standin_packet_upstream>(
             standin_upstream_settings{.id = "i-" + std::to_string(++m_startCount),
                                       .slots = kSlots,
-                                      .processingTime = milliseconds(5),
+                                      .processingTime = m_schedule.processingTime,
                                       .seed = m_random()});
         host.startedAtMs = m_startCount;
         host.announcements = 0;
@@ -372,6 +372,8 @@
         standin_packet_caller &caller = *m_callers[index];
         caller.advance(m_now);
         for (const standin_caller_event &event : caller.takeEvents()) {
+            if (event.what == standin_caller_event::kind::answered)
+                countAnswer();
             const bool isLoss = event.what == standin_caller_event::kind::reset && !event.isIdle;
             if (isLoss && m_powerLostAt && event.began >= m_powerRestoredAt + kRecoveryTime)
                 ++m_outcome.resetsAfterRecovery;
@@ -385,6 +387,15 @@
         }
     }
 
+    void countAnswer()
+    {
+        if (!m_powerLostAt || m_now < m_powerRestoredAt)
+            return;
+        const auto second = std::size_t((m_now - m_powerRestoredAt) / seconds(1));
+        if (second < m_outcome.answeredAfterRecovery.size())
+            ++m_outcome.answeredAfterRecovery[second];
+    }
+
     void fromCaller(std::size_t balancer, const std::string &bytes)
     {
         if (!hasPower())
@@ -401,7 +412,8 @@
 
     void forwardByHash(std::size_t balancer, const packet_header &header, const std::string &bytes)
     {
-        const auto agents = m_balancers[balancer]->agents().candidates(kMainService, "a", {}, m_schedule.agents, m_now, &m_random);
+        const auto agents =
+            m_balancers[balancer]->agents().candidates(kMainService, "a", {}, m_schedule.agents, m_now, &m_random);
         if (agents.empty())
             return;
         auto sorted = agents;
--- a/src/libsimulation/packet_simulation_pvt.h
+++ b/src/libsimulation/packet_simulation_pvt.h
@@ -8,6 +8,7 @@
 #include "citroncrank/packet_balancer.h"
 #include "citroncrank/standin_packet.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -39,7 +40,8 @@
     /// Time after the confirmation of its drain in which an upstream may still get new flows. P6 allows 3 s.
     duration drainGracePeriod = std::chrono::seconds(3);
     std::uint32_t requestsPerFlow = 8;
-    duration requestPause = std::chrono::milliseconds(20); ///< Callers begin requests at multiples of this time.
+    duration processingTime = std::chrono::milliseconds(5); ///< Of a request at an upstream.
+    duration requestPause = std::chrono::milliseconds(20);  ///< Callers begin requests at multiples of this time.
     /// Agents store snapshots of their open flows and read them at their start.
     bool usesSnapshots = false;
     double storeLoss = 0.2; ///< Probability that a call to the store has no effect.
@@ -60,7 +62,9 @@
     std::uint64_t opensAfterDrain = 0;     ///< Opening packets that reached an upstream after its drain was confirmed.
     std::uint64_t restored = 0;            ///< Flows in snapshots that agents restored.
     std::uint64_t resetsAfterRecovery = 0; ///< Requests that began 1 s or more after power was restored and were reset.
-    std::uint64_t maxExcessRequests = 0;   ///< Most requests at an upstream at once, beyond its slots.
+    /// Requests answered in the first and second second after power was restored.
+    std::array<std::uint64_t, 2> answeredAfterRecovery{};
+    std::uint64_t maxExcessRequests = 0; ///< Most requests at an upstream at once, beyond its slots.
 
     std::uint64_t violations() const { return wrongAnswers + falseResets + wrongServicePackets + opensAfterDrain; }
 };
