standin-platform, memory store: come back from an older copy

The stand-in in a thread of the test is a class of its own now, since tests of the node's store threads need it too.

--- a/src/include/citroncrank/object_store.h
+++ b/src/include/citroncrank/object_store.h
@@ -18,6 +18,10 @@
 /// only increase. 0 is before the first write.
 using object_version = std::uint64_t;
 
+/// Number of times that the store came back from an older copy of its objects. Rises by one each time. Writes that the
+/// copy lacked are lost, and their numbers are given out again. 0: the store does not tell.
+using store_era = std::uint64_t;
+
 /// Largest value of one object, in bytes.
 constexpr std::size_t kMaxObjectValueBytes = 1024 * 1024;
 /// Largest key, in bytes.
@@ -137,6 +141,9 @@
 /// does not start with `/`.
 bool isValidObjectKey(const std::string &key);
 
+/// Header of each response of the object API: the era of the store.
+constexpr const char *kObjectApiEraHeader = "Object-Era";
+
 /// Settings of the HTTP client.
 struct http_object_store_settings
 {
--- a/src/include/citroncrank/standin_platform.h
+++ b/src/include/citroncrank/standin_platform.h
@@ -29,6 +29,11 @@
 
     std::uint16_t port() const { return m_server.port(); }
     void setSwitches(const standin_platform_switches &switches);
+    const versioned_objects &objects() const { return m_objects; }
+    /// Keeps a copy of all objects for restoreCopy().
+    void copyObjects() { m_copy = m_objects; }
+    /// Brings the objects of the copy back, as after a failure of the store. Waiting watches end with status 503.
+    void restoreCopy();
 
 private:
     using exchange_pointer = std::shared_ptr<standin_exchange>;
@@ -55,10 +60,12 @@
     void countCall(const std::string &name);
     std::string countsAsJson() const;
     std::string switchesAsJson() const;
+    void respond(const exchange_pointer &exchange, standin_response response) const;
     bool applySwitches(const std::string &text);
 
     boost::asio::io_context &m_context;
     versioned_objects m_objects;
+    versioned_objects m_copy;
     standin_platform_switches m_switches;
     std::map<std::string, std::uint64_t> m_counts;
     std::list<std::shared_ptr<waiting_watch>> m_watches;
--- a/src/include/citroncrank/versioned_objects.h
+++ b/src/include/citroncrank/versioned_objects.h
@@ -33,6 +33,12 @@
     /// Number of the latest write.
     object_version version() const { return m_version; }
 
+    /// 1 at first, then one more after each restore().
+    store_era era() const { return m_era; }
+    /// Replaces all objects by those of an earlier copy. The writes since then are lost, and their numbers are given out
+    /// again.
+    void restore(const versioned_objects &copy);
+
 private:
     struct record
     {
@@ -43,6 +49,7 @@
     bool checkExpected(const std::string &key, object_version expected, platform_failure *lastReason) const;
     object_version store(const std::string &key, std::optional<std::string> value);
 
+    store_era m_era = 1;
     object_version m_version = 0;
     std::map<std::string, record> m_records;
     std::map<object_version, std::string> m_keysByVersion;
--- a/src/libobjectstore/versioned_objects.cpp
+++ b/src/libobjectstore/versioned_objects.cpp
@@ -130,6 +130,13 @@
     return result;
 }
 
+void versioned_objects::restore(const versioned_objects &copy)
+{
+    const store_era next = m_era + 1;
+    *this = copy;
+    m_era = next;
+}
+
 bool versioned_objects::checkExpected(const std::string &key, object_version expected,
                                       platform_failure *lastReason) const
 {
--- a/src/libobjectstore/versioned_objects_test.cpp
+++ b/src/libobjectstore/versioned_objects_test.cpp
@@ -120,6 +120,24 @@
     }
 }
 
+// Guards against a stand-in that keeps what a restored store loses: writes after the copy, and their numbers.
+TEST(VersionedObjects, ARestoredCopyGivesNumbersOutAgain)
+{
+    versioned_objects objects;
+    failure reason{};
+    objects.create("kept", "a", &reason);
+    const versioned_objects copy = objects;
+    const auto lost = objects.create("lost", "b", &reason);
+    EXPECT_EQ(objects.era(), 1U);
+    objects.restore(copy);
+    EXPECT_EQ(objects.era(), 2U);
+    EXPECT_TRUE(objects.get("kept", &reason));
+    EXPECT_FALSE(objects.get("lost", &reason));
+    EXPECT_EQ(objects.create("other", "c", &reason), lost);
+    objects.restore(copy);
+    EXPECT_EQ(objects.era(), 3U);
+}
+
 // Guards against a fake whose failures differ from the platform's.
 TEST(MemoryObjectStore, InjectedFaultsMatchThePlatform)
 {
--- a/src/libstandin/platform.cpp
+++ b/src/libstandin/platform.cpp
@@ -81,6 +81,19 @@
         endWatches();
 }
 
+void standin_platform::restoreCopy()
+{
+    m_objects.restore(m_copy);
+    endWatches();
+}
+
+void standin_platform::respond(const exchange_pointer &exchange, standin_response response) const
+{
+    response.headers[platform::kEraHeader] = std::to_string(m_objects.era());
+    response.headers[kObjectApiEraHeader] = response.headers[platform::kEraHeader];
+    exchange->respond(std::move(response));
+}
+
 void standin_platform::handle(const exchange_pointer &exchange)
 {
     const std::string &path = exchange->request().path;
@@ -91,7 +104,7 @@
     } else if (path.starts_with(kObjectsPath) || path == "/v1/list" || path == "/v1/watch") {
         runAfter(m_switches.slow, [this, exchange] { handleObjectCall(exchange); });
     } else {
-        exchange->respond(errorResponse(platform_failure::not_found, "unknown path"));
+        respond(exchange, errorResponse(platform_failure::not_found, "unknown path"));
     }
 }
 
@@ -113,7 +126,7 @@
     const standin_request &request = exchange->request();
     if (m_switches.down) {
         countCall("refused");
-        exchange->respond(errorResponse(platform_failure::unavailable, "the platform is down"));
+        respond(exchange, errorResponse(platform_failure::unavailable, "the platform is down"));
     } else if (request.path == "/v1/list" && request.method == "GET") {
         runList(exchange);
     } else if (request.path == "/v1/watch" && request.method == "GET") {
@@ -133,10 +146,10 @@
     if (request.method == "GET") {
         countCall("get");
         const auto found = m_objects.get(key, &failure);
-        exchange->respond(
-            found ? standin_response{.body = json::serialize(json::object{
-                                         {"key", key}, {"version", found->version}, {"value", found->value}})}
-                  : errorResponse(failure, "no such object"));
+        respond(exchange,
+                found ? standin_response{.body = json::serialize(json::object{
+                                             {"key", key}, {"version", found->version}, {"value", found->value}})}
+                      : errorResponse(failure, "no such object"));
     } else if (request.method == "PUT" && hasCondition) {
         countCall(isCreate ? "create" : "update");
         const auto value = parseValue(request.body);
@@ -150,7 +163,7 @@
         answerWrite(exchange, key, version, failure);
     } else {
         countCall("rejected");
-        exchange->respond(errorResponse(failure, "writes need exactly one of if_absent=true and if_version=N"));
+        respond(exchange, errorResponse(failure, "writes need exactly one of if_absent=true and if_version=N"));
     }
 }
 
@@ -161,9 +174,9 @@
         --m_switches.loseAnswers;
         exchange->drop();
     } else if (version) {
-        exchange->respond({.body = json::serialize(json::object{{"key", key}, {"version", *version}})});
+        respond(exchange, {.body = json::serialize(json::object{{"key", key}, {"version", *version}})});
     } else {
-        exchange->respond(errorResponse(failure, "the write did not take effect"));
+        respond(exchange, errorResponse(failure, "the write did not take effect"));
     }
     if (version)
         answerWatches(key);
@@ -180,13 +193,13 @@
     platform_failure failure{};
     const auto list = m_objects.list(query, &failure);
     if (!list) {
-        exchange->respond(errorResponse(failure, "the limit must be from 1 to 1000"));
+        respond(exchange, errorResponse(failure, "the limit must be from 1 to 1000"));
         return;
     }
     json::array entries;
     for (const auto &entry : list->entries)
         entries.push_back({{"key", entry.key}, {"version", entry.version}, {"value_bytes", entry.valueBytes}});
-    exchange->respond({.body = json::serialize(json::object{
+    respond(exchange, {.body = json::serialize(json::object{
                            {"entries", std::move(entries)}, {"more", list->more}, {"version", list->version}})});
 }
 
@@ -197,7 +210,7 @@
     const auto from = request.number("from", 0);
     const auto waitMs = request.number("wait_ms", 0);
     if (!from || !waitMs) {
-        exchange->respond(errorResponse(platform_failure::rejected, "from and wait_ms must be numbers"));
+        respond(exchange, errorResponse(platform_failure::rejected, "from and wait_ms must be numbers"));
         return;
     }
     auto watch = std::make_shared<waiting_watch>(
@@ -240,7 +253,7 @@
 {
     for (const auto &watch : std::exchange(m_watches, {})) {
         watch->timer.cancel();
-        watch->exchange->respond(errorResponse(platform_failure::unavailable, "the platform is down"));
+        respond(watch->exchange, errorResponse(platform_failure::unavailable, "the platform is down"));
     }
 }
 
@@ -248,7 +261,7 @@
 {
     runAfter(m_switches.delayWatches, [this, watch] {
         const auto changes = m_objects.changesAfter(watch->prefix, watch->from);
-        watch->exchange->respond({.body = watch->isStoreCall ? storeEventsAsJson(changes) : watchAsJson(changes)});
+        respond(watch->exchange, {.body = watch->isStoreCall ? storeEventsAsJson(changes) : watchAsJson(changes)});
     });
 }
 
--- a/src/libstandin/platform_admin.cpp
+++ b/src/libstandin/platform_admin.cpp
@@ -53,6 +53,12 @@
     } else if (request.path == "/admin/switches" && request.method == "POST") {
         const bool isApplied = applySwitches(request.body);
         exchange->respond({.status = isApplied ? 200U : 400U, .body = switchesAsJson()});
+    } else if (request.path == "/admin/copy" && request.method == "POST") {
+        copyObjects();
+        exchange->respond({.body = countsAsJson()});
+    } else if (request.path == "/admin/restore" && request.method == "POST") {
+        restoreCopy();
+        exchange->respond({.body = countsAsJson()});
     } else {
         exchange->respond({.status = 404, .body = R"({"error":"not_found","message":"unknown path"})"});
     }
@@ -74,6 +80,7 @@
     result["waiting_watches"] = m_watches.size();
     result["connections"] = m_server.openConnections();
     result["version"] = m_objects.version();
+    result["era"] = m_objects.era();
     return json::serialize(result);
 }
 
--- a/src/libstandin/platform_test.cpp
+++ b/src/libstandin/platform_test.cpp
@@ -1,10 +1,7 @@
-#include "citroncrank/standin_platform.h"
+#include "citroncrank/standin_platform_thread.h"
 
-#include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
-#include <future>
-#include <thread>
 
 namespace citroncrank {
 namespace {
@@ -12,45 +9,19 @@
 using failure = platform_failure;
 using std::chrono::milliseconds;
 
-constexpr std::uint32_t kLoopback = 0x7F000001;
 /// Longer than any test runs, so that a test that expects a response never gets a timeout instead.
 constexpr milliseconds kLongWait{60'000};
 
-/// Runs the stand-in in its own thread.
-class running_platform
+/// The stand-in in its own thread, with a client.
+class running_platform : public standin_platform_thread
 {
 public:
-    explicit running_platform(std::uint16_t port = 0)
-        : m_platform(std::make_unique<standin_platform>(m_context, host_address{kLoopback, port}))
-        , m_thread([this] { m_context.run(); })
-    {}
-    ~running_platform()
-    {
-        m_context.stop();
-        m_thread.join();
-    }
-    running_platform(const running_platform &) = delete;
-    running_platform &operator=(const running_platform &) = delete;
+    using standin_platform_thread::standin_platform_thread;
 
-    host_address address() const { return {kLoopback, m_platform->port()}; }
     http_object_store store(milliseconds deadline = kLongWait) const
     {
         return http_object_store({.address = address(), .callDeadline = deadline});
     }
-    void set(const standin_platform_switches &switches)
-    {
-        std::promise<void> done;
-        boost::asio::post(m_context, [&] {
-            m_platform->setSwitches(switches);
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
-
-private:
-    boost::asio::io_context m_context{1};
-    std::unique_ptr<standin_platform> m_platform;
-    std::thread m_thread;
 };
 
 // Guards against an API field that client and platform encode differently.
