--- a/src/include/citroncrank/http_connection.h
+++ b/src/include/citroncrank/http_connection.h
@@ -11,6 +11,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace citroncrank {
 
@@ -30,10 +32,22 @@
     bool isIdempotent = false;         ///< Retried once on a new connection if the kept-alive one fails.
 };
 
+/// Header field of a response.
+struct http_header
+{
+    std::string name;
+    std::string value;
+    auto operator<=>(const http_header &) const = default;
+};
+
 struct http_response
 {
     unsigned status = 0;
     std::string body;
+    std::vector<http_header> headers;
+
+    /// Value of a header that holds a number. The case of the name does not matter. Nullopt if it is absent or no number.
+    std::optional<std::uint64_t> headerNumber(std::string_view name) const;
 };
 
 /// Why a call has no response.
--- a/src/include/citroncrank/node_registry_worker.h
+++ b/src/include/citroncrank/node_registry_worker.h
@@ -27,8 +27,8 @@
     /// Returns the nodes whose entries are to be removed.
     using stale_nodes_source = std::function<std::vector<host_address>()>;
 
-    node_registry_worker(const host_address &store, std::string nodeName, listed_node self, bool keepsWatching,
-                         receiver receive, store_log log);
+    node_registry_worker(const store_access &access, std::string nodeName, listed_node self, bool keepsWatching,
+                         receiver receive);
     ~node_registry_worker() override;
 
     /// Allows the worker to write this node's entry. An agent calls it once its upstream has announced itself, with the
--- a/src/include/citroncrank/object_store.h
+++ b/src/include/citroncrank/object_store.h
@@ -135,6 +135,16 @@
     /// Waits for changes under a prefix (long poll). A result without changes means that the wait ended. Errors:
     /// unavailable, rejected, history_gone.
     virtual std::optional<watch_result> watch(const watch_query &query, platform_failure *lastReason) = 0;
+
+    /// Era that the store named in its last answer. 0 before the first answer, or if the store does not tell its era.
+    store_era era() const { return m_era; }
+
+protected:
+    /// Call for each answer, also for failures. Nullopt: the answer names no era.
+    void recordEra(std::optional<store_era> era) { m_era = era.value_or(m_era); }
+
+private:
+    store_era m_era = 0;
 };
 
 /// Returns true if the key is not empty, has at most kMaxObjectKeyBytes bytes of letters, digits and `. _ - /`, and
@@ -151,6 +161,9 @@
     std::chrono::milliseconds callDeadline{5000}; ///< Per call; the wait of a watch is added to it.
 };
 
+struct object_api_request;
+struct object_api_response;
+
 /// Object API over HTTP/1.1 with JSON (docs/platform-api.md). Keeps one connection alive between calls. Calls block
 /// the calling thread.
 class http_object_store : public object_store
@@ -177,6 +190,10 @@
 
 private:
     class implementation;
+
+    std::optional<object_api_response> call(const object_api_request &request, std::chrono::milliseconds wait,
+                                            bool isIdempotent, platform_failure *lastReason);
+
     std::unique_ptr<implementation> m_implementation;
 };
 
--- a/src/include/citroncrank/packet_node.h
+++ b/src/include/citroncrank/packet_node.h
@@ -12,6 +12,7 @@
 #include "citroncrank/packet_action.h"
 #include "citroncrank/packet_node_settings.h"
 #include "citroncrank/settings_watch.h"
+#include "citroncrank/store_worker.h"
 
 #include <atomic>
 #include <functional>
@@ -50,7 +51,8 @@
 
     void log(log_class kind, const std::string &text);
     /// Thread-safe log function for the store workers.
-    std::function<void(const std::string &)> storeLog();
+    store_log storeLog();
+    store_access storeAccess() { return {m_settings.platform, m_storeEras, storeLog()}; }
 
     settings_watch m_settingsFile;
     packet_node_settings m_settings;
@@ -59,6 +61,7 @@
     metrics_registry m_metrics;
     event_loop m_loop;
     datagram_socket m_nodeSocket;
+    std::shared_ptr<store_era_monitor> m_storeEras = std::make_shared<store_era_monitor>();
     packet_actions m_actions;
     std::vector<timer_subscription> m_timers;
 
@@ -70,6 +73,7 @@
     metric_counter &m_packetsToCallers;
     metric_counter &m_resets;
     metric_counter &m_malformed;
+    metric_gauge &m_storeEra;
     owner_message_batch m_ownerMessages;
     std::optional<time_point> m_nextLogFlush;
 };
--- a/src/include/citroncrank/routes_worker.h
+++ b/src/include/citroncrank/routes_worker.h
@@ -23,7 +23,7 @@
     /// Returns a balancer that has newer routes. They are fetched from it while the store does not answer.
     using peer_source = std::function<std::optional<routes_source>()>;
 
-    routes_worker(const host_address &store, receiver receive, peer_source peer, store_log log);
+    routes_worker(const store_access &access, receiver receive, peer_source peer);
     ~routes_worker() override;
 
 protected:
--- a/src/include/citroncrank/snapshot_worker.h
+++ b/src/include/citroncrank/snapshot_worker.h
@@ -20,7 +20,7 @@
     /// Receives the stored text. Called in the worker's thread, at most once.
     using receiver = std::function<void(const std::string &text)>;
 
-    snapshot_worker(const host_address &store, std::string nodeName, receiver receive, store_log log);
+    snapshot_worker(const store_access &access, std::string nodeName, receiver receive);
     ~snapshot_worker() override;
 
     /// Schedules a write of `text`, which replaces a snapshot that is not written yet. May be called from any thread.
--- a/src/include/citroncrank/store_worker.h
+++ b/src/include/citroncrank/store_worker.h
@@ -3,6 +3,7 @@
 /// @file
 /// Base of the threads of a packet program that call the platform's store.
 
+#include "citroncrank/store_era_monitor.h"
 #include "citroncrank/worker_thread.h"
 
 #include "platform_store.h"
@@ -22,6 +23,14 @@
 /// Writes a line about the store to the log. Called in the worker's thread.
 using store_log = std::function<void(const std::string &text)>;
 
+/// What the workers of a node share.
+struct store_access
+{
+    host_address address;
+    std::shared_ptr<store_era_monitor> eras;
+    store_log log;
+};
+
 /// Deadline of one call. Reads take a few milliseconds, so a store that is slower by a factor of 100 still answers
 /// within it.
 constexpr std::chrono::milliseconds kStoreCallDeadline{800};
@@ -31,7 +40,7 @@
 class store_worker : public worker_thread
 {
 public:
-    store_worker(std::string name, const host_address &store, store_log log);
+    store_worker(std::string name, const store_access &access);
     ~store_worker() override;
 
 protected:
@@ -45,11 +54,17 @@
     /// Waits for changes after the cursor and advances it. If the call fails, returns nullopt and stores the delay
     /// before the next step in `pause`.
     std::optional<watch_result> awaitChanges(const char *prefix, std::chrono::milliseconds wait, duration *pause);
+    /// Era of the store's last answer, as `era=N` for the log.
+    std::string eraText() const;
     void log(const std::string &text) const { m_log(m_name + ": " + text); }
 
 private:
+    void recordEra();
+
     std::string m_name;
     store_log m_log;
+    std::shared_ptr<store_era_monitor> m_eras;
+    store_era m_era = 0; ///< Of the last answer.
     platform::platform_store m_store;
     std::unique_ptr<watch_cursor> m_cursor;
     std::minstd_rand m_random;
--- a/src/libobjectstore/http_connection.cpp
+++ b/src/libobjectstore/http_connection.cpp
@@ -1,11 +1,13 @@
 #include "citroncrank/http_connection.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -24,11 +26,32 @@
 constexpr int kKeepAliveProbes = 2;
 constexpr int kUserTimeoutMs = 2000;
 
+http_response convert(http::response<http::string_body> &&source)
+{
+    http_response result{.status = source.result_int(), .body = std::move(source.body()), .headers = {}};
+    for (const auto &field : source)
+        result.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    return result;
+}
+
 /// Progress of one request and response.
 enum class exchange_result : std::uint8_t { not_sent, sent_without_response, answered };
 
 } // namespace
 
+std::optional<std::uint64_t> http_response::headerNumber(std::string_view name) const
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [&](const http_header &header) {
+        return beast::iequals(header.name, {name.data(), name.size()});
+    });
+    if (found == headers.end())
+        return std::nullopt;
+    std::uint64_t number = 0;
+    const char *const end = found->value.data() + found->value.size();
+    const auto parsed = std::from_chars(found->value.data(), end, number);
+    return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(number) : std::nullopt;
+}
+
 class http_connection::implementation
 {
 public:
@@ -46,7 +69,7 @@
         if (result != exchange_result::answered && request.isIdempotent && wasOpen && !m_isTimedOut)
             result = exchange(request, &response);
         if (result == exchange_result::answered)
-            return http_response{response.result_int(), std::move(response.body())};
+            return convert(std::move(response));
         *lastReason = result == exchange_result::sent_without_response ? http_call_failure::no_response
                                                                        : http_call_failure::not_sent;
         return std::nullopt;
--- a/src/libobjectstore/http_object_store.cpp
+++ b/src/libobjectstore/http_object_store.cpp
@@ -25,7 +25,8 @@
         http_call_failure failure = http_call_failure::not_sent;
         auto response = m_connection.call({request.method, request.target, request.body, wait, isIdempotent}, &failure);
         if (response)
-            return object_api_response{response->status, std::move(response->body)};
+            return object_api_response{response->status, std::move(response->body),
+                                       response->headerNumber(kObjectApiEraHeader)};
         const bool isUnknownOutcome = failure == http_call_failure::no_response && !isIdempotent;
         *lastReason = isUnknownOutcome ? platform_failure::unknown_outcome : platform_failure::unavailable;
         return std::nullopt;
@@ -43,10 +44,20 @@
 
 http_object_store::~http_object_store() = default;
 
+std::optional<object_api_response> http_object_store::call(const object_api_request &request,
+                                                           std::chrono::milliseconds wait, bool isIdempotent,
+                                                           platform_failure *lastReason)
+{
+    auto response = m_implementation->call(request, wait, isIdempotent, lastReason);
+    if (response)
+        recordEra(response->era);
+    return response;
+}
+
 std::optional<stored_object> http_object_store::get(const std::string &key, platform_failure *lastReason)
 {
     const auto request = getRequest(key, lastReason);
-    const auto response = request ? m_implementation->call(*request, {}, true, lastReason) : std::nullopt;
+    const auto response = request ? call(*request, {}, true, lastReason) : std::nullopt;
     return response ? parseObject(*response, lastReason) : std::nullopt;
 }
 
@@ -54,7 +65,7 @@
                                                         platform_failure *lastReason)
 {
     const auto request = writeRequest(key, value, std::nullopt, lastReason);
-    const auto response = request ? m_implementation->call(*request, {}, false, lastReason) : std::nullopt;
+    const auto response = request ? call(*request, {}, false, lastReason) : std::nullopt;
     return response ? parseWriteResult(*response, lastReason) : std::nullopt;
 }
 
@@ -62,7 +73,7 @@
                                                         object_version expected, platform_failure *lastReason)
 {
     const auto request = writeRequest(key, value, expected, lastReason);
-    const auto response = request ? m_implementation->call(*request, {}, false, lastReason) : std::nullopt;
+    const auto response = request ? call(*request, {}, false, lastReason) : std::nullopt;
     return response ? parseWriteResult(*response, lastReason) : std::nullopt;
 }
 
@@ -70,19 +81,19 @@
                                                         platform_failure *lastReason)
 {
     const auto request = removeRequest(key, expected, lastReason);
-    const auto response = request ? m_implementation->call(*request, {}, false, lastReason) : std::nullopt;
+    const auto response = request ? call(*request, {}, false, lastReason) : std::nullopt;
     return response ? parseWriteResult(*response, lastReason) : std::nullopt;
 }
 
 std::optional<object_list> http_object_store::list(const list_query &query, platform_failure *lastReason)
 {
-    const auto response = m_implementation->call(listRequest(query), {}, true, lastReason);
+    const auto response = call(listRequest(query), {}, true, lastReason);
     return response ? parseList(*response, lastReason) : std::nullopt;
 }
 
 std::optional<watch_result> http_object_store::watch(const watch_query &query, platform_failure *lastReason)
 {
-    const auto response = m_implementation->call(watchRequest(query), query.wait, true, lastReason);
+    const auto response = call(watchRequest(query), query.wait, true, lastReason);
     return response ? parseWatch(*response, lastReason) : std::nullopt;
 }
 
--- a/src/libobjectstore/memory_object_store.cpp
+++ b/src/libobjectstore/memory_object_store.cpp
@@ -52,6 +52,7 @@
 bool memory_object_store::isReachable(platform_failure *lastReason)
 {
     ++m_platform->calls;
+    recordEra(m_platform->objects.era());
     if (m_platform->down)
         *lastReason = platform_failure::unavailable;
     return !m_platform->down;
--- a/src/libobjectstore/object_api_pvt.h
+++ b/src/libobjectstore/object_api_pvt.h
@@ -18,6 +18,7 @@
 {
     unsigned status = 0;
     std::string body;
+    std::optional<store_era> era; ///< Era of the store, if the response names it.
 };
 
 /// Build the request for one key. Error: rejected, for an invalid key or a value over kMaxObjectValueBytes.
--- a/src/libpacketnode/node_registry_worker.cpp
+++ b/src/libpacketnode/node_registry_worker.cpp
@@ -61,15 +61,15 @@
     }
 }
 
-node_registry_worker::node_registry_worker(const host_address &store, std::string nodeName, listed_node self,
-                                           bool keepsWatching, receiver receive, store_log log)
-    : store_worker("nodes", store, std::move(log))
+node_registry_worker::node_registry_worker(const store_access &access, std::string nodeName, listed_node self,
+                                           bool keepsWatching, receiver receive)
+    : store_worker("nodes", access)
     , m_key(platform::kNodesPrefix + std::move(nodeName))
     , m_self(std::move(self))
     , m_keepsWatching(keepsWatching)
     , m_pacing(std::make_unique<change_pacing>())
     , m_receive(std::move(receive))
-    , m_storeAddress(store)
+    , m_storeAddress(access.address)
 {}
 
 node_registry_worker::~node_registry_worker()
@@ -127,6 +127,8 @@
     cursor().recordListing(*seen);
     const auto own = m_entries.find(m_key);
     m_ownEntryVersion = own != m_entries.end() ? own->second.version : 0;
+    log(absl::StrCat("entries read, count=", m_entries.size(), " revision=", *seen, " ", eraText(),
+                     " own=", m_ownEntryVersion));
     publish();
     return duration(0);
 }
@@ -151,7 +153,7 @@
     if (version) {
         m_isOwnEntryWritten = true;
         m_ownEntryVersion = *version;
-        log(absl::StrCat("own entry written, version=", *version));
+        log(absl::StrCat("own entry written, version=", *version, " ", eraText()));
         return recordCall(true, reason);
     }
     if (reason == platform_failure::rejected) {
--- a/src/libpacketnode/packet_agent_node.cpp
+++ b/src/libpacketnode/packet_agent_node.cpp
@@ -55,26 +55,24 @@
              monotonicNow())
     , m_http({.address = m_fileSettings.announcements, .additionalAddresses = {m_settings.http}}, m_metrics,
              [] { return std::vector<std::string>(); })
-    , m_nodeRegistry(
-          m_settings.platform, m_settings.name, makeOwnEntry(m_fileSettings), false,
-          [this](const std::vector<listed_node> &nodes) {
-              std::vector<host_address> balancers;
-              std::uint32_t ownSlots = 0;
-              for (const listed_node &node : nodes) {
-                  if (!node.isAgent)
-                      balancers.push_back(node.address);
-                  else if (node.address == m_fileSettings.node.nodeAddress && node.service == m_fileSettings.service)
-                      ownSlots = node.slots;
-              }
-              m_loop.post([this, ownSlots, balancers = std::move(balancers)] {
-                  m_core.assumeSlots(ownSlots);
-                  m_core.applyBalancers(balancers, monotonicNow(), &m_actions);
-                  perform(&m_actions);
-              });
-          },
-          storeLog())
-    , m_snapshots(
-          m_settings.platform, m_settings.name, [this](const std::string &text) { receiveSnapshot(text); }, storeLog())
+    , m_nodeRegistry(storeAccess(), m_settings.name, makeOwnEntry(m_fileSettings), false,
+                     [this](const std::vector<listed_node> &nodes) {
+                         std::vector<host_address> balancers;
+                         std::uint32_t ownSlots = 0;
+                         for (const listed_node &node : nodes) {
+                             if (!node.isAgent)
+                                 balancers.push_back(node.address);
+                             else if (node.address == m_fileSettings.node.nodeAddress
+                                      && node.service == m_fileSettings.service)
+                                 ownSlots = node.slots;
+                         }
+                         m_loop.post([this, ownSlots, balancers = std::move(balancers)] {
+                             m_core.assumeSlots(ownSlots);
+                             m_core.applyBalancers(balancers, monotonicNow(), &m_actions);
+                             perform(&m_actions);
+                         });
+                     })
+    , m_snapshots(storeAccess(), m_settings.name, [this](const std::string &text) { receiveSnapshot(text); })
     , m_upstreamPackets(m_metrics.counter("citroncrank_agent_upstream_packets_total", "Packets sent by the upstream."))
     , m_latency(m_metrics.histogram("citroncrank_agent_request_seconds",
                                     "From the first packet of a request to the first packet of its answer.",
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -45,23 +45,22 @@
     , m_core(coreSettings(m_fileSettings, m_incarnation), platform::decodePacketHeader, monotonicNow())
     , m_http({.address = m_settings.http}, m_metrics, [this] { return notReadyReasons(); })
     , m_routesWorker(
-          m_settings.platform,
+          storeAccess(),
           [this](std::shared_ptr<const route_set> routes, std::string text) {
               receiveRoutes(std::move(routes), std::move(text));
           },
-          [this] { return newerRoutes(); }, storeLog())
+          [this] { return newerRoutes(); })
     , m_peerRoutes([this](std::shared_ptr<const route_set> routes,
                           std::string text) { receiveRoutes(std::move(routes), std::move(text)); },
                    [this] { return newerRoutes(); }, storeLog())
-    , m_nodeRegistry(
-          m_settings.platform, m_settings.name, listed_node{m_settings.nodeAddress, false, {}, m_settings.domain}, true,
-          [this](std::vector<listed_node> nodes) {
-              m_loop.post([this, nodes = std::move(nodes)] {
-                  m_core.applyListing(nodes, monotonicNow(), &m_actions);
-                  perform(&m_actions);
-              });
-          },
-          storeLog())
+    , m_nodeRegistry(storeAccess(), m_settings.name, listed_node{m_settings.nodeAddress, false, {}, m_settings.domain},
+                     true,
+                     [this](std::vector<listed_node> nodes) {
+                         m_loop.post([this, nodes = std::move(nodes)] {
+                             m_core.applyListing(nodes, monotonicNow(), &m_actions);
+                             perform(&m_actions);
+                         });
+                     })
     , m_callerPackets(m_metrics.counter("citroncrank_balancer_packets_total", "Packets received from callers."))
     , m_flows(m_metrics.gauge("citroncrank_balancer_flows", "Flows with a remembered owner."))
     , m_routesVersion(m_metrics.gauge("citroncrank_balancer_routes_version", "Version of the routes in force."))
--- a/src/libpacketnode/packet_node.cpp
+++ b/src/libpacketnode/packet_node.cpp
@@ -44,7 +44,11 @@
     , m_packetsToCallers(m_metrics.counter("citroncrank_plane_caller_packets_total", "Packets sent to callers."))
     , m_resets(m_metrics.counter("citroncrank_plane_resets_total", "Resets sent to callers."))
     , m_malformed(m_metrics.counter("citroncrank_plane_malformed_total", "Datagrams that could not be read."))
-{}
+    , m_storeEra(m_metrics.gauge("citroncrank_store_era",
+                                 "Times that the store came back from an older copy, as it tells in its answers."))
+{
+    m_storeEras->addListener([this] { m_storeEra.set(double(m_storeEras->latest())); });
+}
 
 bool packet_node::openNodeSocket(std::error_code *lastReason)
 {
@@ -104,7 +108,7 @@
     m_log.write(std::size_t(kind), text);
 }
 
-std::function<void(const std::string &)> packet_node::storeLog()
+store_log packet_node::storeLog()
 {
     return [this](const std::string &text) { m_log.write(std::size_t(log_class::lifecycle), text); };
 }
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -38,8 +38,8 @@
 
 } // namespace
 
-routes_worker::routes_worker(const host_address &store, receiver receive, peer_source peer, store_log log)
-    : store_worker("configuration", store, std::move(log))
+routes_worker::routes_worker(const store_access &access, receiver receive, peer_source peer)
+    : store_worker("configuration", access)
     , m_receive(std::move(receive))
     , m_peer(std::move(peer))
 {}
@@ -68,6 +68,7 @@
             applyDocument(*entry.value);
     }
     cursor().recordListing(list->version);
+    log(absl::StrCat("configuration read, revision=", list->version, " ", eraText()));
     return duration(0);
 }
 
--- a/src/libpacketnode/snapshot_worker.cpp
+++ b/src/libpacketnode/snapshot_worker.cpp
@@ -35,11 +35,11 @@
 
 } // namespace
 
-snapshot_worker::snapshot_worker(const host_address &store, std::string nodeName, receiver receive, store_log log)
-    : store_worker("snapshot", store, std::move(log))
+snapshot_worker::snapshot_worker(const store_access &access, std::string nodeName, receiver receive)
+    : store_worker("snapshot", access)
     , m_key(platform::kSnapshotsPrefix + std::move(nodeName))
     , m_receive(std::move(receive))
-    , m_storeAddress(store)
+    , m_storeAddress(access.address)
 {}
 
 snapshot_worker::~snapshot_worker()
--- a/src/libpacketnode/store_worker.cpp
+++ b/src/libpacketnode/store_worker.cpp
@@ -18,19 +18,36 @@
 
 } // namespace
 
-store_worker::store_worker(std::string name, const host_address &store, store_log log)
+store_worker::store_worker(std::string name, const store_access &access)
     : m_name(std::move(name))
-    , m_log(std::move(log))
-    , m_store({store, kStoreCallDeadline})
+    , m_log(access.log)
+    , m_eras(access.eras)
+    , m_store({access.address, kStoreCallDeadline})
     , m_cursor(std::make_unique<watch_cursor>())
     , m_random(std::random_device{}())
 {}
 
+std::string store_worker::eraText() const
+{
+    return absl::StrCat("era=", m_store.era());
+}
+
+void store_worker::recordEra()
+{
+    const store_era before = std::exchange(m_era, m_store.era());
+    if (before == m_era)
+        return;
+    if (before != 0)
+        log(absl::StrCat("store came back from an older copy, ", eraText(), " before=", before));
+    m_eras->observe(m_era);
+}
+
 duration store_worker::recordCall(bool succeeded, platform_failure reason)
 {
+    recordEra();
     if (succeeded) {
         if (std::exchange(m_isLost, false))
-            log("store is back");
+            log(absl::StrCat("store is back, ", eraText()));
         m_failuresInRow = 0;
         return duration(0);
     }
@@ -50,7 +67,8 @@
     platform_failure reason = platform_failure::unavailable;
     auto result = m_store.watch({prefix, *m_cursor->from(), wait}, &reason);
     if (!result && reason == platform_failure::history_gone) {
-        log("history is gone, listing objects again");
+        recordEra();
+        log(absl::StrCat("history is gone, listing objects again, from=", *m_cursor->from(), " ", eraText()));
         m_cursor->invalidate();
         *pause = duration(0);
         return std::nullopt;
--- a/src/libstandin/platform_test.cpp
+++ b/src/libstandin/platform_test.cpp
@@ -2,7 +2,6 @@
 
 #include <gtest/gtest.h>
 
-
 namespace citroncrank {
 namespace {
 
