--- a/src/include/citroncrank/standin_platform.h
+++ b/src/include/citroncrank/standin_platform.h
@@ -29,7 +29,7 @@
 
     std::uint16_t port() const { return m_server.port(); }
     void setSwitches(const standin_platform_switches &switches);
-    const versioned_objects &objects() const { return m_objects; }
+    versioned_objects &objects() { return m_objects; }
     /// Keeps a copy of all objects for restoreCopy().
     void copyObjects() { m_copy = m_objects; }
     /// Brings the objects of the copy back, as after a failure of the store. Waiting watches end with status 503.
--- /dev/null
+++ b/src/libpacketnode/platform_store_era_test.cpp
@@ -0,0 +1,66 @@
+#include "platform_store.h"
+
+#include "restored_store_fixture_test.h"
+
+using namespace citroncrank;
+
+namespace {
+
+class PlatformStoreEra : public restored_store
+{
+protected:
+    platform::platform_store m_client{{m_store.address()}};
+    platform_failure m_reason{};
+};
+
+} // namespace
+
+// Guards against a conditional write that matches another object, whose number the restored store has given out again.
+TEST_F(PlatformStoreEra, AConditionOfAnEarlierEraMatchesNothing)
+{
+    copy();
+    const auto created = m_client.create("kind/name", "1", &m_reason);
+    ASSERT_TRUE(created);
+    change([](standin_platform &store) {
+        store.restoreCopy();
+        writeObject(store, "kind/name", "2");
+    });
+    ASSERT_TRUE(m_client.list({.prefix = "kind/"}, &m_reason));
+    EXPECT_FALSE(m_client.update("kind/name", "3", *created, &m_reason));
+    EXPECT_EQ(m_reason, platform_failure::conflict);
+    EXPECT_FALSE(m_client.remove("kind/name", *created, &m_reason));
+    EXPECT_EQ(m_reason, platform_failure::conflict);
+    EXPECT_EQ(value("kind/name"), "2");
+}
+
+// Guards against a write that a client takes for its own update, although the store was restored meanwhile and the
+// number belonged to another object.
+TEST_F(PlatformStoreEra, AWriteThatMetALaterEraHasAnUnknownOutcome)
+{
+    copy();
+    const auto created = m_client.create("kind/name", "1", &m_reason);
+    ASSERT_TRUE(created);
+    change([](standin_platform &store) {
+        store.restoreCopy();
+        writeObject(store, "kind/name", "2");
+    });
+    EXPECT_FALSE(m_client.update("kind/name", "3", *created, &m_reason));
+    EXPECT_EQ(m_reason, platform_failure::unknown_outcome);
+}
+
+// Guards against a watch that goes on in another era without the changes that lie behind its number.
+TEST_F(PlatformStoreEra, AWatchOfAnEarlierEraFails)
+{
+    copy();
+    const auto created = m_client.create("kind/name", "1", &m_reason);
+    ASSERT_TRUE(created);
+    change([](standin_platform &store) {
+        store.restoreCopy();
+        writeObject(store, "kind/other", "2");
+        writeObject(store, "kind/name", "3");
+    });
+    EXPECT_FALSE(m_client.watch({.prefix = "kind/", .from = *created}, &m_reason));
+    EXPECT_EQ(m_reason, platform_failure::history_gone);
+    EXPECT_FALSE(m_client.watch({.prefix = "kind/", .from = *created}, &m_reason));
+    EXPECT_EQ(m_reason, platform_failure::history_gone);
+}
