object store: a version carries the era that its number belongs to

Cause: versions were bare numbers. A store that comes back from an older copy gives them out again; a watch from a number that it had passed again was answered, and the changes behind it were never reported, at all balancers alike. Conditional writes and removals compared such numbers too, and could match another object. Class: a version compared without the era that it belongs to. object_version is now era and number; object_store checks it at one place for all clients: one of an earlier era matches nothing (conflict) and starts no watch (history_gone), and a write that met a later era than its condition has an unknown outcome. After a lost store the first watch does not wait, since its answer tells the era.

--- a/src/include/citroncrank/memory_object_store.h
+++ b/src/include/citroncrank/memory_object_store.h
@@ -26,20 +26,20 @@
 public:
     explicit memory_object_store(std::shared_ptr<memory_platform> platform);
 
-    std::optional<stored_object> get(const std::string &key, platform_failure *lastReason) override;
-    std::optional<object_version> create(const std::string &key, const std::string &value,
-                                         platform_failure *lastReason) override;
-    std::optional<object_version> update(const std::string &key, const std::string &value, object_version expected,
-                                         platform_failure *lastReason) override;
-    std::optional<object_version> remove(const std::string &key, object_version expected,
-                                         platform_failure *lastReason) override;
-    std::optional<object_list> list(const list_query &query, platform_failure *lastReason) override;
-    std::optional<watch_result> watch(const watch_query &query, platform_failure *lastReason) override;
-
 private:
+    std::optional<stored_object> readObject(const std::string &key, platform_failure *lastReason) override;
+    std::optional<write_number> createObject(const std::string &key, const std::string &value,
+                                             platform_failure *lastReason) override;
+    std::optional<write_number> updateObject(const std::string &key, const std::string &value, write_number expected,
+                                             platform_failure *lastReason) override;
+    std::optional<write_number> removeObject(const std::string &key, write_number expected,
+                                             platform_failure *lastReason) override;
+    std::optional<object_list> listObjects(const list_query &query, platform_failure *lastReason) override;
+    std::optional<watch_result> watchObjects(const watch_query &query, platform_failure *lastReason) override;
+
     bool isReachable(platform_failure *lastReason);
-    std::optional<object_version> write(const std::function<std::optional<object_version>()> &apply,
-                                        platform_failure *lastReason);
+    std::optional<write_number> write(const std::function<std::optional<write_number>()> &apply,
+                                      platform_failure *lastReason);
 
     std::shared_ptr<memory_platform> m_platform;
 };
--- a/src/include/citroncrank/node_registry_worker.h
+++ b/src/include/citroncrank/node_registry_worker.h
@@ -64,7 +64,7 @@
     std::atomic<bool> m_isRenewalRequested = false;
     std::atomic<std::uint32_t> m_slots = 0;
     bool m_isOwnEntryWritten = false;
-    object_version m_ownEntryVersion = 0;
+    object_version m_ownEntryVersion; ///< Default: no entry.
     host_address m_storeAddress;
 };
 
--- a/src/include/citroncrank/object_store.h
+++ b/src/include/citroncrank/object_store.h
@@ -14,14 +14,24 @@
 
 namespace citroncrank {
 
-/// Version of an object: the number of the write that last changed it. Numbers are unique over the whole store and
-/// only increase. 0 is before the first write.
-using object_version = std::uint64_t;
-
 /// Number of times that the store came back from an older copy of its objects. Rises by one each time. Writes that the
 /// copy lacked are lost, and their numbers are given out again. 0: the store does not tell.
 using store_era = std::uint64_t;
 
+/// Number of a write. Unique and increasing within one era of the store. 0 is before the first write.
+using write_number = std::uint64_t;
+
+/// Version of an object: the write that last changed it. The number alone does not identify a write, since a later era
+/// may give it out again.
+struct object_version
+{
+    store_era era = 0;
+    write_number number = 0;
+    auto operator<=>(const object_version &) const = default;
+};
+/// Text for the log: era and number, such as "2:54".
+std::string toString(const object_version &version);
+
 /// Largest value of one object, in bytes.
 constexpr std::size_t kMaxObjectValueBytes = 1024 * 1024;
 /// Largest key, in bytes.
@@ -45,7 +55,7 @@
 struct stored_object
 {
     std::string key;
-    object_version version = 0;
+    object_version version;
     std::string value;
     auto operator<=>(const stored_object &) const = default;
 };
@@ -54,7 +64,7 @@
 struct object_entry
 {
     std::string key;
-    object_version version = 0;
+    object_version version;
     std::uint64_t valueBytes = 0;
     std::optional<std::string> value = std::nullopt;
     auto operator<=>(const object_entry &) const = default;
@@ -75,7 +85,7 @@
     std::vector<object_entry> entries;
     bool more = false; ///< Further entries follow the last one.
     /// Latest write of the store when the list was made; a watch from this version reports all later changes.
-    object_version version = 0;
+    object_version version;
     auto operator<=>(const object_list &) const = default;
 };
 
@@ -83,7 +93,7 @@
 struct watch_query
 {
     std::string prefix;
-    object_version from = 0;           ///< Changes up to this version are already known.
+    object_version from;               ///< Changes up to this version are already known.
     std::chrono::milliseconds wait{0}; ///< The platform responds after this time even if nothing changed.
 };
 
@@ -91,7 +101,7 @@
 struct object_change
 {
     std::string key;
-    object_version version = 0;
+    object_version version;
     std::optional<std::string> value; ///< nullopt: the object was removed.
     auto operator<=>(const object_change &) const = default;
 };
@@ -100,41 +110,41 @@
 struct watch_result
 {
     std::vector<object_change> changes; ///< Ordered by version.
-    object_version version = 0;         ///< Version from which the next watch starts.
+    object_version version;             ///< Version from which the next watch starts.
     auto operator<=>(const watch_result &) const = default;
 };
 
 /// The platform's object API. Each call blocks until its result or its deadline. On failure a call returns nullopt
-/// and stores the cause in `lastReason` (must not be null). Not thread safe; each thread uses a store of its own.
+/// and stores the cause in `lastReason` (must not be null). Versions carry the era that the store named in its answer;
+/// one of an earlier era matches no object and starts no watch. Not thread safe; each thread uses a store of its own.
 class object_store
 {
 public:
     virtual ~object_store() = default;
 
     /// Reads an object. Errors: not_found, unavailable, rejected.
-    virtual std::optional<stored_object> get(const std::string &key, platform_failure *lastReason) = 0;
+    std::optional<stored_object> get(const std::string &key, platform_failure *lastReason);
 
     /// Creates an object if none has this key; returns its version. Errors: conflict, unavailable, unknown_outcome,
     /// rejected.
-    virtual std::optional<object_version> create(const std::string &key, const std::string &value,
-                                                 platform_failure *lastReason) = 0;
+    std::optional<object_version> create(const std::string &key, const std::string &value,
+                                         platform_failure *lastReason);
 
     /// Replaces the value if the object has the expected version; returns the new version. Errors: not_found,
-    /// conflict, unavailable, unknown_outcome, rejected.
-    virtual std::optional<object_version> update(const std::string &key, const std::string &value,
-                                                 object_version expected, platform_failure *lastReason) = 0;
+    /// conflict, unavailable, unknown_outcome (also if the store came back from an older copy meanwhile), rejected.
+    std::optional<object_version> update(const std::string &key, const std::string &value,
+                                         const object_version &expected, platform_failure *lastReason);
 
-    /// Removes the object if it has the expected version; returns the version of the removal. Errors: not_found,
-    /// conflict, unavailable, unknown_outcome, rejected.
-    virtual std::optional<object_version> remove(const std::string &key, object_version expected,
-                                                 platform_failure *lastReason) = 0;
+    /// Removes the object if it has the expected version; returns the version of the removal. Errors: as update().
+    std::optional<object_version> remove(const std::string &key, const object_version &expected,
+                                         platform_failure *lastReason);
 
     /// Lists keys and versions under a prefix. Errors: unavailable, rejected.
-    virtual std::optional<object_list> list(const list_query &query, platform_failure *lastReason) = 0;
+    std::optional<object_list> list(const list_query &query, platform_failure *lastReason);
 
     /// Waits for changes under a prefix (long poll). A result without changes means that the wait ended. Errors:
-    /// unavailable, rejected, history_gone.
-    virtual std::optional<watch_result> watch(const watch_query &query, platform_failure *lastReason) = 0;
+    /// unavailable, rejected, history_gone (also if the start version is of another era).
+    std::optional<watch_result> watch(const watch_query &query, platform_failure *lastReason);
 
     /// Era that the store named in its last answer. 0 before the first answer, or if the store does not tell its era.
     store_era era() const { return m_era; }
@@ -144,6 +154,21 @@
     void recordEra(std::optional<store_era> era) { m_era = era.value_or(m_era); }
 
 private:
+    // Calls to the platform, which knows numbers only. The era of the versions in results is set by the caller.
+    virtual std::optional<stored_object> readObject(const std::string &key, platform_failure *lastReason) = 0;
+    virtual std::optional<write_number> createObject(const std::string &key, const std::string &value,
+                                                     platform_failure *lastReason) = 0;
+    virtual std::optional<write_number> updateObject(const std::string &key, const std::string &value,
+                                                     write_number expected, platform_failure *lastReason) = 0;
+    virtual std::optional<write_number> removeObject(const std::string &key, write_number expected,
+                                                     platform_failure *lastReason) = 0;
+    virtual std::optional<object_list> listObjects(const list_query &query, platform_failure *lastReason) = 0;
+    virtual std::optional<watch_result> watchObjects(const watch_query &query, platform_failure *lastReason) = 0;
+
+    bool mayMatch(const object_version &version) const { return m_era == 0 || version.era == m_era; }
+    std::optional<object_version> evaluateWrite(std::optional<write_number> number, const object_version &expected,
+                                                platform_failure *lastReason) const;
+
     store_era m_era = 0;
 };
 
@@ -174,16 +199,6 @@
     http_object_store(const http_object_store &) = delete;
     http_object_store &operator=(const http_object_store &) = delete;
 
-    std::optional<stored_object> get(const std::string &key, platform_failure *lastReason) override;
-    std::optional<object_version> create(const std::string &key, const std::string &value,
-                                         platform_failure *lastReason) override;
-    std::optional<object_version> update(const std::string &key, const std::string &value, object_version expected,
-                                         platform_failure *lastReason) override;
-    std::optional<object_version> remove(const std::string &key, object_version expected,
-                                         platform_failure *lastReason) override;
-    std::optional<object_list> list(const list_query &query, platform_failure *lastReason) override;
-    std::optional<watch_result> watch(const watch_query &query, platform_failure *lastReason) override;
-
     /// Aborts the call in progress and makes all later calls fail as unavailable. The only member that may be called
     /// from another thread; used to stop a thread that waits in a watch.
     void stop();
@@ -191,6 +206,16 @@
 private:
     class implementation;
 
+    std::optional<stored_object> readObject(const std::string &key, platform_failure *lastReason) override;
+    std::optional<write_number> createObject(const std::string &key, const std::string &value,
+                                             platform_failure *lastReason) override;
+    std::optional<write_number> updateObject(const std::string &key, const std::string &value, write_number expected,
+                                             platform_failure *lastReason) override;
+    std::optional<write_number> removeObject(const std::string &key, write_number expected,
+                                             platform_failure *lastReason) override;
+    std::optional<object_list> listObjects(const list_query &query, platform_failure *lastReason) override;
+    std::optional<watch_result> watchObjects(const watch_query &query, platform_failure *lastReason) override;
+
     std::optional<object_api_response> call(const object_api_request &request, std::chrono::milliseconds wait,
                                             bool isIdempotent, platform_failure *lastReason);
 
--- a/src/include/citroncrank/snapshot_worker.h
+++ b/src/include/citroncrank/snapshot_worker.h
@@ -43,7 +43,7 @@
     host_address m_storeAddress;
     bool m_isVersionKnown = false;
     bool m_isReceived = false;
-    object_version m_version = 0; ///< 0: the store has none.
+    object_version m_version; ///< Default: the store has none.
     mutable std::mutex m_pendingMutex;
     std::optional<std::string> m_pending;
 };
--- a/src/include/citroncrank/standin_platform.h
+++ b/src/include/citroncrank/standin_platform.h
@@ -48,12 +48,12 @@
     void runStoreRead(const exchange_pointer &exchange, const std::string &kind, const std::string &name);
     void runStoreWrite(const exchange_pointer &exchange, const std::string &kind, const std::string &name);
     void answerStoreWrite(const exchange_pointer &exchange, const std::string &key,
-                          const std::optional<object_version> &version, platform_failure failure);
+                          const std::optional<write_number> &version, platform_failure failure);
     void runList(const exchange_pointer &exchange);
     void runWatch(const exchange_pointer &exchange);
     void waitForChanges(const std::shared_ptr<waiting_watch> &watch, std::uint64_t waitMs);
     void answerWrite(const exchange_pointer &exchange, const std::string &key,
-                     const std::optional<object_version> &version, platform_failure failure);
+                     const std::optional<write_number> &version, platform_failure failure);
     void answerWatches(const std::string &changedKey);
     void endWatches();
     void answerWatch(const std::shared_ptr<waiting_watch> &watch);
--- a/src/libobjectstore/http_object_store.cpp
+++ b/src/libobjectstore/http_object_store.cpp
@@ -54,44 +54,44 @@
     return response;
 }
 
-std::optional<stored_object> http_object_store::get(const std::string &key, platform_failure *lastReason)
+std::optional<stored_object> http_object_store::readObject(const std::string &key, platform_failure *lastReason)
 {
     const auto request = getRequest(key, lastReason);
     const auto response = request ? call(*request, {}, true, lastReason) : std::nullopt;
     return response ? parseObject(*response, lastReason) : std::nullopt;
 }
 
-std::optional<object_version> http_object_store::create(const std::string &key, const std::string &value,
-                                                        platform_failure *lastReason)
+std::optional<write_number> http_object_store::createObject(const std::string &key, const std::string &value,
+                                                            platform_failure *lastReason)
 {
     const auto request = writeRequest(key, value, std::nullopt, lastReason);
     const auto response = request ? call(*request, {}, false, lastReason) : std::nullopt;
     return response ? parseWriteResult(*response, lastReason) : std::nullopt;
 }
 
-std::optional<object_version> http_object_store::update(const std::string &key, const std::string &value,
-                                                        object_version expected, platform_failure *lastReason)
+std::optional<write_number> http_object_store::updateObject(const std::string &key, const std::string &value,
+                                                            write_number expected, platform_failure *lastReason)
 {
     const auto request = writeRequest(key, value, expected, lastReason);
     const auto response = request ? call(*request, {}, false, lastReason) : std::nullopt;
     return response ? parseWriteResult(*response, lastReason) : std::nullopt;
 }
 
-std::optional<object_version> http_object_store::remove(const std::string &key, object_version expected,
-                                                        platform_failure *lastReason)
+std::optional<write_number> http_object_store::removeObject(const std::string &key, write_number expected,
+                                                            platform_failure *lastReason)
 {
     const auto request = removeRequest(key, expected, lastReason);
     const auto response = request ? call(*request, {}, false, lastReason) : std::nullopt;
     return response ? parseWriteResult(*response, lastReason) : std::nullopt;
 }
 
-std::optional<object_list> http_object_store::list(const list_query &query, platform_failure *lastReason)
+std::optional<object_list> http_object_store::listObjects(const list_query &query, platform_failure *lastReason)
 {
     const auto response = call(listRequest(query), {}, true, lastReason);
     return response ? parseList(*response, lastReason) : std::nullopt;
 }
 
-std::optional<watch_result> http_object_store::watch(const watch_query &query, platform_failure *lastReason)
+std::optional<watch_result> http_object_store::watchObjects(const watch_query &query, platform_failure *lastReason)
 {
     const auto response = call(watchRequest(query), query.wait, true, lastReason);
     return response ? parseWatch(*response, lastReason) : std::nullopt;
--- a/src/libobjectstore/memory_object_store.cpp
+++ b/src/libobjectstore/memory_object_store.cpp
@@ -6,39 +6,39 @@
     : m_platform(std::move(platform))
 {}
 
-std::optional<stored_object> memory_object_store::get(const std::string &key, platform_failure *lastReason)
+std::optional<stored_object> memory_object_store::readObject(const std::string &key, platform_failure *lastReason)
 {
     if (!isReachable(lastReason))
         return std::nullopt;
     return m_platform->objects.get(key, lastReason);
 }
 
-std::optional<object_version> memory_object_store::create(const std::string &key, const std::string &value,
-                                                          platform_failure *lastReason)
+std::optional<write_number> memory_object_store::createObject(const std::string &key, const std::string &value,
+                                                              platform_failure *lastReason)
 {
     return write([&] { return m_platform->objects.create(key, value, lastReason); }, lastReason);
 }
 
-std::optional<object_version> memory_object_store::update(const std::string &key, const std::string &value,
-                                                          object_version expected, platform_failure *lastReason)
+std::optional<write_number> memory_object_store::updateObject(const std::string &key, const std::string &value,
+                                                              write_number expected, platform_failure *lastReason)
 {
     return write([&] { return m_platform->objects.update(key, value, expected, lastReason); }, lastReason);
 }
 
-std::optional<object_version> memory_object_store::remove(const std::string &key, object_version expected,
-                                                          platform_failure *lastReason)
+std::optional<write_number> memory_object_store::removeObject(const std::string &key, write_number expected,
+                                                              platform_failure *lastReason)
 {
     return write([&] { return m_platform->objects.remove(key, expected, lastReason); }, lastReason);
 }
 
-std::optional<object_list> memory_object_store::list(const list_query &query, platform_failure *lastReason)
+std::optional<object_list> memory_object_store::listObjects(const list_query &query, platform_failure *lastReason)
 {
     if (!isReachable(lastReason))
         return std::nullopt;
     return m_platform->objects.list(query, lastReason);
 }
 
-std::optional<watch_result> memory_object_store::watch(const watch_query &query, platform_failure *lastReason)
+std::optional<watch_result> memory_object_store::watchObjects(const watch_query &query, platform_failure *lastReason)
 {
     if (!isReachable(lastReason))
         return std::nullopt;
@@ -46,7 +46,7 @@
         --m_platform->emptyNextWatches;
         return watch_result{.changes = {}, .version = query.from};
     }
-    return m_platform->objects.changesAfter(query.prefix, query.from);
+    return m_platform->objects.changesAfter(query.prefix, query.from.number);
 }
 
 bool memory_object_store::isReachable(platform_failure *lastReason)
@@ -58,8 +58,8 @@
     return !m_platform->down;
 }
 
-std::optional<object_version> memory_object_store::write(const std::function<std::optional<object_version>()> &apply,
-                                                         platform_failure *lastReason)
+std::optional<write_number> memory_object_store::write(const std::function<std::optional<write_number>()> &apply,
+                                                       platform_failure *lastReason)
 {
     if (!isReachable(lastReason))
         return std::nullopt;
--- a/src/libobjectstore/object_api.cpp
+++ b/src/libobjectstore/object_api.cpp
@@ -69,14 +69,19 @@
     return source.at(name).to_number<std::uint64_t>();
 }
 
+object_version versionAt(const json::object &source, const char *name)
+{
+    return {.number = numberAt(source, name)};
+}
+
 object_entry parseEntry(const json::object &source)
 {
-    return {textAt(source, "key"), numberAt(source, "version"), numberAt(source, "value_bytes")};
+    return {textAt(source, "key"), versionAt(source, "version"), numberAt(source, "value_bytes")};
 }
 
 object_change parseChange(const json::object &source)
 {
-    object_change result{textAt(source, "key"), numberAt(source, "version"), std::nullopt};
+    object_change result{textAt(source, "key"), versionAt(source, "version"), std::nullopt};
     if (!source.at("value").is_null())
         result.value = textAt(source, "value");
     return result;
@@ -93,7 +98,7 @@
 }
 
 std::optional<object_api_request> writeRequest(const std::string &key, const std::string &value,
-                                               std::optional<object_version> expected, platform_failure *lastReason)
+                                               std::optional<write_number> expected, platform_failure *lastReason)
 {
     *lastReason = platform_failure::rejected;
     if (!isValidObjectKey(key) || value.size() > kMaxObjectValueBytes)
@@ -103,7 +108,7 @@
                               json::serialize(json::object{{"value", value}})};
 }
 
-std::optional<object_api_request> removeRequest(const std::string &key, object_version expected,
+std::optional<object_api_request> removeRequest(const std::string &key, write_number expected,
                                                 platform_failure *lastReason)
 {
     *lastReason = platform_failure::rejected;
@@ -123,7 +128,7 @@
 object_api_request watchRequest(const watch_query &query)
 {
     return {"GET",
-            absl::StrCat("/v1/watch?prefix=", escapeQuery(query.prefix), "&from=", query.from,
+            absl::StrCat("/v1/watch?prefix=", escapeQuery(query.prefix), "&from=", query.from.number,
                          "&wait_ms=", query.wait.count()),
             ""};
 }
@@ -131,20 +136,20 @@
 std::optional<stored_object> parseObject(const object_api_response &response, platform_failure *lastReason)
 {
     return parseBody(response, platform_failure::unavailable, lastReason, [](const json::object &source) {
-        return stored_object{textAt(source, "key"), numberAt(source, "version"), textAt(source, "value")};
+        return stored_object{textAt(source, "key"), versionAt(source, "version"), textAt(source, "value")};
     });
 }
 
-std::optional<object_version> parseWriteResult(const object_api_response &response, platform_failure *lastReason)
+std::optional<write_number> parseWriteResult(const object_api_response &response, platform_failure *lastReason)
 {
     return parseBody(response, platform_failure::unknown_outcome, lastReason,
-                     [](const json::object &source) { return object_version(numberAt(source, "version")); });
+                     [](const json::object &source) { return write_number(numberAt(source, "version")); });
 }
 
 std::optional<object_list> parseList(const object_api_response &response, platform_failure *lastReason)
 {
     return parseBody(response, platform_failure::unavailable, lastReason, [](const json::object &source) {
-        object_list result{.entries = {}, .more = source.at("more").as_bool(), .version = numberAt(source, "version")};
+        object_list result{.entries = {}, .more = source.at("more").as_bool(), .version = versionAt(source, "version")};
         for (const auto &entry : source.at("entries").as_array())
             result.entries.push_back(parseEntry(entry.as_object()));
         return result;
@@ -154,7 +159,7 @@
 std::optional<watch_result> parseWatch(const object_api_response &response, platform_failure *lastReason)
 {
     return parseBody(response, platform_failure::unavailable, lastReason, [](const json::object &source) {
-        watch_result result{.changes = {}, .version = numberAt(source, "version")};
+        watch_result result{.changes = {}, .version = versionAt(source, "version")};
         for (const auto &change : source.at("changes").as_array())
             result.changes.push_back(parseChange(change.as_object()));
         return result;
--- a/src/libobjectstore/object_api_pvt.h
+++ b/src/libobjectstore/object_api_pvt.h
@@ -25,8 +25,8 @@
 std::optional<object_api_request> getRequest(const std::string &key, platform_failure *lastReason);
 /// Creates if `expected` is nullopt, updates otherwise.
 std::optional<object_api_request> writeRequest(const std::string &key, const std::string &value,
-                                               std::optional<object_version> expected, platform_failure *lastReason);
-std::optional<object_api_request> removeRequest(const std::string &key, object_version expected,
+                                               std::optional<write_number> expected, platform_failure *lastReason);
+std::optional<object_api_request> removeRequest(const std::string &key, write_number expected,
                                                 platform_failure *lastReason);
 object_api_request listRequest(const list_query &query);
 object_api_request watchRequest(const watch_query &query);
@@ -34,7 +34,7 @@
 /// Parse the response to a call. A response that is not valid JSON of the expected form is a failure: unavailable for
 /// reads, unknown_outcome for writes.
 std::optional<stored_object> parseObject(const object_api_response &response, platform_failure *lastReason);
-std::optional<object_version> parseWriteResult(const object_api_response &response, platform_failure *lastReason);
+std::optional<write_number> parseWriteResult(const object_api_response &response, platform_failure *lastReason);
 std::optional<object_list> parseList(const object_api_response &response, platform_failure *lastReason);
 std::optional<watch_result> parseWatch(const object_api_response &response, platform_failure *lastReason);
 
--- a/src/libobjectstore/versioned_objects.cpp
+++ b/src/libobjectstore/versioned_objects.cpp
@@ -45,11 +45,11 @@
         *lastReason = isValidObjectKey(key) ? platform_failure::not_found : platform_failure::rejected;
         return std::nullopt;
     }
-    return stored_object{key, found->second.version, *found->second.value};
+    return stored_object{key, versionOf(found->second), *found->second.value};
 }
 
-std::optional<object_version> versioned_objects::create(const std::string &key, const std::string &value,
-                                                        platform_failure *lastReason)
+std::optional<write_number> versioned_objects::create(const std::string &key, const std::string &value,
+                                                      platform_failure *lastReason)
 {
     if (!checkWrite(key, value, lastReason))
         return std::nullopt;
@@ -61,16 +61,16 @@
     return store(key, value);
 }
 
-std::optional<object_version> versioned_objects::update(const std::string &key, const std::string &value,
-                                                        object_version expected, platform_failure *lastReason)
+std::optional<write_number> versioned_objects::update(const std::string &key, const std::string &value,
+                                                      write_number expected, platform_failure *lastReason)
 {
     if (!checkWrite(key, value, lastReason) || !checkExpected(key, expected, lastReason))
         return std::nullopt;
     return store(key, value);
 }
 
-std::optional<object_version> versioned_objects::remove(const std::string &key, object_version expected,
-                                                        platform_failure *lastReason)
+std::optional<write_number> versioned_objects::remove(const std::string &key, write_number expected,
+                                                      platform_failure *lastReason)
 {
     if (!checkExpected(key, expected, lastReason))
         return std::nullopt;
@@ -91,13 +91,13 @@
         high = std::min(high, query.after);
     if (!query.after.empty() && !query.descending)
         low = std::max(low, query.after + '\0');
-    object_list result{.entries = {}, .version = m_version};
+    object_list result{.entries = {}, .version = {m_era, m_version}};
     if (low >= high)
         return result;
     const auto add = [&](const auto &item) {
         result.more = item.second.value && result.entries.size() == query.limit;
         if (item.second.value && !result.more)
-            result.entries.push_back({item.first, item.second.version, item.second.value->size()});
+            result.entries.push_back({item.first, versionOf(item.second), item.second.value->size()});
         return result.more;
     };
     const auto first = m_records.lower_bound(low);
@@ -109,12 +109,12 @@
     return result;
 }
 
-watch_result versioned_objects::changesAfter(const std::string &prefix, object_version from) const
+watch_result versioned_objects::changesAfter(const std::string &prefix, write_number from) const
 {
     // A watcher with a later version last read a store that this one has replaced; it gets all objects.
     if (from > m_version)
         from = 0;
-    watch_result result{.changes = {}, .version = m_version};
+    watch_result result{.changes = {}, .version = {m_era, m_version}};
     std::size_t bytes = 0;
     for (auto item = m_keysByVersion.upper_bound(from); item != m_keysByVersion.end(); ++item) {
         if (!item->second.starts_with(prefix))
@@ -125,7 +125,7 @@
             result.version = result.changes.back().version;
             break;
         }
-        result.changes.push_back({item->second, current.version, current.value});
+        result.changes.push_back({item->second, versionOf(current), current.value});
     }
     return result;
 }
@@ -137,16 +137,15 @@
     m_era = next;
 }
 
-bool versioned_objects::checkExpected(const std::string &key, object_version expected,
-                                      platform_failure *lastReason) const
+bool versioned_objects::checkExpected(const std::string &key, write_number expected, platform_failure *lastReason) const
 {
     const auto current = get(key, lastReason);
-    if (current && current->version != expected)
+    if (current && current->version.number != expected)
         *lastReason = platform_failure::conflict;
-    return current && current->version == expected;
+    return current && current->version.number == expected;
 }
 
-object_version versioned_objects::store(const std::string &key, std::optional<std::string> value)
+write_number versioned_objects::store(const std::string &key, std::optional<std::string> value)
 {
     record &target = m_records[key];
     m_keysByVersion.erase(target.version);
--- a/src/libobjectstore/versioned_objects_test.cpp
+++ b/src/libobjectstore/versioned_objects_test.cpp
@@ -89,15 +89,15 @@
 {
     versioned_objects objects;
     failure reason{};
-    const auto from = *rc::gen::inRange<object_version>(0, 30);
+    const auto from = *rc::gen::inRange<write_number>(0, 30);
     std::map<std::string, std::string> watched;
     for (const int step : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 20))) {
         const std::string key = "k" + std::to_string(step % 5);
         const auto current = objects.get(key, &reason);
         if (current && step >= 15)
-            objects.remove(key, current->version, &reason);
+            objects.remove(key, current->version.number, &reason);
         else if (current)
-            objects.update(key, std::to_string(step), current->version, &reason);
+            objects.update(key, std::to_string(step), current->version.number, &reason);
         else
             objects.create(key, std::to_string(step), &reason);
         for (int name = 0; objects.version() <= from && name < 5; ++name) {
@@ -149,7 +149,7 @@
     EXPECT_EQ(reason, failure::unknown_outcome);
     EXPECT_EQ(store.get("a", &reason)->value, "1");
     platform->loseNextWrites = 1;
-    EXPECT_FALSE(store.update("a", "2", 1, &reason));
+    EXPECT_FALSE(store.update("a", "2", {1, 1}, &reason));
     EXPECT_EQ(reason, failure::unknown_outcome);
     EXPECT_EQ(store.get("a", &reason)->value, "1");
     platform->emptyNextWatches = 1;
--- a/src/libpacketnode/node_registry_worker.cpp
+++ b/src/libpacketnode/node_registry_worker.cpp
@@ -126,9 +126,9 @@
     m_entries = std::move(entries);
     cursor().recordListing(*seen);
     const auto own = m_entries.find(m_key);
-    m_ownEntryVersion = own != m_entries.end() ? own->second.version : 0;
-    log(absl::StrCat("entries read, count=", m_entries.size(), " revision=", *seen, " ", eraText(),
-                     " own=", m_ownEntryVersion));
+    m_ownEntryVersion = own != m_entries.end() ? own->second.version : object_version{};
+    log(absl::StrCat("entries read, count=", m_entries.size(), " revision=", toString(*seen),
+                     " own=", toString(m_ownEntryVersion)));
     publish();
     return duration(0);
 }
@@ -153,7 +153,7 @@
     if (version) {
         m_isOwnEntryWritten = true;
         m_ownEntryVersion = *version;
-        log(absl::StrCat("own entry written, version=", *version, " ", eraText()));
+        log(absl::StrCat("own entry written, version=", toString(*version)));
         return recordCall(true, reason);
     }
     if (reason == platform_failure::rejected) {
@@ -168,7 +168,7 @@
 // One attempt is enough, since balancers remove the entries of stale nodes.
 void node_registry_worker::removeOwnEntry()
 {
-    if (m_ownEntryVersion == 0)
+    if (m_ownEntryVersion == object_version{})
         return;
     platform::platform_store store({m_storeAddress, kRemoveTimeout});
     platform_failure reason = platform_failure::unavailable;
--- a/src/libpacketnode/restored_store_fixture_test.h
+++ b/src/libpacketnode/restored_store_fixture_test.h
@@ -72,7 +72,7 @@
     platform_failure reason{};
     const auto before = store.objects().get(key, &reason);
     if (before)
-        store.objects().update(key, value, before->version, &reason);
+        store.objects().update(key, value, before->version.number, &reason);
     else
         store.objects().create(key, value, &reason);
 }
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -68,7 +68,7 @@
             applyDocument(*entry.value);
     }
     cursor().recordListing(list->version);
-    log(absl::StrCat("configuration read, revision=", list->version, " ", eraText()));
+    log(absl::StrCat("configuration read, revision=", toString(list->version)));
     return duration(0);
 }
 
--- a/src/libpacketnode/snapshot_worker.cpp
+++ b/src/libpacketnode/snapshot_worker.cpp
@@ -86,13 +86,13 @@
     if (!object && !isAbsent)
         return pause;
     m_isVersionKnown = true;
-    m_version = object ? object->version : 0;
+    m_version = object ? object->version : object_version{};
     if (std::exchange(m_isReceived, true) || !object)
         return pause;
     if (const auto text = parseSnapshotObject(object->value))
         m_receive(*text);
     else
-        log(absl::StrCat("snapshot object cannot be parsed, version=", m_version));
+        log(absl::StrCat("snapshot object cannot be parsed, version=", toString(m_version)));
     return pause;
 }
 
@@ -100,8 +100,8 @@
 {
     platform_failure reason = platform_failure::unavailable;
     const std::string value = formatSnapshotObject(text);
-    const auto version =
-        m_version == 0 ? store().create(m_key, value, &reason) : store().update(m_key, value, m_version, &reason);
+    const auto version = m_version == object_version{} ? store().create(m_key, value, &reason)
+                                                       : store().update(m_key, value, m_version, &reason);
     if (version) {
         m_version = *version;
         clearPending(text);
@@ -130,7 +130,7 @@
 // One attempt is enough, since balancers remove the snapshots of stale nodes.
 void snapshot_worker::removeOwnSnapshot()
 {
-    if (m_version == 0)
+    if (m_version == object_version{})
         return;
     platform::platform_store store({m_storeAddress, kRemoveTimeout});
     platform_failure reason = platform_failure::unavailable;
--- a/src/libpacketnode/store_worker.cpp
+++ b/src/libpacketnode/store_worker.cpp
@@ -65,10 +65,12 @@
 std::optional<watch_result> store_worker::awaitChanges(const char *prefix, milliseconds wait, duration *pause)
 {
     platform_failure reason = platform_failure::unavailable;
-    auto result = m_store.watch({prefix, *m_cursor->from(), wait}, &reason);
+    // A store that was lost may have come back from an older copy, and a watch from a number of an earlier era waits in
+    // vain. Its answer tells the era, so the first one does not wait.
+    auto result = m_store.watch({prefix, *m_cursor->from(), m_isLost ? milliseconds(0) : wait}, &reason);
     if (!result && reason == platform_failure::history_gone) {
         recordEra();
-        log(absl::StrCat("history is gone, listing objects again, from=", *m_cursor->from(), " ", eraText()));
+        log(absl::StrCat("history is gone, listing objects again, from=", toString(*m_cursor->from()), " ", eraText()));
         m_cursor->invalidate();
         *pause = duration(0);
         return std::nullopt;
--- a/src/libpacketnode/watch_cursor_pvt.h
+++ b/src/libpacketnode/watch_cursor_pvt.h
@@ -20,7 +20,7 @@
     std::optional<object_version> from() const { return m_from; }
 
     /// Call after listing all objects at this version.
-    void recordListing(object_version version) { m_from = version; }
+    void recordListing(const object_version &version) { m_from = version; }
 
     /// Call after a watch returned. A result without changes does not advance the cursor: a store that has dropped its
     /// history returns such a result although an object changed, and a new watch from the old version then fails with
--- a/src/libpacketnode/watch_cursor_test.cpp
+++ b/src/libpacketnode/watch_cursor_test.cpp
@@ -10,11 +10,11 @@
 {
     watch_cursor cursor;
     EXPECT_FALSE(cursor.from());
-    cursor.recordListing(40);
-    cursor.recordWatch({.changes = {}, .version = 55});
-    EXPECT_EQ(cursor.from(), 40U);
-    cursor.recordWatch({.changes = {{"config/main", 56, "{}"}}, .version = 57});
-    EXPECT_EQ(cursor.from(), 57U);
+    cursor.recordListing({1, 40});
+    cursor.recordWatch({.changes = {}, .version = {1, 55}});
+    EXPECT_EQ(cursor.from(), (object_version{1, 40}));
+    cursor.recordWatch({.changes = {{"config/main", {1, 56}, "{}"}}, .version = {1, 57}});
+    EXPECT_EQ(cursor.from(), (object_version{1, 57}));
     cursor.invalidate();
     EXPECT_FALSE(cursor.from());
 }
--- a/src/libstandin/platform.cpp
+++ b/src/libstandin/platform.cpp
@@ -58,12 +58,12 @@
 {
     json::array changes;
     for (const auto &change : result.changes) {
-        json::object item{{"key", change.key}, {"version", change.version}, {"value", nullptr}};
+        json::object item{{"key", change.key}, {"version", change.version.number}, {"value", nullptr}};
         if (change.value)
             item["value"] = *change.value;
         changes.push_back(std::move(item));
     }
-    return json::serialize(json::object{{"version", result.version}, {"changes", std::move(changes)}});
+    return json::serialize(json::object{{"version", result.version.number}, {"changes", std::move(changes)}});
 }
 
 } // namespace
@@ -147,9 +147,10 @@
         countCall("get");
         const auto found = m_objects.get(key, &failure);
         respond(exchange,
-                found ? standin_response{.body = json::serialize(json::object{
-                                             {"key", key}, {"version", found->version}, {"value", found->value}})}
-                      : errorResponse(failure, "no such object"));
+                found
+                    ? standin_response{.body = json::serialize(json::object{
+                                           {"key", key}, {"version", found->version.number}, {"value", found->value}})}
+                    : errorResponse(failure, "no such object"));
     } else if (request.method == "PUT" && hasCondition) {
         countCall(isCreate ? "create" : "update");
         const auto value = parseValue(request.body);
@@ -168,7 +169,7 @@
 }
 
 void standin_platform::answerWrite(const exchange_pointer &exchange, const std::string &key,
-                                   const std::optional<object_version> &version, platform_failure failure)
+                                   const std::optional<write_number> &version, platform_failure failure)
 {
     if (m_switches.loseAnswers > 0) {
         --m_switches.loseAnswers;
@@ -198,9 +199,9 @@
     }
     json::array entries;
     for (const auto &entry : list->entries)
-        entries.push_back({{"key", entry.key}, {"version", entry.version}, {"value_bytes", entry.valueBytes}});
+        entries.push_back({{"key", entry.key}, {"version", entry.version.number}, {"value_bytes", entry.valueBytes}});
     respond(exchange, {.body = json::serialize(json::object{
-                           {"entries", std::move(entries)}, {"more", list->more}, {"version", list->version}})});
+                           {"entries", std::move(entries)}, {"more", list->more}, {"version", list->version.number}})});
 }
 
 void standin_platform::runWatch(const exchange_pointer &exchange)
--- a/src/libstandin/platform_pvt.h
+++ b/src/libstandin/platform_pvt.h
@@ -15,7 +15,7 @@
 {
     std::shared_ptr<standin_exchange> exchange;
     std::string prefix;
-    object_version from = 0;
+    write_number from = 0;
     bool isStoreCall = false;
     boost::asio::steady_timer timer;
 };
--- a/src/libstandin/platform_test.cpp
+++ b/src/libstandin/platform_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <future>
+
 namespace citroncrank {
 namespace {
 
@@ -37,12 +39,13 @@
     ASSERT_TRUE(updated);
     ASSERT_TRUE(store.create("config/2", "", &reason));
     const list_query query{.prefix = "config/", .limit = 1, .descending = true};
-    EXPECT_EQ(store.list(query, &reason), (object_list{{{"config/2", *updated + 1, 0}}, true, *updated + 1}));
-    ASSERT_TRUE(store.remove("config/2", *updated + 1, &reason));
+    const object_version second{updated->era, updated->number + 1};
+    EXPECT_EQ(store.list(query, &reason), (object_list{{{"config/2", second, 0}}, true, second}));
+    ASSERT_TRUE(store.remove("config/2", second, &reason));
     const auto changes = store.watch({.prefix = "config/", .from = *created}, &reason);
     ASSERT_TRUE(changes);
-    EXPECT_EQ(changes->changes,
-              (std::vector<object_change>{{"config/1", *updated, "two"}, {"config/2", *updated + 2, std::nullopt}}));
+    EXPECT_EQ(changes->changes, (std::vector<object_change>{{"config/1", *updated, "two"},
+                                                            {"config/2", {1, updated->number + 2}, std::nullopt}}));
 }
 
 // Guards against failures that are reported as a different platform_failure.
@@ -56,7 +59,7 @@
     ASSERT_TRUE(store.create("a", "1", &reason));
     EXPECT_FALSE(store.create("a", "2", &reason));
     EXPECT_EQ(reason, failure::conflict);
-    EXPECT_FALSE(store.update("a", "2", 99, &reason));
+    EXPECT_FALSE(store.update("a", "2", {1, 99}, &reason));
     EXPECT_EQ(reason, failure::conflict);
     EXPECT_FALSE(store.create("b", "\xFF\xFE", &reason));
     EXPECT_EQ(reason, failure::rejected);
@@ -130,7 +133,7 @@
     auto watched = std::async(std::launch::async, [&] {
         http_object_store watcher = platform.store();
         failure reason{};
-        return watcher.watch({.prefix = "roster/", .from = 0, .wait = kLongWait}, &reason);
+        return watcher.watch({.prefix = "roster/", .from = {}, .wait = kLongWait}, &reason);
     });
     http_object_store store = platform.store();
     failure reason{};
@@ -138,8 +141,9 @@
     ASSERT_TRUE(store.create("roster/a", "member", &reason));
     const auto result = watched.get();
     ASSERT_TRUE(result);
-    EXPECT_EQ(result->changes, (std::vector<object_change>{{"roster/a", 2, "member"}}));
-    EXPECT_EQ(store.watch({.prefix = "", .from = 2, .wait = milliseconds(1)}, &reason), (watch_result{{}, 2}));
+    EXPECT_EQ(result->changes, (std::vector<object_change>{{"roster/a", {1, 2}, "member"}}));
+    EXPECT_EQ(store.watch({.prefix = "", .from = {1, 2}, .wait = milliseconds(1)}, &reason),
+              (watch_result{{}, {1, 2}}));
 }
 
 // Guards against a process whose shutdown waits for the end of a long poll.
@@ -149,7 +153,7 @@
     http_object_store watcher = platform.store();
     auto watched = std::async(std::launch::async, [&] {
         failure reason{};
-        EXPECT_FALSE(watcher.watch({.prefix = "", .from = 0, .wait = kLongWait}, &reason));
+        EXPECT_FALSE(watcher.watch({.prefix = "", .from = {}, .wait = kLongWait}, &reason));
         return reason;
     });
     watcher.stop();
--- a/src/libstreamnode/platform_worker.cpp
+++ b/src/libstreamnode/platform_worker.cpp
@@ -213,7 +213,7 @@
 
 void platform_worker::runWatch()
 {
-    object_version from = 0;
+    object_version from;
     for (;;) {
         {
             std::unique_lock lock(m_watchMutex);
@@ -255,14 +255,18 @@
     }
     // The first watch starts at the version of a preceding read, since a watch from version 0 would deliver every old
     // revision.
-    if (*from == 0 && !initializeWatch(above, from))
+    if (*from == object_version{} && !initializeWatch(above, from))
         return false;
     ++m_calls;
     const auto result =
         m_watchStore.watch({.prefix = std::string(kRevisionPrefix), .from = *from, .wait = kWatchWait}, &reason);
-    if (!result)
+    if (!result && reason != platform_failure::history_gone)
         return false;
-    // A rebuilt platform may return a lower version than before; the next watch then starts from that version.
+    if (!result) {
+        // The platform was restored from an older copy, so the watch may have missed revisions. Read them again.
+        *from = {};
+        return true;
+    }
     *from = result->version;
     const object_change *highest = nullptr;
     std::uint64_t number = above;
