packet programs: nodes write again what a restored store has lost

Cause: a node remembered that its entry was written. A balancer that starts takes the agents that may own flows from the store; the owner was not among them and did not know the new balancer either, so all that were asked denied the flow. Class: a fact about the store kept in memory beyond what the store still knows. Change: each listing decides anew whether the own entry is there, also for balancers and after a removal. A balancer that learns of a later era says hello to all agents in its next round, and to an unknown agent at its first report. Ruled out: watching by agents, a call every few seconds for each.

--- a/src/include/citroncrank/node_message.h
+++ b/src/include/citroncrank/node_message.h
@@ -181,6 +181,7 @@
     std::vector<host_address> balancers; ///< Known balancers except the sender.
     std::uint32_t agents = 0;            ///< Number of known agents, which share the write rate of the object store.
     bool isEntryMissing = false;         ///< The receiving agent reports, but the object store does not list it.
+    std::uint64_t storeEra = 0;          ///< Latest era of the object store that the sender knows. 0: unknown.
     auto operator<=>(const balancer_hello &) const = default;
 };
 
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -68,6 +68,8 @@
     void applyRoutes(std::shared_ptr<const route_set> routes, time_point now, packet_actions *out);
     /// Processes the complete list of nodes in the object store.
     void applyListing(const std::vector<listed_node> &nodes, time_point now, packet_actions *out);
+    /// Applies the latest era of the object store that this node has heard of.
+    void applyStoreEra(std::uint64_t era, time_point now);
     /// Applies the seeds and the flow lifetime. The other settings cannot change after the start.
     void changeSettings(const packet_balancer_settings &changed);
     /// Periodic work: sends hellos, retries held packets and owner queries, expires state. Call about every
@@ -195,6 +197,7 @@
     absl::btree_map<host_address, time_point> m_listedBalancers; ///< Other balancers and when they became listed.
     bool m_isListingKnown = false;
     std::uint64_t m_helloRound = 0;
+    std::uint64_t m_storeEra = 0;
     std::optional<time_point> m_nextHello;
     std::optional<time_point> m_nextSweep;
 };
--- a/src/include/citroncrank/packet_node.h
+++ b/src/include/citroncrank/packet_node.h
@@ -52,6 +52,8 @@
     void log(log_class kind, const std::string &text);
     /// Thread-safe log function for the store workers.
     store_log storeLog();
+    /// Latest era of the store that this node has heard of; also updates its metric.
+    store_era storeEra();
     store_access storeAccess() { return {m_settings.platform, m_storeEras, storeLog()}; }
 
     settings_watch m_settingsFile;
@@ -73,7 +75,7 @@
     metric_counter &m_packetsToCallers;
     metric_counter &m_resets;
     metric_counter &m_malformed;
-    metric_gauge &m_storeEra;
+    metric_gauge &m_storeEraGauge;
     owner_message_batch m_ownerMessages;
     std::optional<time_point> m_nextLogFlush;
 };
--- a/src/include/citroncrank/snapshot_worker.h
+++ b/src/include/citroncrank/snapshot_worker.h
@@ -12,7 +12,8 @@
 
 namespace citroncrank {
 
-/// Reads the snapshot of an earlier incarnation once, then writes the latest submitted one. Writes are conditional on
+/// Reads the snapshot of an earlier incarnation once, then writes the latest submitted one. Writes that one again when it
+/// hears that the store came back from an older copy. Writes are conditional on
 /// the version, so a delayed write of an earlier incarnation cannot replace a later snapshot.
 class snapshot_worker : public store_worker
 {
@@ -35,6 +36,7 @@
 private:
     std::optional<duration> read();
     std::optional<duration> write(const std::string &text);
+    void resubmit();
     std::optional<std::string> pending() const;
     void clearPending(const std::string &text);
 
@@ -44,6 +46,7 @@
     bool m_isVersionKnown = false;
     bool m_isReceived = false;
     object_version m_version; ///< Default: the store has none.
+    std::string m_written;    ///< Last text that was written.
     mutable std::mutex m_pendingMutex;
     std::optional<std::string> m_pending;
 };
--- a/src/include/citroncrank/store_era_monitor.h
+++ b/src/include/citroncrank/store_era_monitor.h
@@ -5,9 +5,9 @@
 
 #include "citroncrank/object_store.h"
 
-#include <atomic>
 #include <functional>
-#include <vector>
+#include <map>
+#include <mutex>
 
 namespace citroncrank {
 
@@ -18,27 +18,19 @@
     using listener = std::function<void()>;
 
     /// 0 before the first answer of the store, or if the store does not tell its era.
-    store_era latest() const { return m_latest; }
+    store_era latest() const;
 
     /// Records an era. If it is later than the latest one, calls the listeners in this thread.
-    void observe(store_era era)
-    {
-        store_era before = m_latest;
-        while (era > before) {
-            if (!m_latest.compare_exchange_weak(before, era))
-                continue;
-            for (const listener &notify : m_listeners)
-                notify();
-            return;
-        }
-    }
-
-    /// Must be called before the first observe().
-    void addListener(listener notify) { m_listeners.push_back(std::move(notify)); }
+    void observe(store_era era);
+
+    /// Calls `notify` when the era rises, until unsubscribe() is called with the same owner.
+    void subscribe(const void *owner, listener notify);
+    void unsubscribe(const void *owner);
 
 private:
-    std::atomic<store_era> m_latest = 0;
-    std::vector<listener> m_listeners;
+    mutable std::mutex m_mutex;
+    store_era m_latest = 0;
+    std::map<const void *, listener> m_listeners;
 };
 
 } // namespace citroncrank
--- a/src/include/citroncrank/store_worker.h
+++ b/src/include/citroncrank/store_worker.h
@@ -54,6 +54,9 @@
     /// Waits for changes after the cursor and advances it. If the call fails, returns nullopt and stores the delay
     /// before the next step in `pause`.
     std::optional<watch_result> awaitChanges(const char *prefix, std::chrono::milliseconds wait, duration *pause);
+    /// Whether another worker or another node has heard of a later era than this worker's last answer. Returns true once
+    /// for each era. What the worker has written may then be gone from the store.
+    bool takeLaterEra();
     /// Era of the store's last answer, as `era=N` for the log.
     std::string eraText() const;
     void log(const std::string &text) const { m_log(m_name + ": " + text); }
@@ -64,7 +67,8 @@
     std::string m_name;
     store_log m_log;
     std::shared_ptr<store_era_monitor> m_eras;
-    store_era m_era = 0; ///< Of the last answer.
+    store_era m_era = 0;        ///< Of the last answer.
+    store_era m_handledEra = 0; ///< For which takeLaterEra() has returned true.
     platform::platform_store m_store;
     std::unique_ptr<watch_cursor> m_cursor;
     std::minstd_rand m_random;
--- a/src/libpacket/node_message.cpp
+++ b/src/libpacket/node_message.cpp
@@ -146,7 +146,7 @@
     const auto http = toWire(message.http);
     const auto domain = out->CreateString(message.domain);
     return wire::CreateBalancerHello(*out, domain, message.incarnation, message.routesVersion, &http, balancers,
-                                     message.agents, message.isEntryMissing)
+                                     message.agents, message.isEntryMissing, message.storeEra)
         .Union();
 }
 
@@ -293,7 +293,8 @@
                           .http = fromWire(source.http()),
                           .balancers = fromWire(source.balancers()),
                           .agents = source.agents(),
-                          .isEntryMissing = source.entry_missing()};
+                          .isEntryMissing = source.entry_missing(),
+                          .storeEra = source.store_era()};
 }
 
 std::optional<node_message> decodeBody(const wire::AgentHello &source)
--- a/src/libpacket/packet_balancer_nodes.cpp
+++ b/src/libpacket/packet_balancer_nodes.cpp
@@ -38,6 +38,8 @@
         absl::StrCat("agent reported, agent=", toString(agent), " service=", report.service,
                      " state=", toString(report.state), " incarnation=", report.incarnation, " number=", report.number),
         out);
+    if (before == nullptr)
+        out->emplace_back(send_to_node{agent, hello()});
     replayHeld(now, out);
 }
 
@@ -104,6 +106,18 @@
     replayHeld(now, out);
 }
 
+// The store has lost its latest writes, and agents do not watch it. The next round of hellos goes to all of them, so that
+// they write again what is missing.
+void packet_balancer::applyStoreEra(std::uint64_t era, time_point now)
+{
+    if (era <= m_storeEra)
+        return;
+    if (std::exchange(m_storeEra, era) == 0)
+        return;
+    m_helloRound = 0;
+    m_nextHello = now;
+}
+
 balancer_hello packet_balancer::hello() const
 {
     balancer_hello result{.incarnation = m_settings.incarnation,
@@ -111,7 +125,9 @@
                           .routesVersion = routesVersion(),
                           .http = m_settings.http,
                           .balancers = {},
-                          .agents = std::uint32_t(m_agents.size())};
+                          .agents = std::uint32_t(m_agents.size()),
+                          .isEntryMissing = false,
+                          .storeEra = m_storeEra};
     for (const auto &[address, heard] : m_balancers) {
         if (result.balancers.size() == kMaxListedBalancers)
             break;
--- a/src/libpacket/packet_balancer_test.cpp
+++ b/src/libpacket/packet_balancer_test.cpp
@@ -205,6 +205,42 @@
     EXPECT_EQ(forwarded[0].second.service, kService);
 }
 
+// Guards against agents that learn of a restored store only after seconds, although it has lost what they wrote.
+TEST_F(PacketBalancer, AgentsAreToldOfALaterStoreEraAtOnce)
+{
+    const auto told = [&] {
+        std::map<host_address, std::uint64_t> eras;
+        for (const auto &[to, hello] : messagesOf<balancer_hello>(actions))
+            eras[to] = hello.storeEra;
+        return eras;
+    };
+    core.applyStoreEra(1, now);
+    advance(kHelloPeriod);
+    core.advance(now, &actions);
+    actions.clear();
+    core.applyStoreEra(2, now);
+    core.advance(now, &actions);
+    EXPECT_EQ(told()[kAgentA], 2U);
+    EXPECT_EQ(told()[kAgentB], 2U);
+    actions.clear();
+    core.applyStoreEra(2, now);
+    core.advance(now, &actions);
+    EXPECT_TRUE(told().empty()) << "once for each era";
+}
+
+// Guards against an agent without an entry that does not learn of a restored store from a balancer that has just started.
+TEST_F(PacketBalancer, AnUnknownAgentThatReportsGetsAHello)
+{
+    packet_balancer fresh({.self = kBalancer, .domain = "nbi-west", .flowLifetime = seconds(60)}, decodeTestHeader,
+                          now);
+    fresh.applyStoreEra(2, now);
+    fresh.message(kAgentA, makeReport(1), now, &actions);
+    const auto hellos = messagesOf<balancer_hello>(actions);
+    ASSERT_EQ(hellos.size(), 1U);
+    EXPECT_EQ(hellos[0].first, kAgentA);
+    EXPECT_EQ(hellos[0].second.storeEra, 2U);
+}
+
 // Guards against the reset of open flows after a restart of all balancers: the entry of an agent was removed during a
 // long silence, and a starting balancer takes the agents that may own flows from the object store.
 TEST_F(PacketBalancer, AgentThatReportsAgainIsRequestedToWriteItsEntry)
--- a/src/libpacketnode/node_registry_worker.cpp
+++ b/src/libpacketnode/node_registry_worker.cpp
@@ -79,10 +79,8 @@
 
 std::optional<duration> node_registry_worker::step()
 {
-    if (m_isRenewalRequested.exchange(false)) {
+    if (m_isRenewalRequested.exchange(false) || takeLaterEra())
         cursor().invalidate();
-        m_isOwnEntryWritten = false;
-    }
     if (!cursor().from())
         return listEntries();
     if (!m_isOwnEntryWritten)
@@ -124,6 +122,8 @@
             after = list->entries.back().key;
     }
     m_entries = std::move(entries);
+    // The store may have lost the entry, or another node may have removed it.
+    m_isOwnEntryWritten = false;
     cursor().recordListing(*seen);
     const auto own = m_entries.find(m_key);
     m_ownEntryVersion = own != m_entries.end() ? own->second.version : object_version{};
@@ -190,6 +190,8 @@
         else
             m_entries.erase(change.key);
     }
+    if (!m_entries.contains(m_key))
+        m_isOwnEntryWritten = false;
     if (!result->changes.empty())
         publish();
     removeStaleEntries();
--- a/src/libpacketnode/packet_agent_node.cpp
+++ b/src/libpacketnode/packet_agent_node.cpp
@@ -214,6 +214,7 @@
         m_nodeRegistry.renewEntry();
     if (const auto snapshot = m_core.takeDueSnapshot(now))
         m_snapshots.submit(formatFlowSnapshot(*snapshot));
+    storeEra();
     m_busy.set(double(m_core.busy()));
     m_flows.set(double(m_core.flowCount()));
     const packet_agent_counts &counts = m_core.counts();
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -152,6 +152,7 @@
 
 void packet_balancer_node::tick(time_point now)
 {
+    m_core.applyStoreEra(storeEra(), now);
     m_core.advance(now, &m_actions);
     perform(&m_actions);
     m_flows.set(double(m_core.flowCount()));
--- a/src/libpacketnode/packet_node.cpp
+++ b/src/libpacketnode/packet_node.cpp
@@ -44,11 +44,9 @@
     , m_packetsToCallers(m_metrics.counter("citroncrank_plane_caller_packets_total", "Packets sent to callers."))
     , m_resets(m_metrics.counter("citroncrank_plane_resets_total", "Resets sent to callers."))
     , m_malformed(m_metrics.counter("citroncrank_plane_malformed_total", "Datagrams that could not be read."))
-    , m_storeEra(m_metrics.gauge("citroncrank_store_era",
-                                 "Times that the store came back from an older copy, as it tells in its answers."))
-{
-    m_storeEras->addListener([this] { m_storeEra.set(double(m_storeEras->latest())); });
-}
+    , m_storeEraGauge(m_metrics.gauge("citroncrank_store_era",
+                                      "Times that the store came back from an older copy, as it tells in its answers."))
+{}
 
 bool packet_node::openNodeSocket(std::error_code *lastReason)
 {
@@ -57,10 +55,13 @@
     m_loop.watch(m_nodeSocket.descriptor(), [this] {
         m_nodeSocket.receivePending([this](const host_address &from, std::string_view datagram) {
             auto message = decodeNodeMessage(datagram);
-            if (message)
-                onMessage(from, std::move(*message));
-            else
+            if (!message) {
                 m_malformed.increment();
+                return;
+            }
+            if (const auto *const hello = std::get_if<balancer_hello>(&*message))
+                m_storeEras->observe(hello->storeEra);
+            onMessage(from, std::move(*message));
         });
     });
     m_loop.onIterationEnd([this] { flush(); });
@@ -108,6 +109,13 @@
     m_log.write(std::size_t(kind), text);
 }
 
+store_era packet_node::storeEra()
+{
+    const store_era latest = m_storeEras->latest();
+    m_storeEraGauge.set(double(latest));
+    return latest;
+}
+
 store_log packet_node::storeLog()
 {
     return [this](const std::string &text) { m_log.write(std::size_t(log_class::lifecycle), text); };
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -51,6 +51,8 @@
 
 std::optional<duration> routes_worker::step()
 {
+    if (takeLaterEra())
+        cursor().invalidate();
     return cursor().from() ? watchConfig() : listConfig();
 }
 
--- a/src/libpacketnode/snapshot_worker.cpp
+++ b/src/libpacketnode/snapshot_worker.cpp
@@ -56,6 +56,15 @@
     wake();
 }
 
+// The store may have lost the last snapshot, or hold an older one.
+void snapshot_worker::resubmit()
+{
+    m_isVersionKnown = false;
+    const std::lock_guard lock(m_pendingMutex);
+    if (!m_pending && !m_written.empty())
+        m_pending = m_written;
+}
+
 std::optional<std::string> snapshot_worker::pending() const
 {
     const std::lock_guard lock(m_pendingMutex);
@@ -71,6 +80,8 @@
 
 std::optional<duration> snapshot_worker::step()
 {
+    if (takeLaterEra())
+        resubmit();
     if (!m_isVersionKnown)
         return read();
     const auto text = pending();
@@ -104,6 +115,7 @@
                                                        : store().update(m_key, value, m_version, &reason);
     if (version) {
         m_version = *version;
+        m_written = text;
         clearPending(text);
         return recordCall(true, reason);
     }
--- a/src/libpacketnode/store_worker.cpp
+++ b/src/libpacketnode/store_worker.cpp
@@ -25,7 +25,9 @@
     , m_store({access.address, kStoreCallDeadline})
     , m_cursor(std::make_unique<watch_cursor>())
     , m_random(std::random_device{}())
-{}
+{
+    m_eras->subscribe(this, [this] { wake(); });
+}
 
 std::string store_worker::eraText() const
 {
@@ -60,7 +62,21 @@
     return delay / 2 + duration(std::int64_t(m_random() % std::uint64_t(delay.count())) / 2);
 }
 
-store_worker::~store_worker() = default;
+store_worker::~store_worker()
+{
+    m_eras->unsubscribe(this);
+}
+
+// An era that another node made up, or that the store does not confirm, is handled only once, so that it does not cause
+// a call in each step.
+bool store_worker::takeLaterEra()
+{
+    const store_era latest = m_eras->latest();
+    if (m_era == 0 || latest <= std::max(m_era, m_handledEra))
+        return false;
+    m_handledEra = latest;
+    return true;
+}
 
 std::optional<watch_result> store_worker::awaitChanges(const char *prefix, milliseconds wait, duration *pause)
 {
