--- a/src/include/citroncrank/node_registry_worker.h
+++ b/src/include/citroncrank/node_registry_worker.h
@@ -38,9 +38,9 @@
     void renewEntry();
     /// Makes the worker remove the entries of stale nodes. Must be called before start().
     void setStaleNodesSource(stale_nodes_source source) { m_staleNodes = std::move(source); }
-    /// Removes this node's entry, for a node that is removed permanently. Makes one attempt of at most 500 ms. Call
-    /// after stop().
-    void removeOwnEntry();
+    /// Removes this node's entry, for a node that is removed permanently. Makes one attempt of at most 500 ms a call. Call
+    /// after stop(). Returns false if another node has taken over the name.
+    bool removeOwnEntry();
 
 protected:
     std::optional<duration> step() override;
@@ -64,7 +64,6 @@
     std::atomic<bool> m_isRenewalRequested = false;
     std::atomic<std::uint32_t> m_slots = 0;
     bool m_isOwnEntryWritten = false;
-    object_version m_ownEntryVersion; ///< Default: no entry.
     host_address m_storeAddress;
 };
 
--- a/src/include/citroncrank/snapshot_worker.h
+++ b/src/include/citroncrank/snapshot_worker.h
@@ -40,6 +40,7 @@
     std::optional<std::string> pending() const;
     void clearPending(const std::string &text);
 
+    std::string m_nodeName;
     std::string m_key;
     receiver m_receive;
     host_address m_storeAddress;
--- a/src/libpacketnode/entries_after_restore_test.cpp
+++ b/src/libpacketnode/entries_after_restore_test.cpp
@@ -65,7 +65,7 @@
         store.restoreCopy();
         writeObject(store, kOwnKey, successor);
     });
-    worker->removeOwnEntry();
+    EXPECT_FALSE(worker->removeOwnEntry());
     EXPECT_EQ(parseNode(value(kOwnKey)), parseNode(successor));
 }
 
--- a/src/libpacketnode/node_registry_worker.cpp
+++ b/src/libpacketnode/node_registry_worker.cpp
@@ -126,9 +126,8 @@
     m_isOwnEntryWritten = false;
     cursor().recordListing(*seen);
     const auto own = m_entries.find(m_key);
-    m_ownEntryVersion = own != m_entries.end() ? own->second.version : object_version{};
     log(absl::StrCat("entries read, count=", m_entries.size(), " revision=", toString(*seen),
-                     " own=", toString(m_ownEntryVersion)));
+                     " own=", toString(own != m_entries.end() ? own->second.version : object_version{})));
     publish();
     return duration(0);
 }
@@ -152,7 +151,6 @@
                              : store().update(m_key, formatNode(m_self), own->second.version, &reason);
     if (version) {
         m_isOwnEntryWritten = true;
-        m_ownEntryVersion = *version;
         log(absl::StrCat("own entry written, version=", toString(*version)));
         return recordCall(true, reason);
     }
@@ -165,17 +163,25 @@
     return recordCall(reason == platform_failure::conflict, reason) + kRelistDelay;
 }
 
-// One attempt is enough, since balancers remove the entries of stale nodes.
-void node_registry_worker::removeOwnEntry()
+// One attempt is enough, since balancers remove the entries of stale nodes. The entry is read first, since the store may
+// have come back from an older copy: the entry then has another version, or the name belongs to another node.
+bool node_registry_worker::removeOwnEntry()
 {
-    if (m_ownEntryVersion == object_version{})
-        return;
+    if (!m_isEntryAllowed)
+        return true;
     platform::platform_store store({m_storeAddress, kRemoveTimeout});
     platform_failure reason = platform_failure::unavailable;
-    if (store.remove(m_key, m_ownEntryVersion, &reason))
+    const auto entry = store.get(m_key, &reason);
+    const auto node = entry ? parseNode(entry->value) : std::nullopt;
+    if (entry && (!node || node->address != m_self.address)) {
+        log("own entry not removed, reason=belongs to another node");
+        return false;
+    }
+    if (entry && store.remove(m_key, entry->version, &reason))
         log("own entry removed");
     else
         log(absl::StrCat("own entry not removed, reason=", toString(reason)));
+    return true;
 }
 
 std::optional<duration> node_registry_worker::watchEntries()
--- a/src/libpacketnode/packet_agent_node.cpp
+++ b/src/libpacketnode/packet_agent_node.cpp
@@ -120,10 +120,8 @@
     flush();
     m_nodeRegistry.stop();
     m_snapshots.stop();
-    if (m_core.state() == agent_state::left) {
-        m_nodeRegistry.removeOwnEntry();
+    if (m_core.state() == agent_state::left && m_nodeRegistry.removeOwnEntry())
         m_snapshots.removeOwnSnapshot();
-    }
     m_http.stop();
 }
 
--- a/src/libpacketnode/snapshot_worker.cpp
+++ b/src/libpacketnode/snapshot_worker.cpp
@@ -37,7 +37,8 @@
 
 snapshot_worker::snapshot_worker(const store_access &access, std::string nodeName, receiver receive)
     : store_worker("snapshot", access)
-    , m_key(platform::kSnapshotsPrefix + std::move(nodeName))
+    , m_nodeName(std::move(nodeName))
+    , m_key(platform::kSnapshotsPrefix + m_nodeName)
     , m_receive(std::move(receive))
     , m_storeAddress(access.address)
 {}
@@ -146,7 +147,7 @@
         return;
     platform::platform_store store({m_storeAddress, kRemoveTimeout});
     platform_failure reason = platform_failure::unavailable;
-    if (!store.remove(m_key, m_version, &reason))
+    if (!removeSnapshot(&store, m_nodeName, &reason))
         log(absl::StrCat("own snapshot not removed, reason=", toString(reason)));
 }
 
