nodes: one address, one entry

Seen by reading, shown by tests: an entry that comes back with an older copy, or stays after a host failed, names an address that another node has by now. It was never removed, since that address is not silent, and a balancer that had heard nobody took the agent for one of the service that the last entry in the order of names had. Cause: entries are kept by host name; nothing compared their addresses. Versions in one listing are of one era, so the order is that of the writes. ANodeRemovesTheEntryOfAnEarlierOneAtItsAddress and OfTwoEntriesOfAnAddressTheLaterOneCounts failed before.

--- a/src/include/citroncrank/node_registry_worker.h
+++ b/src/include/citroncrank/node_registry_worker.h
@@ -50,6 +50,8 @@
     std::optional<duration> checkOwnEntry();
     std::optional<duration> writeOwnEntry();
     void removeStaleEntries();
+    void removeEarlierEntries();
+    void removeEntriesOf(const host_address &address, const char *cause);
     std::optional<duration> watchEntries();
     void publish();
 
--- a/src/libpacketnode/entries_after_restore_test.cpp
+++ b/src/libpacketnode/entries_after_restore_test.cpp
@@ -2,6 +2,8 @@
 
 #include "restored_store_fixture_test.h"
 
+#include <mutex>
+
 using namespace citroncrank;
 
 namespace {
@@ -15,7 +17,10 @@
     {
         auto worker = std::make_unique<node_registry_worker>(
             access(), "node1", listed_node{*parseHostAddress("10.0.0.1:7000"), isAgent, "bokunarkerfi", "rvk-a"},
-            !isAgent, [](const std::vector<listed_node> &) {});
+            !isAgent, [this](std::vector<listed_node> nodes) {
+                const std::lock_guard lock(m_mutex);
+                m_received = std::move(nodes);
+            });
         worker->allowEntry(2);
         worker->start();
         EXPECT_TRUE(waitFor(kEntryReturnLimit, [&] { return !value(kOwnKey).empty(); }));
@@ -26,6 +31,15 @@
     {
         return waitFor(kEntryReturnLimit, [&] { return !value(kOwnKey).empty(); });
     }
+
+    std::vector<listed_node> received()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_received;
+    }
+
+    std::mutex m_mutex;
+    std::vector<listed_node> m_received;
 };
 
 } // namespace
@@ -84,3 +98,35 @@
     worker->removeOwnEntry();
     EXPECT_EQ(value(kOwnKey), "");
 }
+
+// Guards against an entry that comes back with an older copy: its host is gone, and another node has its address by now.
+TEST_F(EntriesAfterRestore, ANodeRemovesTheEntryOfAnEarlierOneAtItsAddress)
+{
+    change([](standin_platform &store) {
+        const host_address address = *parseHostAddress("10.0.0.1:7000");
+        writeObject(store, "citroncrank-nodes/node0", formatNode({address, true, "skjalaveita", "rvk-a", 2}));
+        writeObject(store, "citroncrank-flows/node0", "{}");
+    });
+    const auto worker = startWorker(true);
+    EXPECT_TRUE(waitFor(kEntryReturnLimit, [&] { return value("citroncrank-nodes/node0").empty(); }));
+    EXPECT_TRUE(waitFor(kEntryReturnLimit, [&] { return value("citroncrank-flows/node0").empty(); }));
+    worker->stop();
+}
+
+// Guards against a balancer that takes an agent for one of another service: two entries name its address, and the older
+// one came last.
+TEST_F(EntriesAfterRestore, OfTwoEntriesOfAnAddressTheLaterOneCounts)
+{
+    const listed_node later{*parseHostAddress("10.0.0.3:7000"), true, "bokunarkerfi", "rvk-a", 2};
+    listed_node earlier = later;
+    earlier.service = "skjalaveita";
+    change([&](standin_platform &store) {
+        writeObject(store, "citroncrank-nodes/z-earlier", formatNode(earlier));
+        writeObject(store, "citroncrank-nodes/a-later", formatNode(later));
+    });
+    const auto worker = startWorker(false);
+    const auto nodes = received();
+    EXPECT_EQ(std::count(nodes.begin(), nodes.end(), later), 1);
+    EXPECT_EQ(std::count(nodes.begin(), nodes.end(), earlier), 0);
+    worker->stop();
+}
--- a/src/libpacketnode/node_registry_worker.cpp
+++ b/src/libpacketnode/node_registry_worker.cpp
@@ -129,6 +129,7 @@
     log(absl::StrCat("entries read, count=", m_entries.size(), " revision=", toString(*seen),
                      " own=", toString(own != m_entries.end() ? own->second.version : object_version{})));
     publish();
+    removeEarlierEntries();
     return duration(0);
 }
 
@@ -204,35 +205,58 @@
     return m_pacing->pauseAfter(!result->changes.empty());
 }
 
-// Removal is conditional on the version, so an entry that its node has rewritten since is kept.
 void node_registry_worker::removeStaleEntries()
 {
-    for (const host_address &address : m_staleNodes ? m_staleNodes() : std::vector<host_address>()) {
-        for (const auto &[key, entry] : m_entries) {
-            const auto node = entry.value ? parseNode(*entry.value) : std::nullopt;
-            if (!node || node->address != address || key == m_key)
-                continue;
-            platform_failure reason = platform_failure::unavailable;
-            const bool isRemoved = store().remove(key, entry.version, &reason).has_value();
-            log(absl::StrCat("entry of a silent node, key=", key, " removed=", isRemoved,
-                             " reason=", isRemoved ? "silent" : toString(reason)));
-            const std::string name = key.substr(std::strlen(platform::kNodesPrefix));
-            if (isRemoved && node->isAgent && !removeSnapshot(&store(), name, &reason))
-                log(absl::StrCat("snapshot of a silent node not removed, node=", name, " reason=", toString(reason)));
-        }
+    for (const host_address &address : m_staleNodes ? m_staleNodes() : std::vector<host_address>())
+        removeEntriesOf(address, "silent");
+}
+
+// The host of such an entry is gone, since this node has its address. The entry may have come back with an older copy of
+// the store, or its host has failed.
+void node_registry_worker::removeEarlierEntries()
+{
+    removeEntriesOf(m_self.address, "replaced");
+}
+
+// Removal is conditional on the version, so an entry that its node has rewritten since is kept.
+void node_registry_worker::removeEntriesOf(const host_address &address, const char *cause)
+{
+    for (const auto &[key, entry] : m_entries) {
+        const auto node = entry.value ? parseNode(*entry.value) : std::nullopt;
+        if (!node || node->address != address || key == m_key)
+            continue;
+        platform_failure reason = platform_failure::unavailable;
+        const bool isRemoved = store().remove(key, entry.version, &reason).has_value();
+        log(absl::StrCat("entry of a ", cause, " node, key=", key, " removed=", isRemoved,
+                         " reason=", isRemoved ? cause : toString(reason)));
+        const std::string name = key.substr(std::strlen(platform::kNodesPrefix));
+        if (isRemoved && node->isAgent && !removeSnapshot(&store(), name, &reason))
+            log(absl::StrCat("snapshot of a ", cause, " node not removed, node=", name, " reason=", toString(reason)));
     }
 }
 
+// If several entries name an address, the host of the one that was written last has it.
 void node_registry_worker::publish()
 {
-    std::vector<listed_node> nodes;
+    struct latest_entry
+    {
+        object_version version;
+        listed_node node;
+    };
+    std::map<host_address, latest_entry> latest;
     for (const auto &[key, entry] : m_entries) {
         const auto node = entry.value ? parseNode(*entry.value) : std::nullopt;
-        if (node)
-            nodes.push_back(*node);
-        else
+        if (!node) {
             log(absl::StrCat("node entry cannot be parsed, key=", key));
+            continue;
+        }
+        latest_entry &known = latest[node->address];
+        if (known.version < entry.version)
+            known = {entry.version, *node};
     }
+    std::vector<listed_node> nodes;
+    for (const auto &[address, entry] : latest)
+        nodes.push_back(entry.node);
     m_receive(std::move(nodes));
 }
 
