stream path: revisions in force survive a restored platform

Seen: after the platform had lost revision 2, which was in force on all nodes, the next change was accepted as revision 2 again. Nodes that held the first one never took the second, nodes that started later never saw the first one, and the history had lost it. The same for records of what was in force, and for rosters. Cause: the log counts revisions in the store itself, so a number that was lost is given out again; nothing read the era. Change: the platform's worker reports a later era. A node that watches then creates those of its latest revisions (10 minutes, 64, 1 MiB) that the platform lacks, writes its latest in-force records again, reads the rosters again, and after 7 s, when the others have done the same, notes the restore at config/restores/ERA. The client's first change in an era above the first waits for that note, 15 s at most; a change that was answered in a later era than it began in is looked up before it is called accepted. Ruled out: numbers with an era (history and change ids rely on base + 1, and nodes of an older release reject other headers). Open: a number given out again by another client, or a release without this, before it was written back: nodes keep theirs until the next change (citroncrank_config_conflicts, runbook).

--- a/src/citroncrank/revision_store.cpp
+++ b/src/citroncrank/revision_store.cpp
@@ -1,5 +1,7 @@
 #include "revision_store.h"
 
+#include "citroncrank/lost_revisions.h"
+
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 
@@ -10,6 +12,11 @@
 
 namespace {
 
+constexpr store_era kFirstEra = 1;
+// Nodes note a restore 7 s after they have heard of it, which takes them a read period and a backoff at most.
+constexpr std::chrono::seconds kMaxRestoreWait{15};
+constexpr std::chrono::milliseconds kRestorePollPeriod{500};
+
 time_point steadyNow()
 {
     return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
@@ -107,10 +114,56 @@
     return read(*number, lastReason);
 }
 
-std::optional<std::uint64_t> revision_store::resolveBase(const change_request &request, client_failure *lastReason)
+// A platform that came back from an older copy gives the numbers of lost revisions out again. Nodes that hold a lost one
+// would never take another revision with its number, so changes wait until the nodes have written it back.
+std::optional<std::uint64_t> revision_store::latestAfterRestore(client_failure *lastReason)
+{
+    const auto latest = latestNumber(lastReason);
+    if (!latest || m_store->era() <= kFirstEra)
+        return latest;
+    return waitForLostRevisions(lastReason) ? latestNumber(lastReason) : std::nullopt;
+}
+
+// Without nodes, or with nodes of an older release, nobody notes that the restore has been handled.
+bool revision_store::waitForLostRevisions(client_failure *lastReason)
+{
+    const time_point end = steadyNow() + kMaxRestoreWait;
+    for (;;) {
+        platform_failure reason{};
+        const std::string key = restoreKey(m_store->era());
+        if (m_store->get(key, &reason))
+            return true;
+        if (reason != platform_failure::not_found) {
+            *lastReason = platformFailure(reason, "the note of the latest restore");
+            return false;
+        }
+        if (steadyNow() >= end)
+            return m_store->create(key, "noted by a client\n", &reason) || reason == platform_failure::conflict;
+        std::this_thread::sleep_for(kRestorePollPeriod);
+    }
+}
+
+// If the platform was restored during the change, the revision may be lost again, or its number belongs to a lost one.
+std::optional<std::uint64_t> revision_store::evaluateAccepted(const change_result &result, store_era before,
+                                                              client_failure *lastReason)
+{
+    if (m_store->era() == before)
+        return result.number;
+    if (!waitForLostRevisions(lastReason))
+        return std::nullopt;
+    const auto stored = read(result.number, lastReason);
+    if (stored && stored->changeId == result.changeId)
+        return result.number;
+    if (stored)
+        *lastReason = conflictFailure(result.number, stored);
+    return std::nullopt;
+}
+
+std::optional<std::uint64_t> revision_store::resolveBase(const change_request &request, std::uint64_t latest,
+                                                         client_failure *lastReason)
 {
     if (request.changeId.empty())
-        return request.base ? request.base : latestNumber(lastReason);
+        return request.base.value_or(latest);
     const auto base = parseChangeIdBase(request.changeId);
     if (!base || (request.base && request.base != base)) {
         *lastReason = {exit_code::usage, "--change-id is invalid or does not match --base", {}};
@@ -135,9 +188,11 @@
 std::optional<std::uint64_t> revision_store::change(const change_request &request, const revision_edit &edit,
                                                     client_failure *lastReason)
 {
-    const auto base = resolveBase(request, lastReason);
+    const auto latest = latestAfterRestore(lastReason);
+    const auto base = latest ? resolveBase(request, *latest, lastReason) : std::nullopt;
     if (!base)
         return std::nullopt;
+    const store_era era = m_store->era();
     if (!request.changeId.empty()) {
         bool isResolved = false;
         const auto number = findEarlierResult(request, *base, &isResolved, lastReason);
@@ -153,7 +208,7 @@
     draft->acceptedAt = wallNow();
     const change_result result = propose(std::move(*draft), *base);
     if (result.outcome == change_outcome::accepted)
-        return result.number;
+        return evaluateAccepted(result, era, lastReason);
     *lastReason = toFailure(result);
     return std::nullopt;
 }
--- a/src/citroncrank/revision_store.h
+++ b/src/citroncrank/revision_store.h
@@ -40,7 +40,12 @@
 private:
     std::optional<std::uint64_t> findEarlierResult(const change_request &request, std::uint64_t base, bool *isResolved,
                                                    client_failure *lastReason);
-    std::optional<std::uint64_t> resolveBase(const change_request &request, client_failure *lastReason);
+    std::optional<std::uint64_t> resolveBase(const change_request &request, std::uint64_t latest,
+                                             client_failure *lastReason);
+    std::optional<std::uint64_t> latestAfterRestore(client_failure *lastReason);
+    bool waitForLostRevisions(client_failure *lastReason);
+    std::optional<std::uint64_t> evaluateAccepted(const change_result &result, store_era before,
+                                                  client_failure *lastReason);
     change_result propose(config_revision draft, std::uint64_t base);
     config_log_event execute(const create_object &request);
     config_log_event execute(const read_object &request);
--- a/src/config-bench/main.cpp
+++ b/src/config-bench/main.cpp
@@ -190,6 +190,7 @@
         ++m_applied;
         m_lastApplied = m_scheduler.now;
     }
+    void perform(std::size_t, const write_lost_revisions &) {}
     void perform(std::size_t index, const write_in_force_record &action)
     {
         ++m_records;
--- a/src/include/citroncrank/config_dissemination.h
+++ b/src/include/citroncrank/config_dissemination.h
@@ -3,7 +3,9 @@
 /// @file
 /// Dissemination of configuration revisions to the nodes, and records of the revisions that were in force.
 
+#include "citroncrank/backoff_timer.h"
 #include "citroncrank/config_document.h"
+#include "citroncrank/lost_revisions.h"
 
 #include <array>
 #include <cstdint>
@@ -136,6 +138,7 @@
 struct record_write_done
 {
     std::uint64_t revision = 0;
+    std::uint64_t era = 0; ///< Era of the platform that answered. 0: unknown.
 };
 struct record_write_failed
 {
@@ -148,7 +151,7 @@
 using config_dissemination_event =
     std::variant<members_changed, revision_advertised, fetch_requested, body_received, watch_event, watch_failed,
                  platform_read_done, platform_read_failed, report_received, record_write_done, record_write_failed,
-                 dissemination_tick>;
+                 platform_restored, lost_revisions_written, lost_revisions_write_failed, dissemination_tick>;
 
 // Actions.
 
@@ -206,8 +209,9 @@
     config_in_force_record record;
 };
 
-using config_dissemination_action = std::variant<fetch_from_peer, advertise_to_peer, send_body, start_watch, stop_watch,
-                                                 read_platform, apply_revision, send_report, write_in_force_record>;
+using config_dissemination_action =
+    std::variant<fetch_from_peer, advertise_to_peer, send_body, start_watch, stop_watch, read_platform, apply_revision,
+                 send_report, write_in_force_record, write_lost_revisions>;
 using config_dissemination_actions = std::vector<config_dissemination_action>;
 
 /// Time of an event on both clocks.
@@ -237,20 +241,6 @@
     std::size_t maxRecords = 2000; ///< Records kept while the platform is down; above it the oldest is dropped.
 };
 
-/// Time of the next attempt of a request, with exponential backoff and jitter.
-class backoff_timer
-{
-public:
-    void succeeded() { m_failures = 0; }
-    void failed(duration first, duration longest, time_point now, std::uint64_t random);
-    bool isDue(time_point now) const { return now >= m_next; }
-    void setNext(time_point when) { m_next = when; }
-
-private:
-    int m_failures = 0;
-    time_point m_next;
-};
-
 /// Incarnations of the alive members of one failure domain, by member name.
 using domain_members = std::map<std::string, std::uint64_t>;
 
@@ -267,8 +257,11 @@
     /// the domain.
     std::optional<config_in_force_record> nextWrite(const domain_members &members, time_point now,
                                                     std::uint64_t random);
-    void writeDone(std::uint64_t revision, time_point now);
+    /// A write of an earlier era than that of the last rewriteLatest() counts as failed.
+    void writeDone(const record_write_done &result, time_point now, std::uint64_t random);
     void writeFailed(std::uint64_t revision, time_point now, std::uint64_t random);
+    /// Makes the latest records be written again, since the platform may have lost them.
+    void rewriteLatest(std::uint64_t era);
 
     /// Requests to the members whose report for the newest pending revision is overdue, at most kMaxLaggingNames.
     std::vector<applied_report> overdueReports(const domain_members &members, time_point now) const;
@@ -290,6 +283,7 @@
     config_in_force_record makeRecord(std::uint64_t revision, const pending_record &pending,
                                       const domain_members &members) const;
     void expire(const domain_members &members, time_point now);
+    void recordWritten(const config_in_force_record &record);
 
     config_dissemination_settings m_settings;
     std::map<std::string, std::uint64_t> m_applied; ///< Highest revision that each member reported.
@@ -297,6 +291,9 @@
     /// Highest revision whose record is final: every member had applied it or a higher one, or its retention ended.
     /// Members that start later apply it as well, which must not change its lastApplied.
     std::uint64_t m_closedUpTo = 0;
+    std::map<std::uint64_t, config_in_force_record> m_latest; ///< Written records of the highest revisions.
+    std::deque<config_in_force_record> m_rewrites;            ///< Of them, those to be written again.
+    std::uint64_t m_era = 0;                                  ///< Of the last rewriteLatest().
     std::optional<config_in_force_record> m_writing;
     std::uint64_t m_writingReports = 0;
     time_point m_writeDeadline;
@@ -323,6 +320,7 @@
     /// Documents rejected since the start, by reason.
     const std::array<std::uint64_t, kBodyRejectionCount> &rejectedBodies() const { return m_rejectedBodies; }
     const in_force_recorder &recorder() const { return m_recorder; }
+    const lost_revision_writer &lostRevisions() const { return m_lostRevisions; }
 
 private:
     struct own_report
@@ -343,6 +341,9 @@
     void on(const report_received &event);
     void on(const record_write_done &event);
     void on(const record_write_failed &event);
+    void on(const platform_restored &event);
+    void on(const lost_revisions_written &event);
+    void on(const lost_revisions_write_failed &event);
     void on(const dissemination_tick &event);
 
     template<typename Action>
@@ -369,6 +370,7 @@
     void sendReports();
     void writeRecords();
     void requestReports();
+    void writeLostRevisions();
     node_id randomPeer();
     std::uint64_t random();
 
@@ -403,6 +405,7 @@
     backoff_timer m_readBackoff;
 
     std::deque<own_report> m_reports;
+    lost_revision_writer m_lostRevisions;
     in_force_recorder m_recorder;
     time_point m_nextReportRequest;
     std::array<std::uint64_t, kBodyRejectionCount> m_rejectedBodies{};
--- a/src/include/citroncrank/fleet_node.h
+++ b/src/include/citroncrank/fleet_node.h
@@ -53,6 +53,8 @@
     /// When the revision in force was applied; nullopt before the first.
     std::optional<wall_time> appliedAt() const { return m_appliedAt; }
     std::uint64_t platformCalls() const { return m_platform ? m_platform->calls() : 0; }
+    /// Era that the platform named last. 0: unknown.
+    store_era platformEra() const { return m_platform ? m_platform->era() : 0; }
     /// False while the last call to the platform failed.
     bool platformReachable() const { return m_platformReachable; }
     time_point nextDeadline() const;
--- a/src/include/citroncrank/node_process.h
+++ b/src/include/citroncrank/node_process.h
@@ -73,6 +73,7 @@
     decision_trail m_trail;
     logger m_log;
     shared_revision m_revision;
+    store_era m_platformEra = 0;
 
 private:
     void handleEvents(time_point now);
--- a/src/include/citroncrank/node_registry_worker.h
+++ b/src/include/citroncrank/node_registry_worker.h
@@ -46,12 +46,16 @@
     std::optional<duration> step() override;
 
 private:
+    struct removal_texts;
+    static const removal_texts kSilentNode;
+    static const removal_texts kReplacedNode;
+
     std::optional<duration> listEntries();
     std::optional<duration> checkOwnEntry();
     std::optional<duration> writeOwnEntry();
     void removeStaleEntries();
     void removeEarlierEntries();
-    void removeEntriesOf(const host_address &address, const char *cause);
+    void removeEntriesOf(const host_address &address, const removal_texts &texts);
     std::optional<duration> watchEntries();
     void publish();
 
--- a/src/include/citroncrank/platform_worker.h
+++ b/src/include/citroncrank/platform_worker.h
@@ -28,7 +28,8 @@
     std::vector<host_address> base;
     std::vector<host_address> addresses;
 };
-using platform_request = std::variant<read_platform, write_in_force_record, read_rosters, write_roster>;
+using platform_request =
+    std::variant<read_platform, write_in_force_record, write_lost_revisions, read_rosters, write_roster>;
 
 /// Seed addresses by failure domain.
 struct rosters_read
@@ -56,6 +57,8 @@
     bounded_ring<platform_reply> &replies() { return m_replies; }
     /// Calls made since the start, a watch counted as one.
     std::uint64_t calls() const { return m_calls; }
+    /// Era that the platform named last. 0: unknown.
+    store_era era() const { return m_era; }
 
 private:
     struct call_handler;
@@ -65,12 +68,15 @@
     bool initializeWatch(std::uint64_t above, object_version *from);
     bool watchOnce(object_version *from);
     void reply(platform_reply answer);
+    /// Reports a restore of the platform, if the era of its last answer to `store` is later than the latest one.
+    void recordEra(const object_store &store);
 
     http_object_store m_callStore;
     http_object_store m_watchStore;
     bounded_ring<platform_request> m_requests{256};
     bounded_ring<platform_reply> m_replies{1024};
     std::atomic<std::uint64_t> m_calls{0};
+    std::atomic<store_era> m_era{0};
     std::mutex m_watchMutex;
     std::condition_variable m_watchChanged;
     bool m_watchEnabled = false;
--- a/src/libconfig/config_dissemination.cpp
+++ b/src/libconfig/config_dissemination.cpp
@@ -151,6 +151,7 @@
     m_highestKnown = std::max(m_highestKnown, number);
     m_rejectionBackoff = {};
     addAction(apply_revision{m_current});
+    m_lostRevisions.recordApplied(number, document, m_when.now);
     advertiseToPeers();
     m_reports.push_back({{m_settings.name, number, m_when.wall}, false, m_when.now});
     if (m_reports.size() > kMaxOwnReports)
@@ -215,6 +216,7 @@
     sendReports();
     requestReports();
     writeRecords();
+    writeLostRevisions();
 }
 
 } // namespace citroncrank
--- a/src/libconfig/dissemination_platform.cpp
+++ b/src/libconfig/dissemination_platform.cpp
@@ -170,9 +170,36 @@
         addAction(write_in_force_record{std::move(*record)});
 }
 
+// A revision that is in force here may be gone from the platform. Without it, its number would be given out again, and
+// nodes that hold it would never take the new one.
+void config_dissemination::on(const platform_restored &event)
+{
+    m_lostRevisions.platformRestored(event.era, m_when.now);
+    m_recorder.rewriteLatest(event.era);
+    m_readBackoff.setNext(m_when.now);
+    writeLostRevisions();
+    writeRecords();
+}
+
+void config_dissemination::on(const lost_revisions_written &event)
+{
+    m_lostRevisions.writeDone(event);
+}
+
+void config_dissemination::on(const lost_revisions_write_failed &)
+{
+    m_lostRevisions.writeFailed(m_when.now, random());
+}
+
+void config_dissemination::writeLostRevisions()
+{
+    if (auto write = m_lostRevisions.nextWrite(m_when.now))
+        addAction(std::move(*write));
+}
+
 void config_dissemination::on(const record_write_done &event)
 {
-    m_recorder.writeDone(event.revision, m_when.now);
+    m_recorder.writeDone(event, m_when.now, random());
     writeRecords();
 }
 
--- a/src/libconfig/dissemination_platform_test.cpp
+++ b/src/libconfig/dissemination_platform_test.cpp
@@ -156,6 +156,76 @@
     EXPECT_EQ(written.size(), 100U);
 }
 
+template<typename Action>
+std::vector<Action> actionsOf(const config_dissemination_actions &actions)
+{
+    std::vector<Action> found;
+    for (const auto &action : actions) {
+        if (const auto *match = std::get_if<Action>(&action))
+            found.push_back(*match);
+    }
+    return found;
+}
+
+// Guards against a revision in force whose number the platform gives out again, because the platform came back from an
+// older copy: nodes that hold the first one never take the second.
+TEST(SpreadPlatform, RevisionsThatThePlatformHasLostAreWrittenBack)
+{
+    single_node node;
+    node.handle(dissemination_tick{});
+    node.handle(body_received{1, 1, makeBody(1)});
+    node.now += std::chrono::minutes(11);
+    for (std::uint64_t number = 2; number <= 20; ++number)
+        node.handle(body_received{1, number, makeBody(number)});
+    auto writes = actionsOf<write_lost_revisions>(node.handle(platform_restored{2}));
+    ASSERT_EQ(writes.size(), 1U);
+    EXPECT_FALSE(writes[0].isComplete) << "other nodes may hold revisions that this one lacks";
+    ASSERT_FALSE(writes[0].revisions.empty());
+    EXPECT_EQ(writes[0].revisions.back().number, 20U);
+    EXPECT_EQ(*writes[0].revisions.back().text, *makeBody(20));
+    EXPECT_EQ(writes[0].revisions.front().number, 2U) << "the platform does not go back by minutes";
+    node.handle(lost_revisions_write_failed{});
+    node.now += seconds(1);
+    EXPECT_EQ(node.count<write_lost_revisions>(dissemination_tick{}), 1) << "the failed write is repeated";
+    node.handle(lost_revisions_written{2, false});
+    node.handle(body_received{1, 21, makeBody(21)});
+    EXPECT_EQ(node.count<write_lost_revisions>(dissemination_tick{}), 0);
+    node.now += seconds(7);
+    writes = actionsOf<write_lost_revisions>(node.handle(dissemination_tick{}));
+    ASSERT_EQ(writes.size(), 1U);
+    EXPECT_TRUE(writes[0].isComplete);
+    EXPECT_EQ(writes[0].revisions.back().number, 21U);
+    node.handle(lost_revisions_written{2, true, 1});
+    node.now += seconds(60);
+    EXPECT_EQ(node.count<write_lost_revisions>(dissemination_tick{}), 0);
+    EXPECT_EQ(node.dissemination.lostRevisions().conflicts(), 1U);
+}
+
+// Guards against records of what was in force that a restored platform has lost.
+TEST(SpreadPlatform, RecordsThatThePlatformHasLostAreWrittenAgain)
+{
+    single_node node;
+    node.handle(dissemination_tick{});
+    const auto writeAll = [&](const config_dissemination_event &event) {
+        std::vector<std::uint64_t> written;
+        auto actions = node.handle(event);
+        for (;;) {
+            const auto writes = actionsOf<write_in_force_record>(actions);
+            if (writes.empty())
+                return written;
+            written.push_back(writes[0].record.revision);
+            actions = node.handle(record_write_done{writes[0].record.revision, 2});
+        }
+    };
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        node.handle(body_received{1, number, makeBody(number)});
+        node.now += seconds(1);
+        EXPECT_EQ(writeAll(dissemination_tick{}), std::vector{number});
+    }
+    EXPECT_EQ(writeAll(platform_restored{2}), (std::vector<std::uint64_t>{1, 2, 3}));
+    EXPECT_TRUE(writeAll(dissemination_tick{}).empty());
+}
+
 // Guards against a report that stays missing because an acknowledgement from before a restart of the recorder arrives
 // after it. Found by the simulation with seed 136734004.
 TEST(SpreadPlatform, RecorderAsksForMissingReports)
--- a/src/libconfig/in_force_record.cpp
+++ b/src/libconfig/in_force_record.cpp
@@ -9,6 +9,13 @@
 
 namespace citroncrank {
 
+namespace {
+
+// A platform that comes back from an older copy lacks the records of some seconds.
+constexpr std::size_t kMaxLatestRecords = 8;
+
+} // namespace
+
 std::string inForceKey(const std::string &domain, std::uint64_t revision)
 {
     return absl::StrFormat("config/in-force/%010d/%s", revision, domain);
@@ -144,6 +151,12 @@
     if (m_writing || !m_backoff.isDue(now))
         return std::nullopt;
     expire(members, now);
+    if (!m_rewrites.empty()) {
+        m_writing = m_rewrites.front();
+        m_rewrites.pop_front();
+        m_writeDeadline = now + m_settings.platformTimeout;
+        return m_writing;
+    }
     for (const auto &[revision, pending] : m_pending) {
         auto record = makeRecord(revision, pending, members);
         if (!isDue(pending, record, now))
@@ -156,12 +169,18 @@
     return std::nullopt;
 }
 
-void in_force_recorder::writeDone(std::uint64_t revision, time_point now)
+void in_force_recorder::writeDone(const record_write_done &result, time_point now, std::uint64_t random)
 {
+    const std::uint64_t revision = result.revision;
     if (!m_writing || m_writing->revision != revision)
         return;
+    if (result.era < m_era) {
+        writeFailed(revision, now, random);
+        return;
+    }
     m_backoff.succeeded();
     const bool isComplete = m_writing->laggingCount == 0;
+    recordWritten(*m_writing);
     m_writing.reset();
     const auto found = m_pending.find(revision);
     if (found == m_pending.end())
@@ -175,10 +194,29 @@
     }
 }
 
+void in_force_recorder::recordWritten(const config_in_force_record &record)
+{
+    m_latest[record.revision] = record;
+    if (m_latest.size() > kMaxLatestRecords)
+        m_latest.erase(m_latest.begin());
+}
+
+void in_force_recorder::rewriteLatest(std::uint64_t era)
+{
+    m_era = era;
+    m_rewrites.clear();
+    for (const auto &[revision, record] : m_latest)
+        m_rewrites.push_back(record);
+    m_backoff = {};
+}
+
+// A record of m_pending is written again anyway.
 void in_force_recorder::writeFailed(std::uint64_t revision, time_point now, std::uint64_t random)
 {
     if (!m_writing || m_writing->revision != revision)
         return;
+    if (!m_pending.contains(revision))
+        m_rewrites.push_front(*m_writing);
     m_writing.reset();
     m_backoff.failed(m_settings.initialBackoff, m_settings.maxBackoff, now, random);
 }
--- a/src/libpacketnode/node_registry_worker.cpp
+++ b/src/libpacketnode/node_registry_worker.cpp
@@ -27,6 +27,19 @@
 
 } // namespace
 
+/// Log texts for the removal of another node's entry.
+struct node_registry_worker::removal_texts
+{
+    const char *entry;
+    const char *snapshotNotRemoved;
+    const char *reason;
+};
+
+const node_registry_worker::removal_texts node_registry_worker::kSilentNode{
+    "entry of a silent node", "snapshot of a silent node not removed", "silent"};
+const node_registry_worker::removal_texts node_registry_worker::kReplacedNode{
+    "entry of a replaced node", "snapshot of a replaced node not removed", "replaced"};
+
 std::string formatNode(const listed_node &node)
 {
     json::object entry{
@@ -208,18 +221,18 @@
 void node_registry_worker::removeStaleEntries()
 {
     for (const host_address &address : m_staleNodes ? m_staleNodes() : std::vector<host_address>())
-        removeEntriesOf(address, "silent");
+        removeEntriesOf(address, kSilentNode);
 }
 
 // The host of such an entry is gone, since this node has its address. The entry may have come back with an older copy of
 // the store, or its host has failed.
 void node_registry_worker::removeEarlierEntries()
 {
-    removeEntriesOf(m_self.address, "replaced");
+    removeEntriesOf(m_self.address, kReplacedNode);
 }
 
 // Removal is conditional on the version, so an entry that its node has rewritten since is kept.
-void node_registry_worker::removeEntriesOf(const host_address &address, const char *cause)
+void node_registry_worker::removeEntriesOf(const host_address &address, const removal_texts &texts)
 {
     for (const auto &[key, entry] : m_entries) {
         const auto node = entry.value ? parseNode(*entry.value) : std::nullopt;
@@ -227,11 +240,11 @@
             continue;
         platform_failure reason = platform_failure::unavailable;
         const bool isRemoved = store().remove(key, entry.version, &reason).has_value();
-        log(absl::StrCat("entry of a ", cause, " node, key=", key, " removed=", isRemoved,
-                         " reason=", isRemoved ? cause : toString(reason)));
+        log(absl::StrCat(texts.entry, ", key=", key, " removed=", isRemoved,
+                         " reason=", isRemoved ? texts.reason : toString(reason)));
         const std::string name = key.substr(std::strlen(platform::kNodesPrefix));
         if (isRemoved && node->isAgent && !removeSnapshot(&store(), name, &reason))
-            log(absl::StrCat("snapshot of a ", cause, " node not removed, node=", name, " reason=", toString(reason)));
+            log(absl::StrCat(texts.snapshotNotRemoved, ", node=", name, " reason=", toString(reason)));
     }
 }
 
--- a/src/libstreamnode/fleet_node.cpp
+++ b/src/libstreamnode/fleet_node.cpp
@@ -228,6 +228,11 @@
         if (node.m_platform)
             node.m_platform->request(action);
     }
+    void operator()(const write_lost_revisions &action) const
+    {
+        if (node.m_platform)
+            node.m_platform->request(action);
+    }
 };
 
 void fleet_node::handleConfigEvent(const config_dissemination_event &event, time_point now)
@@ -252,8 +257,12 @@
     {
         const bool failed = std::holds_alternative<platform_read_failed>(event)
                             || std::holds_alternative<watch_failed>(event)
-                            || std::holds_alternative<record_write_failed>(event);
+                            || std::holds_alternative<record_write_failed>(event)
+                            || std::holds_alternative<lost_revisions_write_failed>(event);
         node.m_platformReachable = !failed;
+        // The seed objects may be lost or older too; membership compares them with the members.
+        if (std::holds_alternative<platform_restored>(event))
+            node.m_platform->request(read_rosters{});
         node.handleConfigEvent(event, now);
     }
     void operator()(const rosters_read &rosters) const
--- a/src/libstreamnode/node_process.cpp
+++ b/src/libstreamnode/node_process.cpp
@@ -196,6 +196,10 @@
 
 void node_process::applyFleetChanges(time_point now)
 {
+    const store_era before = std::exchange(m_platformEra, m_fleet->platformEra());
+    if (before != 0 && before != m_platformEra)
+        m_log.info(absl::StrCat("platform came back from an older copy, era=", m_platformEra, " before=", before,
+                                " revision=", m_fleet->config().currentNumber()));
     if (m_fleet->takeMembersChanged())
         onMembersChanged();
     if (auto applied = m_fleet->takeAppliedRevision()) {
@@ -244,6 +248,11 @@
     set("citroncrank_config_revision", "Configuration revision in force.", double(m_fleet->config().currentNumber()));
     set("citroncrank_members_reachable", "Members that this node reaches.",
         double(m_fleet->members().reachableCount()));
+    set("citroncrank_store_era", "Times that the platform came back from an older copy, as it tells in its answers.",
+        double(m_fleet->platformEra()));
+    set("citroncrank_config_conflicts",
+        "Revisions whose number the platform gave out again before they were written back, since the start.",
+        double(m_fleet->config().lostRevisions().conflicts()));
     set("citroncrank_platform_calls", "Calls to the platform since the start.", double(m_fleet->platformCalls()));
     for (int i = 0; i < kDecodeErrorCount; ++i) {
         m_metrics
--- a/src/libstreamnode/platform_worker.cpp
+++ b/src/libstreamnode/platform_worker.cpp
@@ -2,6 +2,7 @@
 
 #include "citroncrank/config_log.h"
 
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <algorithm>
@@ -103,6 +104,42 @@
     return value == present->value || store.update(key, value, present->version, &reason).has_value();
 }
 
+/// Creates a revision unless the platform has one with its number. Returns whether that one is the same, nullopt if it
+/// is not known.
+std::optional<bool> writeBack(object_store &store, const revision_document &revision)
+{
+    platform_failure reason{};
+    const auto key = revisionKey(revision.number);
+    if (const auto present = store.get(key, &reason))
+        return present->value == *revision.text;
+    if (reason != platform_failure::not_found || !store.create(key, *revision.text, &reason))
+        return std::nullopt;
+    return true;
+}
+
+/// Writes the note that a restore has been handled. Another node may have written it before.
+bool writeRestoreNote(object_store &store, std::uint64_t era)
+{
+    platform_failure reason{};
+    const auto note = absl::StrCat("era: ", era, "\n");
+    return store.create(restoreKey(era), note, &reason) || reason == platform_failure::conflict;
+}
+
+std::optional<lost_revisions_written> writeLostRevisions(object_store &store, const write_lost_revisions &call)
+{
+    lost_revisions_written result{.era = call.era, .isComplete = call.isComplete};
+    for (const auto &revision : call.revisions) {
+        const auto isSame = writeBack(store, revision);
+        if (!isSame)
+            return std::nullopt;
+        if (!*isSame)
+            ++result.conflicts;
+    }
+    if (call.isComplete && !writeRestoreNote(store, call.era))
+        return std::nullopt;
+    return result;
+}
+
 } // namespace
 
 std::string rosterKey(const std::string &domain)
@@ -137,6 +174,14 @@
     m_requests.tryPush(std::move(call));
 }
 
+void platform_worker::recordEra(const object_store &store)
+{
+    store_era before = m_era;
+    const store_era era = store.era();
+    if (era > before && m_era.compare_exchange_strong(before, era) && before != 0)
+        reply(config_dissemination_event(platform_restored{era}));
+}
+
 void platform_worker::reply(platform_reply answer)
 {
     m_replies.push(std::move(answer));
@@ -158,10 +203,18 @@
     {
         worker.m_calls += 2;
         if (writeRecord(worker.m_callStore, call.record))
-            worker.reply(config_dissemination_event(record_write_done{call.record.revision}));
+            worker.reply(config_dissemination_event(record_write_done{call.record.revision, worker.m_callStore.era()}));
         else
             worker.reply(config_dissemination_event(record_write_failed{call.record.revision}));
     }
+    void operator()(const write_lost_revisions &call) const
+    {
+        worker.m_calls += call.revisions.size() + 1;
+        if (const auto done = writeLostRevisions(worker.m_callStore, call))
+            worker.reply(config_dissemination_event(*done));
+        else
+            worker.reply(config_dissemination_event(lost_revisions_write_failed{}));
+    }
     void operator()(const read_rosters &) const
     {
         platform_failure reason{};
@@ -191,8 +244,10 @@
 {
     std::vector<platform_request> calls;
     while (m_requests.drain(&calls, time_point::max())) {
-        for (const auto &call : calls)
+        for (const auto &call : calls) {
             std::visit(call_handler{*this}, call);
+            recordEra(m_callStore);
+        }
         calls.clear();
     }
 }
@@ -221,7 +276,9 @@
             if (m_stopping)
                 return;
         }
-        if (watchOnce(&from))
+        const bool isAnswered = watchOnce(&from);
+        recordEra(m_watchStore);
+        if (isAnswered)
             continue;
         {
             const std::lock_guard lock(m_watchMutex);
