soak: the store comes back from an older copy

A copy is made, and up to 9 s later the store comes back from it; the operator writes the route again at once, as on the users' platform.

--- a/src/soak/fault_plan.cpp
+++ b/src/soak/fault_plan.cpp
@@ -1,6 +1,7 @@
 #include "fault_plan.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <chrono>
 #include <random>
 
@@ -18,6 +19,7 @@
 constexpr int kMaxPauseMs = 3000;
 constexpr int kMaxStoreFaultMs = 5000;
 constexpr int kMaxLossMs = 2500;
+constexpr int kMaxCopyAgeMs = 9000;
 
 /// Draws random faults and the gaps between them.
 class fault_source
@@ -76,6 +78,21 @@
     std::mt19937_64 m_random;
 };
 
+// Drawn apart from the other faults, so that a seed has the same plan with and without restores.
+void addRestores(const fault_plan_settings &settings, std::uint64_t seed, std::vector<planned_fault> *plan)
+{
+    constexpr std::uint64_t kSalt = 0x72657374;
+    std::mt19937_64 random(seed ^ kSalt);
+    const auto below = [&](int limitMs) {
+        return milliseconds(std::uniform_int_distribution<int>(1, std::max(limitMs - 1, 1))(random));
+    };
+    const int lastMs = int(wholeMilliseconds(settings.length - kFirstFault));
+    for (std::size_t i = 0; i < settings.storeRestores; ++i)
+        plan->push_back({kFirstFault + below(lastMs), restore_store{below(kMaxCopyAgeMs)}});
+    std::stable_sort(plan->begin(), plan->end(),
+                     [](const planned_fault &left, const planned_fault &right) { return left.at < right.at; });
+}
+
 std::string inMilliseconds(duration length)
 {
     return absl::StrCat(" ms=", wholeMilliseconds(length));
@@ -109,6 +126,10 @@
         {
             return absl::StrCat("store ", toString(f.mode), inMilliseconds(f.length));
         }
+        std::string operator()(const restore_store &f) const
+        {
+            return absl::StrCat("restore store,", inMilliseconds(f.age));
+        }
         std::string operator()(const change_route &f) const { return absl::StrCat("route to service ", f.service); }
         std::string operator()(const lose_packets &f) const
         {
@@ -124,6 +145,7 @@
     std::vector<planned_fault> plan;
     for (duration at = kFirstFault; at < settings.length; at += source.gap())
         plan.push_back({at, source.next()});
+    addRestores(settings, seed, &plan);
     return plan;
 }
 
--- a/src/soak/fault_plan.h
+++ b/src/soak/fault_plan.h
@@ -66,6 +66,14 @@
     auto operator<=>(const disturb_store &) const = default;
 };
 
+/// The store comes back from a copy that was made when the fault began. Its waiting watches end, and the operator writes
+/// the route again.
+struct restore_store
+{
+    duration age{0}; ///< Of the copy.
+    auto operator<=>(const restore_store &) const = default;
+};
+
 /// The operator changes the route to another service.
 struct change_route
 {
@@ -81,8 +89,8 @@
     auto operator<=>(const lose_packets &) const = default;
 };
 
-using fault =
-    std::variant<restart_node, pause_node, reload_node, replace_upstream, disturb_store, change_route, lose_packets>;
+using fault = std::variant<restart_node, pause_node, reload_node, replace_upstream, disturb_store, change_route,
+                           lose_packets, restore_store>;
 std::string toString(const fault &what);
 
 struct planned_fault
@@ -98,6 +106,7 @@
     std::size_t agents = 5; ///< One upstream each.
     std::size_t services = 2;
     duration length = std::chrono::seconds(20); ///< All faults begin before this time.
+    std::size_t storeRestores = 0; ///< Restores of the store, besides the other faults, which do not depend on them.
     auto operator<=>(const fault_plan_settings &) const = default;
 };
 
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -22,6 +22,7 @@
     std::size_t balancers = 3;
     std::size_t agents = 5;
     std::uint32_t callers = 8;
+    std::size_t restores = 0;
 };
 
 std::string createWorkFolder()
@@ -41,7 +42,8 @@
                                      .agents = chosen.agents},
                            .seed = seed,
                            .length = std::chrono::seconds(chosen.seconds),
-                           .callers = chosen.callers};
+                           .callers = chosen.callers,
+                           .storeRestores = chosen.restores};
     soak_outcome outcome;
     std::error_code reason;
     soak_run run(settings);
@@ -81,6 +83,9 @@
         ->check(CLI::Range(4, 200))
         ->capture_default_str();
     app.add_option("--callers", chosen.callers, "Callers")->check(CLI::Range(1, 200))->capture_default_str();
+    app.add_option("--restores", chosen.restores, "Times that the store comes back from an older copy")
+        ->check(CLI::Range(0, 100))
+        ->capture_default_str();
     CLI11_PARSE(app, argumentCount, arguments);
     std::uint32_t failed = 0;
     for (std::uint64_t seed = chosen.seed; seed < chosen.seed + chosen.seeds; ++seed)
--- a/src/soak/soak_run.cpp
+++ b/src/soak/soak_run.cpp
@@ -32,6 +32,15 @@
 // Lower bound: a request takes about 10 ms, and a caller begins one every 20 ms.
 constexpr std::uint64_t kMinFinalAnswersPerCaller = 40;
 
+bool postToStore(const host_address &store, const std::string &path)
+{
+    http_connection connection({store, seconds(5)});
+    http_call_failure failure = http_call_failure::not_sent;
+    const auto answer = connection.call({"POST", path, "", {}, false}, &failure);
+    constexpr unsigned kStatusOk = 200;
+    return answer && answer->status == kStatusOk;
+}
+
 } // namespace
 
 soak_run::soak_run(const soak_settings &settings)
@@ -72,9 +81,11 @@
     m_trafficStart = monotonicNow() + kWarmUp;
     m_lastFaultEnd = m_trafficStart;
     m_checker.recordRoute(serviceName(0), monotonicNow());
-    const auto plan = planFaults(
-        {.balancers = m_settings.fleet.balancers, .agents = m_settings.fleet.agents, .length = m_settings.length},
-        m_settings.seed);
+    const auto plan = planFaults({.balancers = m_settings.fleet.balancers,
+                                  .agents = m_settings.fleet.agents,
+                                  .length = m_settings.length,
+                                  .storeRestores = m_settings.storeRestores},
+                                 m_settings.seed);
     for (const planned_fault &planned : plan)
         m_scheduled.emplace(m_trafficStart + planned.at,
                             [this, what = planned.what](time_point now) { begin(what, now); });
@@ -230,9 +241,24 @@
     });
 }
 
+void soak_run::begin(const restore_store &what, time_point)
+{
+    if (!postToStore(m_fleet.storeAddress(), "/admin/copy"))
+        m_checker.reportViolation("the store stand-in did not make a copy");
+    schedule(what.age, [this](time_point at) {
+        m_checker.beginDisturbance(disturbance_kind::store, "restore", at);
+        if (!postToStore(m_fleet.storeAddress(), "/admin/restore"))
+            m_checker.reportViolation("the store stand-in was not restored");
+        if (!platform::writeRoute(m_fleet.storeAddress(), m_routesVersion, m_service, false))
+            m_checker.reportViolation("the store stand-in did not confirm a route");
+        m_checker.endDisturbance("restore", monotonicNow());
+    });
+}
+
 void soak_run::begin(const change_route &what, time_point)
 {
     const std::string service = serviceName(what.service);
+    m_service = service;
     if (!platform::writeRoute(m_fleet.storeAddress(), ++m_routesVersion, service, false))
         m_checker.reportViolation("the store stand-in did not confirm a route");
     m_checker.recordRoute(service, monotonicNow());
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -25,6 +25,7 @@
     std::uint64_t seed = 1;
     duration length = std::chrono::seconds(20); ///< Time in which faults begin.
     std::uint32_t callers = 8;
+    std::size_t storeRestores = 0; ///< Times that the store comes back from an older copy.
 };
 
 struct soak_outcome
@@ -53,6 +54,7 @@
     void begin(const reload_node &what, time_point now);
     void begin(const replace_upstream &what, time_point now);
     void begin(const disturb_store &what, time_point now);
+    void begin(const restore_store &what, time_point now);
     void begin(const change_route &what, time_point now);
     void begin(const lose_packets &what, time_point now);
     void schedule(duration delay, std::function<void(time_point)> run);
@@ -75,6 +77,7 @@
     time_point m_trafficStart;
     time_point m_lastFaultEnd;
     std::uint64_t m_routesVersion = 1;
+    std::string m_service = serviceName(0); ///< Of the route in m_routesVersion.
     std::uint64_t m_answeredBeforeFinalTraffic = 0;
     std::uint32_t m_lossFaults = 0; ///< Gives overlapping packet losses distinct subjects.
 };
