balancer: name all agents without an entry to a new balancer

Change: the hellos that answer a new balancer name all of them, 64 a datagram; a hello of the periodic rounds names the next part each time. Hellos to agents name none, since agents do not use them; they were also built anew for each agent of a listing, each time with a walk over all agents. NamesAllAgentsWithoutAnEntryToANewBalancer (600 agents) failed before: 64 were named. Tests of libpacket and packet_guarantees_test pass.

--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -169,7 +169,9 @@
     void onOwnerList(const flow_owner_list &owners, time_point now);
     void sendOwnerList(const host_address &balancer, packet_actions *out) const;
     void addBalancer(const host_address &address, time_point now);
-    balancer_hello hello(time_point now) const;
+    balancer_hello hello() const;
+    std::vector<balancer_hello> hellosToBalancer(time_point now) const;
+    void introduceSelf(const host_address &balancer, time_point now, packet_actions *out) const;
     void confirmStore(time_point now, packet_actions *out);
     void sendHellos(time_point now, packet_actions *out);
     void requestMissingEntries(time_point now, packet_actions *out);
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -307,7 +307,7 @@
         void operator()(const agent_hello &hello) const
         {
             self->onAgentReport(from, hello.report, now, out);
-            out->emplace_back(send_to_node{from, self->hello(now)});
+            out->emplace_back(send_to_node{from, self->hello()});
         }
         void operator()(const owner_nack &nack) const { self->onOwnerNack(from, nack, now, out); }
         void operator()(const owner_nack_list &list) const
--- a/src/libpacket/packet_balancer_nodes.cpp
+++ b/src/libpacket/packet_balancer_nodes.cpp
@@ -44,7 +44,7 @@
                      " state=", toString(report.state), " incarnation=", report.incarnation, " number=", report.number),
         out);
     if (before == nullptr)
-        out->emplace_back(send_to_node{agent, hello(now)});
+        out->emplace_back(send_to_node{agent, hello()});
     replayHeld(now, out);
 }
 
@@ -64,7 +64,7 @@
         addBalancer(other, now);
     for (const host_address &agent : hello.unlistedAgents) {
         if (m_agents.markNamed(agent, now))
-            out->emplace_back(send_to_node{agent, this->hello(now)});
+            out->emplace_back(send_to_node{agent, this->hello()});
     }
     if (hello.routesVersion > routesVersion() && (!m_newerRoutes || hello.routesVersion > m_newerRoutes->version))
         m_newerRoutes = routes_source{hello.http, hello.routesVersion};
@@ -74,7 +74,7 @@
         return;
     log(log_class::belief,
         absl::StrCat("balancer said hello, balancer=", toString(from), " routes=", hello.routesVersion), out);
-    out->emplace_back(send_to_node{from, this->hello(now)});
+    introduceSelf(from, now, out);
     if (hello.domain == m_settings.domain)
         sendOwnerList(from, out);
 }
@@ -100,7 +100,7 @@
         const bool isNew = m_agents.find(node.address) == nullptr;
         m_agents.markListed(node.address, node.service, node.domain, now);
         if (isNew)
-            out->emplace_back(send_to_node{node.address, hello(now)});
+            out->emplace_back(send_to_node{node.address, hello()});
     }
     for (const host_address &address : m_agents.agentsOfService("")) {
         if (!listedAgents.contains(address))
@@ -151,7 +151,7 @@
     replayHeld(now, out);
 }
 
-balancer_hello packet_balancer::hello(time_point now) const
+balancer_hello packet_balancer::hello() const
 {
     balancer_hello result{.incarnation = m_settings.incarnation,
                           .domain = m_settings.domain,
@@ -167,13 +167,28 @@
             break;
         result.balancers.push_back(address);
     }
-    if (m_isListingKnown)
-        result.unlistedAgents = m_agents.unlistedAgents(now);
-    if (result.unlistedAgents.size() > kMaxUnlistedAgents)
-        result.unlistedAgents.resize(kMaxUnlistedAgents);
     return result;
 }
 
+// Hellos to another balancer, which name all agents without an entry. One datagram holds a part of them.
+std::vector<balancer_hello> packet_balancer::hellosToBalancer(time_point now) const
+{
+    const auto unlisted = m_isListingKnown ? m_agents.unlistedAgents(now) : std::vector<host_address>();
+    std::vector<balancer_hello> hellos{hello()};
+    for (const host_address &agent : unlisted) {
+        if (hellos.back().unlistedAgents.size() == kMaxUnlistedAgents)
+            hellos.push_back(hello());
+        hellos.back().unlistedAgents.push_back(agent);
+    }
+    return hellos;
+}
+
+void packet_balancer::introduceSelf(const host_address &balancer, time_point now, packet_actions *out) const
+{
+    for (balancer_hello &message : hellosToBalancer(now))
+        out->emplace_back(send_to_node{balancer, std::move(message)});
+}
+
 void packet_balancer::sendHellos(time_point now, packet_actions *out)
 {
     std::vector<host_address> targets;
@@ -184,13 +199,14 @@
         targets.resize(kHelloFanOut);
     if (m_balancers.empty() || m_helloRound == 0)
         targets.insert(targets.end(), m_settings.seeds.begin(), m_settings.seeds.end());
+    // A round names a part of the agents without an entry, the next round the next part.
+    const auto hellos = hellosToBalancer(now);
+    for (const host_address &target : targets)
+        out->emplace_back(send_to_node{target, hellos[m_helloRound % hellos.size()]});
     if (m_helloRound % kAgentHelloRounds == 0) {
-        const auto agents = m_agents.agentsOfService("");
-        targets.insert(targets.end(), agents.begin(), agents.end());
+        for (const host_address &agent : m_agents.agentsOfService(""))
+            out->emplace_back(send_to_node{agent, hello()});
     }
-    const balancer_hello message = hello(now);
-    for (const host_address &target : targets)
-        out->emplace_back(send_to_node{target, message});
     if (m_isListingKnown && m_helloRound % kAgentHelloRounds == 0)
         requestMissingEntries(now, out);
     ++m_helloRound;
@@ -201,7 +217,7 @@
 void packet_balancer::requestMissingEntries(time_point now, packet_actions *out)
 {
     for (const host_address &agent : m_agents.takeMissingEntries(now)) {
-        balancer_hello request = hello(now);
+        balancer_hello request = hello();
         request.isEntryMissing = true;
         log(log_class::belief, absl::StrCat("agent has no entry, agent=", toString(agent)), out);
         out->emplace_back(send_to_node{agent, std::move(request)});
--- a/src/libpacket/packet_balancer_test.cpp
+++ b/src/libpacket/packet_balancer_test.cpp
@@ -1,5 +1,7 @@
 #include "packet_balancer_fixture_test.h"
 
+#include <set>
+
 using namespace citroncrank;
 using namespace citroncrank::packet_fixture;
 
@@ -236,6 +238,24 @@
     EXPECT_EQ(hellos[0].second.unlistedAgents, std::vector{kAgentB});
 }
 
+// Guards against an open flow that a new balancer resets in a large fleet: more agents have no entry than one hello can
+// name, and the owner is one of the others.
+TEST_F(PacketBalancer, NamesAllAgentsWithoutAnEntryToANewBalancer)
+{
+    constexpr std::uint32_t kUnlisted = 600;
+    for (std::uint32_t i = 0; i < kUnlisted; ++i)
+        core.message(host_address{0x0A080000 + i, 7000}, makeReport(1), now, &actions);
+    actions.clear();
+    core.message(kOtherBalancer, balancer_hello{.incarnation = 1, .domain = "nbi-west"}, now, &actions);
+    std::set<host_address> named;
+    for (const auto &[target, hello] : messagesOf<balancer_hello>(actions)) {
+        EXPECT_EQ(target, kOtherBalancer);
+        EXPECT_LE(encodeNodeMessage(hello).size(), 1200U) << "a hello must fit one datagram";
+        named.insert(hello.unlistedAgents.begin(), hello.unlistedAgents.end());
+    }
+    EXPECT_EQ(named.size(), kUnlisted);
+}
+
 // Guards against sending callers to a balancer that cannot reach any agent.
 TEST_F(PacketBalancer, IsNotReadyWhenNoAgentReports)
 {
