balancer: no reset for want of an owner while no neighbour was heard

Seen by reading: after 250 ms without a hello a starting balancer took the store's list for all agents. If the store had lost an owner's entry and the neighbours' replies were lost or late, a reset of an open flow rested on that time-out. Change: opening packets still wait 250 ms at most, but an open flow counts as unowned only once a neighbour was heard, or after 1.5 s, in which a hello is sent twice. A balancer that is alone does not wait. Ruled out: waiting without a bound, since entries of balancers that are gone stay listed for 8 s or more. NoFlowIsTakenForUnownedWhileNoNeighbourWasHeard failed with the earlier bound.

--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -177,6 +177,8 @@
     void requestMissingEntries(time_point now, packet_actions *out);
     void expireFlows(time_point now);
     bool isStarting(time_point now) const;
+    bool isAlone() const;
+    bool areUnlistedAgentsKnown(time_point now) const;
     bool knowsAllAgents(time_point now) const;
     void log(log_class kind, std::string text, packet_actions *out) const;
 
--- a/src/libpacket/packet_balancer_nodes.cpp
+++ b/src/libpacket/packet_balancer_nodes.cpp
@@ -21,6 +21,9 @@
 constexpr duration kNeighbourWait = std::chrono::milliseconds(250);
 // Longest time that a balancer which has just started waits for newer routes of another balancer.
 constexpr duration kMaxRoutesWait = seconds(1);
+// Longest time without a neighbour before the agents of the store's list count as all agents. A hello is sent twice
+// within it.
+constexpr duration kMaxOwnersWait = std::chrono::milliseconds(1500);
 // A node that is silent for longer counts as replaced. A node that is alive writes its entry again.
 constexpr duration kStaleEntryTimeout = seconds(8);
 constexpr duration kStaleEntryStagger = seconds(2);
@@ -137,11 +140,10 @@
     if (m_isStoreConfirmed || !m_routesKnownAt)
         return;
     const duration waited = now - *m_routesKnownAt;
-    const bool isAlone = m_balancers.empty() && (m_isListingKnown || m_settings.seeds.empty());
     if (m_isNeighbourHeard)
         m_isStoreConfirmed = !newerRoutes() || waited >= kMaxRoutesWait;
     else
-        m_isStoreConfirmed = isAlone || waited >= kNeighbourWait;
+        m_isStoreConfirmed = isAlone() || waited >= kNeighbourWait;
     if (!m_isStoreConfirmed)
         return;
     log(log_class::belief,
@@ -151,6 +153,19 @@
     replayHeld(now, out);
 }
 
+// Whether the store and the settings name no other balancer.
+bool packet_balancer::isAlone() const
+{
+    return m_balancers.empty() && (m_isListingKnown || m_settings.seeds.empty());
+}
+
+// The store may have lost the entries of agents that own flows. Opening packets need not wait for them, but a reset of an
+// open flow does.
+bool packet_balancer::areUnlistedAgentsKnown(time_point now) const
+{
+    return m_isNeighbourHeard || isAlone() || (m_routesKnownAt && now - *m_routesKnownAt >= kMaxOwnersWait);
+}
+
 balancer_hello packet_balancer::hello() const
 {
     balancer_hello result{.incarnation = m_settings.incarnation,
--- a/src/libpacket/packet_balancer_owners.cpp
+++ b/src/libpacket/packet_balancer_owners.cpp
@@ -26,7 +26,8 @@
 
 bool packet_balancer::knowsAllAgents(time_point now) const
 {
-    return m_isListingKnown && m_isStoreConfirmed && now - m_startedAt > kAgentDiscoveryTime;
+    return m_isListingKnown && m_isStoreConfirmed && areUnlistedAgentsKnown(now)
+           && now - m_startedAt > kAgentDiscoveryTime;
 }
 
 void packet_balancer::searchOwner(packet arrived, balancer_flow *flow, std::optional<host_address> except,
--- a/src/libpacket/packet_balancer_test.cpp
+++ b/src/libpacket/packet_balancer_test.cpp
@@ -226,6 +226,22 @@
     EXPECT_EQ(actionsOf<reset_flow>(actions).size(), 1U);
 }
 
+// Guards against the reset of an open flow by a balancer whose first hello was lost: the store does not list the owner, and
+// no neighbour could name it.
+TEST_F(PacketBalancerAfterRestore, NoFlowIsTakenForUnownedWhileNoNeighbourWasHeard)
+{
+    now += milliseconds(400);
+    core.advance(now, &actions);
+    core.message(kAgentA, makeReport(2), now, &actions);
+    core.callerPacket(callerPacket(77), now, &actions);
+    core.message(kAgentA, owner_nack{kFlow, false}, now, &actions);
+    EXPECT_TRUE(actionsOf<reset_flow>(actions).empty());
+    now += milliseconds(1100);
+    core.message(kAgentA, makeReport(3), now, &actions);
+    core.advance(now, &actions);
+    EXPECT_EQ(actionsOf<reset_flow>(actions).size(), 1U) << "the neighbour is gone";
+}
+
 // Guards against agents without an entry that a balancer does not name to its neighbours.
 TEST_F(PacketBalancer, NamesAgentsThatReportWithoutAnEntry)
 {
