balancer: a live balancer is not forgotten in a large fleet

A stopping balancer then hands its flows over to some of its neighbours only, and hellos stop naming the others. Cause: a balancer that was silent for 60 s was forgotten, but with n others a hello of each arrives once in n / 3 s. Change: it is forgotten after ten such cycles, 60 s at least, as its entry in the store is; one function gives the cycle to both. SilentBalancersAreKeptAsLongAsHellosMayTakeInALargeFleet failed before at 300 balancers.

--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -169,6 +169,8 @@
     void onOwnerList(const flow_owner_list &owners, time_point now);
     void sendOwnerList(const host_address &balancer, packet_actions *out) const;
     void addBalancer(const host_address &address, time_point now);
+    duration helloCycle() const;
+    void removeSilentBalancers(time_point now);
     balancer_hello hello() const;
     std::vector<balancer_hello> hellosToBalancer(time_point now) const;
     void introduceSelf(const host_address &balancer, time_point now, packet_actions *out) const;
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -32,7 +32,6 @@
 // Added to the idle timeout of a flow, since this balancer sees only one direction of its packets.
 constexpr duration kIdleMargin = seconds(5);
 constexpr duration kSweepPeriod = seconds(1);
-constexpr duration kBalancerExpiry = seconds(60);
 constexpr duration kAgentExpiry = seconds(30);
 
 } // namespace
@@ -462,8 +461,7 @@
     if (!m_nextSweep || now >= *m_nextSweep) {
         expireFlows(now);
         m_agents.removeStaleNodes(kAgentExpiry, now);
-        absl::erase_if(m_balancers,
-                       [&](const auto &entry) { return now - entry.second.lastHeardAt > kBalancerExpiry; });
+        removeSilentBalancers(now);
         m_nextSweep = now + kSweepPeriod;
     }
 }
--- a/src/libpacket/packet_balancer_nodes.cpp
+++ b/src/libpacket/packet_balancer_nodes.cpp
@@ -27,8 +27,10 @@
 // A node that is silent for longer counts as replaced. A node that is alive writes its entry again.
 constexpr duration kStaleEntryTimeout = seconds(8);
 constexpr duration kStaleEntryStagger = seconds(2);
+// Shortest time after which a silent balancer is forgotten.
+constexpr duration kBalancerExpiry = seconds(60);
 // The chance that no hello of a live balancer arrives in this many cycles is below one in 10,000.
-constexpr int kStaleEntryHelloCycles = 10;
+constexpr int kSilentHelloCycles = 10;
 } // namespace
 
 void packet_balancer::onAgentReport(const host_address &agent, const agent_report &report, time_point now,
@@ -239,6 +241,18 @@
     }
 }
 
+// With n other balancers, a hello of each of them arrives about once in n / kHelloFanOut rounds.
+duration packet_balancer::helloCycle() const
+{
+    return kHelloPeriod * std::int64_t(1 + m_balancers.size() / kHelloFanOut);
+}
+
+void packet_balancer::removeSilentBalancers(time_point now)
+{
+    const duration expiry = std::max(kBalancerExpiry, kSilentHelloCycles * helloCycle());
+    absl::erase_if(m_balancers, [&](const auto &entry) { return now - entry.second.lastHeardAt > expiry; });
+}
+
 // Balancers with higher addresses wait longer, so that usually one balancer removes an entry and the others find it
 // removed.
 std::vector<host_address> packet_balancer::staleNodes(time_point now) const
@@ -247,12 +261,10 @@
                                               [this](const auto &entry) { return entry.first < m_settings.self; });
     const duration timeout = kStaleEntryTimeout + lowerAddresses * kStaleEntryStagger;
     auto stale = m_agents.staleEntries(timeout, now);
-    // With n other balancers, a hello of each of them arrives about once in n / kHelloFanOut rounds.
-    const duration helloCycle = kHelloPeriod * std::int64_t(1 + m_balancers.size() / kHelloFanOut);
     for (const auto &[address, since] : m_listedBalancers) {
         const auto heard = m_balancers.find(address);
         const time_point last = heard == m_balancers.end() ? since : std::max(since, heard->second.lastHeardAt);
-        if (now - last > timeout + kStaleEntryHelloCycles * helloCycle)
+        if (now - last > timeout + kSilentHelloCycles * helloCycle())
             stale.push_back(address);
     }
     return stale;
--- a/src/libpacket/packet_balancer_test.cpp
+++ b/src/libpacket/packet_balancer_test.cpp
@@ -272,6 +272,22 @@
     EXPECT_EQ(named.size(), kUnlisted);
 }
 
+// Guards against live balancers that are forgotten in a large fleet, where a hello of each arrives only once in 100 s: a
+// stopping balancer would hand its flows over to some of its neighbours only.
+TEST_F(PacketBalancer, SilentBalancersAreKeptAsLongAsHellosMayTakeInALargeFleet)
+{
+    for (const std::uint32_t fleet : {30U, 300U}) {
+        packet_balancer balancer({.self = kBalancer, .domain = "nbi-west", .flowLifetime = seconds(60)},
+                                 decodeTestHeader, now);
+        for (std::uint32_t i = 0; i < fleet; ++i)
+            balancer.message(host_address{0x0A080000 + i, 7000}, balancer_hello{.domain = "nbi-west"}, now, &actions);
+        balancer.advance(now + seconds(fleet == 300 ? 150 : 50), &actions);
+        EXPECT_EQ(balancer.balancerCount(), fleet);
+        balancer.advance(now + seconds(1100), &actions);
+        EXPECT_EQ(balancer.balancerCount(), 0U) << "they are gone";
+    }
+}
+
 // Guards against sending callers to a balancer that cannot reach any agent.
 TEST_F(PacketBalancer, IsNotReadyWhenNoAgentReports)
 {
