object store: the list of an empty store has an era too

Seen: EntriesAfterRestore.ABalancerWritesItsLostEntryAgain failed once in a run of all tests (the entry not back within 2 s). Cause, first part: the store was empty when the worker listed it, so its watch started at number 0, and number 0 was let through in any era. Change: only a watch that names no listing at all is taken for one from the start. AWatchFromTheListOfAnEmptyStoreFailsInALaterEra failed before.

--- a/src/libobjectstore/object_store.cpp
+++ b/src/libobjectstore/object_store.cpp
@@ -68,7 +68,8 @@
 
 std::optional<watch_result> object_store::watch(const watch_query &query, platform_failure *lastReason)
 {
-    const bool isFromStart = query.from.number == 0;
+    // A watch that names no listing reports all changes, in any era.
+    const bool isFromStart = query.from == object_version{};
     *lastReason = platform_failure::history_gone;
     if (!isFromStart && !mayMatch(query.from))
         return std::nullopt;
--- a/src/libpacketnode/platform_store_era_test.cpp
+++ b/src/libpacketnode/platform_store_era_test.cpp
@@ -64,3 +64,17 @@
     EXPECT_FALSE(m_client.watch({.prefix = "kind/", .from = *created}, &m_reason));
     EXPECT_EQ(m_reason, platform_failure::history_gone);
 }
+
+// Guards against a lost entry that is not missed: the store was empty when it was listed, so the watch starts at number 0,
+// and the restored store is empty again (EntriesAfterRestore.ABalancerWritesItsLostEntryAgain, once in a run of all tests).
+TEST_F(PlatformStoreEra, AWatchFromTheListOfAnEmptyStoreFailsInALaterEra)
+{
+    copy();
+    const auto list = m_client.list({.prefix = "kind/"}, &m_reason);
+    ASSERT_TRUE(list);
+    ASSERT_EQ(list->version, (object_version{1, 0}));
+    ASSERT_TRUE(m_client.create("kind/name", "1", &m_reason));
+    restore();
+    EXPECT_FALSE(m_client.watch({.prefix = "kind/", .from = list->version}, &m_reason));
+    EXPECT_EQ(m_reason, platform_failure::history_gone);
+}
