store worker: a watch ends once its node hears of a restore

The store was restored between the worker's write and its watch. The watch began in the later era at a number that the store had, so it was neither refused nor cut, and the worker learned of the era only when it timed out: 8 s for the nodes. The same after a pause between two watches, and for a cut watch, which was repeated on a new connection with its whole wait. Change: a later era that the node hears of, from another worker or from a hello, aborts a watch in progress, and the objects are listed. A long poll is not repeated on a new connection; after a failure the first watch does not wait, so its answer tells the era. ABalancerWritesItsLostEntryAgain waits for the watch now, since a single worker has nobody to hear from otherwise; its bound is the same.

--- a/src/include/citroncrank/http_connection.h
+++ b/src/include/citroncrank/http_connection.h
@@ -29,7 +29,7 @@
     std::string target;
     std::string body;                  ///< JSON.
     std::chrono::milliseconds wait{0}; ///< Long poll: how long the server may delay its response.
-    bool isIdempotent = false;         ///< Retried once on a new connection if the kept-alive one fails.
+    bool isIdempotent = false;         ///< Retried once on a new connection if the kept-alive one fails, unless it waits.
 };
 
 /// Header field of a response.
@@ -56,7 +56,8 @@
     no_response, ///< The request was sent; the server may have executed it.
 };
 
-/// Keeps one connection alive between calls. Calls block the calling thread. Not thread safe, except for stop().
+/// Keeps one connection alive between calls. Calls block the calling thread. Not thread safe, except for stop() and
+/// abortCall().
 class http_connection
 {
 public:
@@ -68,6 +69,8 @@
     /// Returns nullopt and stores the cause in `lastReason`, which must not be null, if no complete response arrives.
     std::optional<http_response> call(const http_call &request, http_call_failure *lastReason);
 
+    /// Aborts the call in progress, or the next one if there is none. May be called from another thread.
+    void abortCall();
     /// Aborts the call in progress and makes all later calls fail. May be called from another thread.
     void stop();
 
--- a/src/include/citroncrank/standin_platform.h
+++ b/src/include/citroncrank/standin_platform.h
@@ -30,10 +30,13 @@
     std::uint16_t port() const { return m_server.port(); }
     void setSwitches(const standin_platform_switches &switches);
     versioned_objects &objects() { return m_objects; }
+    /// Watches that wait for changes.
+    std::size_t waitingWatches() const { return m_watches.size(); }
     /// Keeps a copy of all objects for restoreCopy().
     void copyObjects() { m_copy = m_objects; }
-    /// Brings the objects of the copy back, as after a failure of the store. Waiting watches end with status 503.
-    void restoreCopy();
+    /// Brings the objects of the copy back, as after a failure of the store. Waiting watches end with status 503 if
+    /// `endsWatches`, and go on at their numbers otherwise, like watches that begin right after the return.
+    void restoreCopy(bool endsWatches = true);
 
 private:
     using exchange_pointer = std::shared_ptr<standin_exchange>;
--- a/src/include/citroncrank/store_worker.h
+++ b/src/include/citroncrank/store_worker.h
@@ -8,6 +8,7 @@
 
 #include "platform_store.h"
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -63,6 +64,7 @@
 
 private:
     void recordEra();
+    void onLaterEra();
 
     std::string m_name;
     store_log m_log;
@@ -74,6 +76,7 @@
     std::minstd_rand m_random;
     std::uint32_t m_failuresInRow = 0;
     bool m_isLost = false;
+    std::atomic<bool> m_isWatching = false; ///< A watch is in progress.
 };
 
 } // namespace citroncrank
--- a/src/libobjectstore/http_connection.cpp
+++ b/src/libobjectstore/http_connection.cpp
@@ -66,7 +66,10 @@
         const bool wasOpen = isConnectionUsable();
         http::response<http::string_body> response;
         exchange_result result = exchange(request, &response);
-        if (result != exchange_result::answered && request.isIdempotent && wasOpen && !m_isTimedOut)
+        // A long poll is not repeated, since the server may have changed behind the lost connection: a store that came back
+        // from an older copy would let it wait at a version of the lost time.
+        const bool isRepeatable = request.isIdempotent && request.wait == std::chrono::milliseconds(0);
+        if (result != exchange_result::answered && isRepeatable && wasOpen && !m_isTimedOut)
             result = exchange(request, &response);
         if (result == exchange_result::answered)
             return convert(std::move(response));
@@ -75,10 +78,15 @@
         return std::nullopt;
     }
 
+    void abortCall()
+    {
+        net::post(m_context, [this] { m_stream.close(); });
+    }
+
     void stop()
     {
         m_isStopped = true;
-        net::post(m_context, [this] { m_stream.close(); });
+        abortCall();
     }
 
 private:
@@ -193,6 +201,11 @@
     return m_implementation->call(request, lastReason);
 }
 
+void http_connection::abortCall()
+{
+    m_implementation->abortCall();
+}
+
 void http_connection::stop()
 {
     m_implementation->stop();
--- a/src/libpacketnode/entries_after_restore_test.cpp
+++ b/src/libpacketnode/entries_after_restore_test.cpp
@@ -2,6 +2,8 @@
 
 #include "restored_store_fixture_test.h"
 
+#include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <mutex>
 
 using namespace citroncrank;
@@ -32,6 +34,16 @@
         return waitFor(kEntryReturnLimit, [&] { return !value(kOwnKey).empty(); });
     }
 
+    /// Waits until the worker watches, from a version after its own write.
+    bool waitForWatch()
+    {
+        return waitFor(kEntryReturnLimit, [&] {
+            std::size_t waiting = 0;
+            change([&](standin_platform &store) { waiting = store.waitingWatches(); });
+            return waiting > 0;
+        });
+    }
+
     std::vector<listed_node> received()
     {
         const std::lock_guard lock(m_mutex);
@@ -50,11 +62,29 @@
 {
     copy();
     const auto worker = startWorker(false);
+    ASSERT_TRUE(waitForWatch());
     restore();
     EXPECT_TRUE(isEntryBack());
     worker->stop();
 }
 
+// Guards against a balancer whose lost entry stays away until its watch times out: the watch began after the store's
+// return, at a number that the store has passed again, and another worker of the balancer hears of the restore.
+TEST_F(EntriesAfterRestore, AWatchEndsOnceTheBalancerHearsOfTheRestore)
+{
+    copy();
+    const auto worker = startWorker(false);
+    ASSERT_TRUE(waitForWatch());
+    change([](standin_platform &store) {
+        store.restoreCopy(false);
+        for (const char *name : {"a", "b", "c"})
+            writeObject(store, absl::StrCat("other/", name), "{}");
+    });
+    m_eras->observe(2);
+    EXPECT_TRUE(isEntryBack());
+    worker->stop();
+}
+
 // Guards against an agent that a starting balancer does not find, so that it resets the agent's open flows (the same
 // day, FLOW at 22.936 s with seed 1).
 TEST_F(EntriesAfterRestore, AnAgentWritesItsLostEntryAgainOnceItHearsOfTheRestore)
--- a/src/libpacketnode/store_worker.cpp
+++ b/src/libpacketnode/store_worker.cpp
@@ -26,7 +26,16 @@
     , m_cursor(std::make_unique<watch_cursor>())
     , m_random(std::random_device{}())
 {
-    m_eras->subscribe(this, [this] { wake(); });
+    m_eras->subscribe(this, [this] { onLaterEra(); });
+}
+
+// A watch may have begun after the store's return, at a number of an earlier era that the store has passed again. It would
+// wait until its time-out.
+void store_worker::onLaterEra()
+{
+    if (m_isWatching)
+        m_store.abortCall();
+    wake();
 }
 
 std::string store_worker::eraText() const
@@ -83,7 +92,15 @@
     platform_failure reason = platform_failure::unavailable;
     // A store that was lost may have come back from an older copy, and a watch from a number of an earlier era waits in
     // vain. Its answer tells the era, so the first one does not wait.
+    m_isWatching = true;
     auto result = m_store.watch({prefix, *m_cursor->from(), m_isLost ? milliseconds(0) : wait}, &reason);
+    m_isWatching = false;
+    if (!result && takeLaterEra()) {
+        log("store came back from an older copy, as others know, listing objects again");
+        m_cursor->invalidate();
+        *pause = duration(0);
+        return std::nullopt;
+    }
     if (!result && reason == platform_failure::history_gone) {
         recordEra();
         log(absl::StrCat("history is gone, listing objects again, from=", toString(*m_cursor->from()), " ", eraText()));
--- a/src/libstandin/platform.cpp
+++ b/src/libstandin/platform.cpp
@@ -81,10 +81,11 @@
         endWatches();
 }
 
-void standin_platform::restoreCopy()
+void standin_platform::restoreCopy(bool endsWatches)
 {
     m_objects.restore(m_copy);
-    endWatches();
+    if (endsWatches)
+        endWatches();
 }
 
 void standin_platform::respond(const exchange_pointer &exchange, standin_response response) const
