balancer: three of a failure domain watch the configuration, the others hear from them

Cause: each balancer watched the configuration, 0.7 calls a second whatever happens. A balancer watches unless it hears three others that come before it in a fixed random order, and one of them has confirmed the version in force here within 2 s. No election: silence of any cause leads to more calls, never to older routes. Newer routes are read from the teller at once. Setting configuration-watchers (1 to 1,000), gauge citroncrank_balancer_watches_configuration, log line `configuration watch, watching=`. Calls at 4, 60 and 300 balancers are the same after the start.

--- a/src/include/citroncrank/ids.h
+++ b/src/include/citroncrank/ids.h
@@ -79,6 +79,11 @@
 
 /// Seeded 64-bit hash of a string (XXH3).
 std::uint64_t hashString(const std::string &text, std::uint64_t seed = 0);
+/// Address as one number, unique among addresses.
+inline std::uint64_t packAddress(const host_address &address)
+{
+    return (std::uint64_t(address.ip) << 16U) | address.port;
+}
 /// Seeded 64-bit hash of two numbers (XXH3), for rendezvous hashing.
 std::uint64_t hashPair(std::uint64_t first, std::uint64_t second, std::uint64_t seed = 0);
 
@@ -95,6 +100,6 @@
 {
     std::size_t operator()(const citroncrank::host_address &address) const noexcept
     {
-        return std::hash<std::uint64_t>()((std::uint64_t(address.ip) << 16U) | address.port);
+        return std::hash<std::uint64_t>()(citroncrank::packAddress(address));
     }
 };
--- a/src/include/citroncrank/node_message.h
+++ b/src/include/citroncrank/node_message.h
@@ -183,7 +183,9 @@
     bool isEntryMissing = false;         ///< The receiving agent reports, but the object store does not list it.
     std::uint64_t storeEra = 0;          ///< Latest era of the object store that the sender knows. 0: unknown.
     std::vector<host_address>
-        unlistedAgents; ///< Agents that report to the sender, but that the object store does not list.
+        unlistedAgents;              ///< Agents that report to the sender, but that the object store does not list.
+    bool areRoutesConfirmed = false; ///< The sender watches the store, which holds no newer routes than routesVersion.
+    std::uint32_t confirmationAgeMilliseconds = 0; ///< Age of that answer of the store.
     auto operator<=>(const balancer_hello &) const = default;
 };
 
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -7,6 +7,7 @@
 #include "citroncrank/owner_search.h"
 #include "citroncrank/packet_action.h"
 #include "citroncrank/route_set.h"
+#include "citroncrank/routes_watch_role.h"
 #include "citroncrank/time.h"
 
 #include <absl/container/btree_map.h>
@@ -33,6 +34,7 @@
     std::vector<host_address> seeds; ///< Balancers to contact first; some of them may be down.
     duration flowLifetime{0};        ///< The state of older flows may be dropped.
     std::uint64_t randomSeed = 0;
+    routes_watch_settings routesWatch;
 };
 
 /// A node as the object store lists it.
@@ -68,9 +70,13 @@
     void applyRoutes(std::shared_ptr<const route_set> routes, time_point now, packet_actions *out);
     /// Processes the complete list of nodes in the object store.
     void applyListing(const std::vector<listed_node> &nodes, time_point now, packet_actions *out);
+    /// Call when the object store has shown that it holds no newer routes than those in force. `age`: of its answer.
+    void storeConfirmedRoutes(duration age, time_point now, packet_actions *out);
+    /// Whether this balancer watches the operator's configuration in the object store itself.
+    bool watchesRoutes(time_point now) const { return m_watchRole.isWatcher(routesVersion(), now); }
     /// Applies the latest era of the object store that this node has heard of.
     void applyStoreEra(std::uint64_t era, time_point now);
-    /// Applies the seeds and the flow lifetime. The other settings cannot change after the start.
+    /// Applies the seeds, the flow lifetime and the number of watchers. The other settings cannot change after the start.
     void changeSettings(const packet_balancer_settings &changed);
     /// Periodic work: sends hellos, retries held packets and owner queries, expires state. Call about every
     /// kBalancerTick.
@@ -79,8 +85,12 @@
     /// Sends the owners of all flows to the other balancers of this failure domain, before they receive the callers'
     /// packets.
     void handOffFlows(packet_actions *out) const;
-    /// Whether this balancer has just started and waits for newer routes, which another balancer has.
-    bool isWaitingForNewerRoutes() const { return !m_isStoreConfirmed && newerRoutes(); }
+    /// Whether to read newer routes from another balancer at once: this balancer has just started and waits for them, or
+    /// does not watch the object store.
+    bool needsNewerRoutes(time_point now) const
+    {
+        return newerRoutes() && (!m_isStoreConfirmed || !watchesRoutes(now));
+    }
     /// Reasons why this balancer should not receive callers' packets. Empty: ready.
     std::vector<std::string> notReadyReasons(time_point now) const;
     /// Balancer with the newest routes, if they are newer than the routes in force here.
@@ -203,6 +213,7 @@
     time_point m_allowanceUpdatedAt;
     std::vector<held_packet> m_held;
     std::optional<routes_source> m_newerRoutes;
+    routes_watch_role m_watchRole;
     absl::btree_map<host_address, time_point> m_listedBalancers; ///< Other balancers and when they became listed.
     bool m_isListingKnown = false;
     std::uint64_t m_helloRound = 0;
--- a/src/include/citroncrank/packet_balancer_node.h
+++ b/src/include/citroncrank/packet_balancer_node.h
@@ -34,6 +34,8 @@
     void receiveRoutes(std::shared_ptr<const route_set> routes, std::string text);
     void applyRoutes(const std::shared_ptr<const route_set> &routes, const std::string &text);
     void tick(time_point now);
+    void fetchNeededRoutes(time_point now);
+    void updateWatch(time_point now);
     void beginStop();
     bool isDoneStopping(time_point now) const;
     std::vector<std::string> notReadyReasons() const;
@@ -52,9 +54,12 @@
     std::optional<time_point> m_stopRequestedAt; ///< When SIGTERM or SIGINT arrived.
     std::optional<time_point> m_lastHandoffAt;
     std::optional<time_point> m_lastPacket;
+    std::optional<time_point> m_fetchRequestedAt; ///< When routes were last requested from another balancer.
+    bool m_isWatching = true;                     ///< Whether this balancer watches the configuration.
     metric_counter &m_callerPackets;
     metric_gauge &m_flows;
     metric_gauge &m_routesVersion;
+    metric_gauge &m_watchesRoutes;
 
     mutable std::mutex m_sharedMutex; ///< Guards the m_shared members, which other threads read.
     std::vector<std::string> m_sharedNotReadyReasons{"starting"};
--- a/src/include/citroncrank/packet_node_settings.h
+++ b/src/include/citroncrank/packet_node_settings.h
@@ -32,7 +32,8 @@
 struct packet_balancer_node_settings
 {
     packet_node_settings node;
-    host_address packets; ///< Receives the callers' packets from the routers.
+    host_address packets;           ///< Receives the callers' packets from the routers.
+    std::size_t routesWatchers = 0; ///< Balancers of a failure domain that watch the configuration.
     bool operator==(const packet_balancer_node_settings &) const = default;
 };
 
--- a/src/include/citroncrank/routes_worker.h
+++ b/src/include/citroncrank/routes_worker.h
@@ -24,9 +24,17 @@
     /// Returns a balancer that has newer routes. They are fetched from it while the store does not answer.
     using peer_source = std::function<std::optional<routes_source>()>;
 
-    routes_worker(const store_access &access, receiver receive, peer_source peer);
+    /// Called in the worker's thread when the store has shown that there is no newer configuration than the ones
+    /// received. `age`: of its answer, at most.
+    using confirmation_receiver = std::function<void(duration age)>;
+
+    routes_worker(const store_access &access, receiver receive, confirmation_receiver confirm, peer_source peer);
     ~routes_worker() override;
 
+    /// Whether to watch, which it does from the start on. Otherwise it calls the store only after a restore of it. May be
+    /// called from any thread.
+    void setWatching(bool isWatching);
+
 protected:
     std::optional<duration> step() override;
 
@@ -37,7 +45,10 @@
     void readFromPeer();
 
     receiver m_receive;
+    confirmation_receiver m_confirm;
     peer_source m_peer;
+    std::atomic<bool> m_isWatching = true;
+    bool m_wasIdle = false; ///< The last step did not call the store.
 };
 
 /// Fetches a version of the routes that this balancer lacks from another balancer.
--- a/src/libpacket/agent_directory.cpp
+++ b/src/libpacket/agent_directory.cpp
@@ -49,12 +49,6 @@
                                                                           : agent.report.periodMilliseconds);
 }
 
-std::uint64_t packed(const host_address &address)
-{
-    constexpr int kPortBits = 16;
-    return (std::uint64_t(address.ip) << kPortBits) | address.port;
-}
-
 bool isReplyOverdue(const agent_record &agent, time_point now)
 {
     return agent.firstUnansweredAt && now - *agent.firstUnansweredAt >= kReplyTimeout;
@@ -258,10 +252,10 @@
     };
     std::vector<ranked> own;
     std::vector<ranked> others;
-    const std::uint64_t key = hashPair(packed(placed.flow.caller), packed(placed.flow.service));
+    const std::uint64_t key = hashPair(packAddress(placed.flow.caller), packAddress(placed.flow.service));
     for (const agent_record *const agent : agents) {
         std::vector<ranked> &ranking = agent->report.domain == placed.ownDomain ? own : others;
-        ranking.push_back({hashPair(key, packed(agent->address)), agent});
+        ranking.push_back({hashPair(key, packAddress(agent->address)), agent});
     }
     std::vector<const agent_record *> part;
     for (std::vector<ranked> *const ranking : {&own, &others}) {
--- a/src/libpacket/node_message.cpp
+++ b/src/libpacket/node_message.cpp
@@ -147,7 +147,8 @@
     const auto http = toWire(message.http);
     const auto domain = out->CreateString(message.domain);
     return wire::CreateBalancerHello(*out, domain, message.incarnation, message.routesVersion, &http, balancers,
-                                     message.agents, message.isEntryMissing, message.storeEra, unlisted)
+                                     message.agents, message.isEntryMissing, message.storeEra, unlisted,
+                                     message.areRoutesConfirmed, message.confirmationAgeMilliseconds)
         .Union();
 }
 
@@ -296,7 +297,9 @@
                           .agents = source.agents(),
                           .isEntryMissing = source.entry_missing(),
                           .storeEra = source.store_era(),
-                          .unlistedAgents = fromWire(source.unlisted_agents())};
+                          .unlistedAgents = fromWire(source.unlisted_agents()),
+                          .areRoutesConfirmed = source.routes_confirmed(),
+                          .confirmationAgeMilliseconds = source.confirmation_age_ms()};
 }
 
 std::optional<node_message> decodeBody(const wire::AgentHello &source)
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -43,6 +43,7 @@
     , m_random(m_settings.randomSeed)
     , m_queryAllowance(kWideQueriesPerSecond)
     , m_allowanceUpdatedAt(now)
+    , m_watchRole(m_settings.self, m_settings.routesWatch)
 {
     changeSettings(m_settings);
 }
@@ -52,6 +53,7 @@
     m_settings.seeds = changed.seeds;
     std::erase(m_settings.seeds, m_settings.self);
     m_settings.flowLifetime = changed.flowLifetime;
+    m_watchRole.changeSettings(changed.routesWatch);
     m_helloRound = 0; // The next round of hellos goes to all seeds.
 }
 
--- a/src/libpacket/packet_balancer_nodes.cpp
+++ b/src/libpacket/packet_balancer_nodes.cpp
@@ -74,6 +74,9 @@
     if (hello.routesVersion > routesVersion() && (!m_newerRoutes || hello.routesVersion > m_newerRoutes->version))
         m_newerRoutes = routes_source{hello.http, hello.routesVersion};
     m_isNeighbourHeard = m_isNeighbourHeard || hello.routesVersion > 0;
+    if (hello.areRoutesConfirmed && hello.domain == m_settings.domain)
+        m_watchRole.recordConfirmation(from, hello.routesVersion,
+                                       now - std::chrono::milliseconds(hello.confirmationAgeMilliseconds), now);
     confirmStore(now, out);
     if (!isNew)
         return;
@@ -187,6 +190,21 @@
     return result;
 }
 
+// The other balancers of the failure domain learn of newer routes so, and that there are none otherwise.
+void packet_balancer::storeConfirmedRoutes(duration age, time_point now, packet_actions *out)
+{
+    if (!watchesRoutes(now))
+        return;
+    balancer_hello confirmation = hello();
+    confirmation.balancers.clear();
+    confirmation.areRoutesConfirmed = true;
+    confirmation.confirmationAgeMilliseconds = std::uint32_t(wholeMilliseconds(age));
+    for (const auto &[address, balancer] : m_balancers) {
+        if (balancer.domain == m_settings.domain)
+            out->emplace_back(send_to_node{address, confirmation});
+    }
+}
+
 // Hellos to another balancer, which name all agents without an entry. One datagram holds a part of them.
 std::vector<balancer_hello> packet_balancer::hellosToBalancer(time_point now) const
 {
--- a/src/libpacket/packet_balancer_test.cpp
+++ b/src/libpacket/packet_balancer_test.cpp
@@ -171,12 +171,12 @@
     now += milliseconds(9);
     helloFromNeighbour(9);
     EXPECT_TRUE(messagesOf<forwarded_packet>(actions).empty()) << "the neighbour has newer routes";
-    EXPECT_TRUE(core.isWaitingForNewerRoutes());
+    EXPECT_TRUE(core.needsNewerRoutes(now));
     EXPECT_FALSE(core.notReadyReasons(now).empty());
     now += milliseconds(20);
     core.applyRoutes(makeRoutes(9), now, &actions);
     EXPECT_EQ(messagesOf<forwarded_packet>(actions).size(), 1U);
-    EXPECT_FALSE(core.isWaitingForNewerRoutes());
+    EXPECT_FALSE(core.needsNewerRoutes(now));
     EXPECT_TRUE(core.notReadyReasons(now).empty());
 }
 
@@ -472,3 +472,34 @@
     core.message(owner, makeReport(++number), now, &actions);
     EXPECT_TRUE(forwarded().empty());
 }
+
+// Guards against balancers of other failure domains that count on a watcher which may be cut off from them, and against a
+// balancer that hears of newer routes and waits for its own watch, although it has none.
+TEST_F(PacketBalancer, WatchersConfirmRoutesWithinTheirFailureDomain)
+{
+    const host_address far{0x0A090001, 7000};
+    core.message(kOtherBalancer, balancer_hello{.domain = "nbi-west", .routesVersion = 5}, now, &actions);
+    core.message(far, balancer_hello{.domain = "nbi-east", .routesVersion = 5}, now, &actions);
+    actions.clear();
+    core.storeConfirmedRoutes(milliseconds(40), now, &actions);
+    const auto sent = messagesOf<balancer_hello>(actions);
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent[0].first, kOtherBalancer);
+    EXPECT_TRUE(sent[0].second.areRoutesConfirmed);
+    EXPECT_EQ(sent[0].second.confirmationAgeMilliseconds, 40U);
+
+    const auto hearWatchers = [&](const char *domain, std::uint64_t version) {
+        for (std::uint32_t i = 0; i < 40; ++i)
+            core.message(host_address{0x0A080000 + i, 7000},
+                         balancer_hello{.domain = domain, .routesVersion = version, .areRoutesConfirmed = true}, now,
+                         &actions);
+    };
+    hearWatchers("nbi-east", 5);
+    EXPECT_TRUE(core.watchesRoutes(now));
+    hearWatchers("nbi-west", 5);
+    EXPECT_FALSE(core.watchesRoutes(now));
+    EXPECT_FALSE(core.needsNewerRoutes(now));
+    hearWatchers("nbi-west", 6);
+    EXPECT_TRUE(core.needsNewerRoutes(now));
+    EXPECT_TRUE(core.watchesRoutes(now + seconds(2) + milliseconds(1))) << "they could not be read";
+}
--- a/src/libpacket/route_set.cpp
+++ b/src/libpacket/route_set.cpp
@@ -17,9 +17,6 @@
                         [](std::uint64_t sum, const route_target &target) { return sum + target.weight; });
     if (total == 0)
         return route.targets.front().service;
-    const auto packAddress = [](const host_address &address) {
-        return (std::uint64_t(address.ip) << 16U) | address.port;
-    };
     std::uint64_t point = hashPair(packAddress(flow.caller), packAddress(flow.service)) % total;
     for (const route_target &target : route.targets) {
         if (point < target.weight)
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -21,6 +21,7 @@
 constexpr duration kQuietPeriod = milliseconds(300);
 // The hand-off is repeated while the process stops, so that it includes the flows opened since the last one.
 constexpr duration kHandoffPeriod = milliseconds(700);
+constexpr duration kFetchPeriod = milliseconds(100);
 // Part of the stop time that is reserved for the end of the process itself.
 constexpr duration kStopMargin = milliseconds(1000);
 constexpr unsigned kStatusOk = 200;
@@ -34,7 +35,8 @@
             .incarnation = incarnation,
             .seeds = file.node.seeds,
             .flowLifetime = file.node.flowLifetime,
-            .randomSeed = std::random_device{}()};
+            .randomSeed = std::random_device{}(),
+            .routesWatch = {.watchers = file.routesWatchers}};
 }
 
 } // namespace
@@ -49,6 +51,12 @@
           [this](std::shared_ptr<const route_set> routes, std::string text) {
               receiveRoutes(std::move(routes), std::move(text));
           },
+          [this](duration age) {
+              m_loop.post([this, age] {
+                  m_core.storeConfirmedRoutes(age, monotonicNow(), &m_actions);
+                  perform(&m_actions);
+              });
+          },
           [this] { return newerRoutes(); })
     , m_peerRoutes([this](std::shared_ptr<const route_set> routes,
                           std::string text) { receiveRoutes(std::move(routes), std::move(text)); },
@@ -64,6 +72,8 @@
     , m_callerPackets(m_metrics.counter("citroncrank_balancer_packets_total", "Packets received from callers."))
     , m_flows(m_metrics.gauge("citroncrank_balancer_flows", "Flows with a remembered owner."))
     , m_routesVersion(m_metrics.gauge("citroncrank_balancer_routes_version", "Version of the routes in force."))
+    , m_watchesRoutes(m_metrics.gauge("citroncrank_balancer_watches_configuration",
+                                      "1 if this balancer watches the configuration in the platform's store itself."))
 {}
 
 bool packet_balancer_node::listen(std::error_code *lastReason)
@@ -111,8 +121,33 @@
 
 void packet_balancer_node::onMessage(const host_address &from, node_message message)
 {
-    m_core.message(from, std::move(message), monotonicNow(), &m_actions);
+    const time_point now = monotonicNow();
+    m_core.message(from, std::move(message), now, &m_actions);
     perform(&m_actions);
+    fetchNeededRoutes(now);
+}
+
+// At most one request each kFetchPeriod, since messages arrive while the routes are fetched.
+void packet_balancer_node::fetchNeededRoutes(time_point now)
+{
+    if (!m_core.needsNewerRoutes(now) || (m_fetchRequestedAt && now - *m_fetchRequestedAt < kFetchPeriod))
+        return;
+    m_fetchRequestedAt = now;
+    {
+        const std::lock_guard lock(m_sharedMutex);
+        m_sharedNewerRoutes = m_core.newerRoutes();
+    }
+    m_peerRoutes.fetchNow();
+}
+
+// Balancers that do not watch hear of newer routes from those that do.
+void packet_balancer_node::updateWatch(time_point now)
+{
+    const bool isWatching = m_core.watchesRoutes(now);
+    if (std::exchange(m_isWatching, isWatching) != isWatching)
+        log(log_class::lifecycle, absl::StrCat("configuration watch, watching=", isWatching));
+    m_watchesRoutes.set(isWatching ? 1 : 0);
+    m_routesWorker.setWatching(isWatching);
 }
 
 void packet_balancer_node::onDeliver(std::string packetBytes)
@@ -170,8 +205,8 @@
         m_sharedNewerRoutes = m_core.newerRoutes();
         m_sharedStaleNodes = m_core.staleNodes(now);
     }
-    if (m_core.isWaitingForNewerRoutes())
-        m_peerRoutes.fetchNow();
+    fetchNeededRoutes(now);
+    updateWatch(now);
     if (m_stopRequestedAt && (!m_lastHandoffAt || now - *m_lastHandoffAt >= kHandoffPeriod)) {
         m_core.handOffFlows(&m_actions);
         perform(&m_actions);
--- a/src/libpacketnode/packet_node_settings.cpp
+++ b/src/libpacketnode/packet_node_settings.cpp
@@ -63,6 +63,14 @@
                      .type = settings_type::address,
                      .description = "Address to which routers send callers' packets (UDP).",
                      .required = true});
+    table.push_back({.path = "configuration-watchers",
+                     .type = settings_type::integer,
+                     .description = "Balancers of each failure domain that watch the configuration in the platform's "
+                                    "store. The others hear of changes from them.",
+                     .defaultValue = "3",
+                     .minimum = 1,
+                     .maximum = 1000,
+                     .isReloadable = true});
     return table;
 }
 
@@ -122,7 +130,9 @@
 
 packet_balancer_node_settings parsePacketBalancerNodeSettings(const settings_values &values)
 {
-    return {parsePacketNodeSettings(values), values.getAddress("listen.packets")};
+    return {.node = parsePacketNodeSettings(values),
+            .packets = values.getAddress("listen.packets"),
+            .routesWatchers = std::size_t(values.getInteger("configuration-watchers"))};
 }
 
 packet_agent_node_settings parsePacketAgentNodeSettings(const settings_values &values)
--- a/src/libpacketnode/routes_after_restore_test.cpp
+++ b/src/libpacketnode/routes_after_restore_test.cpp
@@ -34,7 +34,7 @@
     routes_worker m_worker{
         access(),
         [this](const std::shared_ptr<const route_set> &routes, const std::string &) { m_version = routes->version; },
-        [] { return std::nullopt; }};
+        [](duration) {}, [] { return std::nullopt; }};
 };
 
 } // namespace
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -1,9 +1,11 @@
 #include "citroncrank/routes_worker.h"
 
+#include "citroncrank/timer_service.h"
 #include "documents.h"
 #include "watch_cursor_pvt.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -19,6 +21,9 @@
 // All balancers apply a configuration within this time of its confirmation to the operator.
 constexpr milliseconds kConfigApplyLimit{3000};
 static_assert(kConfigWatchTimeout + kStoreCallDeadline < kConfigApplyLimit);
+static_assert(routes_watch_settings{}.confirmationTimeout + kStoreCallDeadline + kBalancerTick < kConfigApplyLimit);
+// setWatching() ends this wait.
+constexpr duration kIdleWait = std::chrono::seconds(60);
 constexpr duration kPeerCheckPeriod = milliseconds(250);
 // Gives the own watch time to return a new version before it is fetched from another balancer.
 constexpr duration kPeerDelay = milliseconds(300);
@@ -38,9 +43,11 @@
 
 } // namespace
 
-routes_worker::routes_worker(const store_access &access, receiver receive, peer_source peer)
+routes_worker::routes_worker(const store_access &access, receiver receive, confirmation_receiver confirm,
+                             peer_source peer)
     : store_worker("configuration", access)
     , m_receive(std::move(receive))
+    , m_confirm(std::move(confirm))
     , m_peer(std::move(peer))
 {}
 
@@ -53,11 +60,25 @@
 {
     if (takeLaterEra())
         cursor().invalidate();
-    return cursor().from() ? watchConfig() : listConfig();
+    if (!cursor().from())
+        return listConfig();
+    if (!m_isWatching) {
+        m_wasIdle = true;
+        return kIdleWait;
+    }
+    // A watch would answer late if nothing has changed.
+    return std::exchange(m_wasIdle, false) ? listConfig() : watchConfig();
+}
+
+void routes_worker::setWatching(bool isWatching)
+{
+    if (m_isWatching.exchange(isWatching) != isWatching && isWatching)
+        wake();
 }
 
 std::optional<duration> routes_worker::listConfig()
 {
+    const time_point calledAt = monotonicNow();
     platform_failure reason = platform_failure::unavailable;
     const auto list = store().list({.prefix = platform::kConfigPrefix, .after = {}}, &reason);
     const duration pause = recordCall(list.has_value(), reason);
@@ -71,11 +92,13 @@
     }
     cursor().recordListing(list->version);
     log(absl::StrCat("configuration read, revision=", toString(list->version)));
+    m_confirm(monotonicNow() - calledAt);
     return duration(0);
 }
 
 std::optional<duration> routes_worker::watchConfig()
 {
+    const time_point calledAt = monotonicNow();
     duration pause{0};
     const auto result = awaitChanges(platform::kConfigPrefix, kConfigWatchTimeout, &pause);
     if (!result)
@@ -84,6 +107,8 @@
         if (change.key == platform::kConfigKey && change.value)
             applyDocument(*change.value);
     }
+    // A call that took longer than its wait may have been answered before this process was paused.
+    m_confirm(std::max(monotonicNow() - calledAt - duration(kConfigWatchTimeout), duration(0)));
     return duration(0);
 }
 
--- /dev/null
+++ b/src/libsimulation/routes_watch_guarantees_test.cpp
@@ -0,0 +1,68 @@
+#include "routes_watch_simulation_pvt.h"
+
+#include <cstdint>
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <iostream>
+
+using namespace citroncrank;
+using namespace citroncrank::simulation;
+
+namespace {
+
+// Schedules of each test, unless the environment variable PACKET_SCHEDULES sets another number.
+constexpr std::uint64_t kDefaultSchedules = 200;
+
+std::uint64_t scheduleCount()
+{
+    const char *const text = std::getenv("PACKET_SCHEDULES");
+    return text == nullptr ? kDefaultSchedules : std::strtoull(text, nullptr, 10);
+}
+
+routes_watch_outcome runAll(routes_watch_schedule schedule)
+{
+    routes_watch_outcome total;
+    for (std::uint64_t seed = 1; seed <= scheduleCount(); ++seed) {
+        schedule.seed = seed;
+        schedule.balancers = 4 + seed % 12;
+        const routes_watch_outcome outcome = runRoutesWatchSchedule(schedule);
+        total.changes += outcome.changes;
+        total.faults += outcome.faults;
+        total.storeCalls += outcome.storeCalls;
+        total.staleRoutes += outcome.staleRoutes;
+        if (outcome.staleRoutes > 0)
+            std::cerr << "seed " << seed << " stale " << outcome.staleRoutes << '\n';
+    }
+    return total;
+}
+
+} // namespace
+
+// A change is in force within the users' bound at each balancer without a fault of its own, whatever happens to the
+// balancers that watch the store.
+TEST(RoutesWatchGuarantees, ChangesAreInForceInTime)
+{
+    const routes_watch_outcome total = runAll({.loss = 0.03});
+    EXPECT_GT(total.faults, 15 * scheduleCount());
+    EXPECT_EQ(total.staleRoutes, 0U);
+}
+
+// The schedules find balancers with old routes if a balancer trusts watchers that are silent.
+TEST(RoutesWatchGuarantees, SchedulesFindBalancersThatWaitForSilentWatchers)
+{
+    routes_watch_schedule schedule{.loss = 0.03};
+    schedule.watch.confirmationTimeout = std::chrono::hours(1);
+    EXPECT_GT(runAll(schedule).staleRoutes, 0U);
+}
+
+// Guards against calls to the store that grow with the number of balancers: three watch, with a call each 1.5 s and one for
+// each change.
+TEST(RoutesWatchGuarantees, CallsDoNotGrowWithTheNumberOfBalancers)
+{
+    for (const std::size_t balancers : {4U, 60U, 300U}) {
+        const routes_watch_outcome outcome = runRoutesWatchSchedule(
+            {.seed = 1, .balancers = balancers, .hasFaults = false, .length = std::chrono::seconds(65)});
+        EXPECT_LE(outcome.storeCalls, 3 * (40 + 1 + outcome.changes)) << balancers << " balancers";
+        EXPECT_EQ(outcome.staleRoutes, 0U);
+    }
+}
--- /dev/null
+++ b/src/libsimulation/routes_watch_simulation_pvt.h
@@ -0,0 +1,36 @@
+#pragma once
+
+/// @file
+/// Seeded schedules of balancers that keep the operator's routes in force: a few watch the object store, the others rely
+/// on them, while balancers, network and store fail.
+
+#include "citroncrank/routes_watch_role.h"
+#include "citroncrank/time.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace citroncrank::simulation {
+
+struct routes_watch_schedule
+{
+    std::uint64_t seed = 1;
+    std::size_t balancers = 8; ///< All in one failure domain.
+    double loss = 0;           ///< Probability that a datagram is lost.
+    bool hasFaults = true;     ///< Kills, pauses, cuts, and a store that fails or drops its history.
+    routes_watch_settings watch;
+    duration length = std::chrono::seconds(30);
+};
+
+struct routes_watch_outcome
+{
+    std::uint64_t changes = 0;     ///< Versions that the store confirmed to the operator.
+    std::uint64_t staleRoutes = 0; ///< Times that a balancer without a fault had routes replaced 5 s earlier.
+    std::uint64_t storeCalls = 0;  ///< After the first 5 s, in which all balancers start.
+    std::uint64_t faults = 0;
+};
+
+routes_watch_outcome runRoutesWatchSchedule(const routes_watch_schedule &schedule);
+
+} // namespace citroncrank::simulation
