--- a/src/include/citroncrank/http_connection.h
+++ b/src/include/citroncrank/http_connection.h
@@ -29,7 +29,7 @@
     std::string target;
     std::string body;                  ///< JSON.
     std::chrono::milliseconds wait{0}; ///< Long poll: how long the server may delay its response.
-    bool isIdempotent = false;         ///< Retried once on a new connection if the kept-alive one fails, unless it waits.
+    bool isIdempotent = false; ///< Retried once on a new connection if the kept-alive one fails, unless it waits.
 };
 
 /// Header field of a response.
