--- a/src/citroncrank/revision_json.cpp
+++ b/src/citroncrank/revision_json.cpp
@@ -123,9 +123,8 @@
     for (const auto &spec : configKeys())
         names.emplace_back(spec.name);
     const std::string nearest = nearestName(key, {names.begin(), names.end()});
-    return {exit_code::invalid_input,
-            absl::StrCat("unknown key ", key, nearest.empty() ? "" : ", did you mean ", nearest, "?"),
-            {{"nearest", nearest}}};
+    const std::string suggestion = nearest.empty() ? "" : absl::StrCat(", did you mean ", nearest, "?");
+    return {exit_code::invalid_input, absl::StrCat("unknown key ", key, suggestion), {{"nearest", nearest}}};
 }
 
 client_failure invalidDocumentFailure(const std::string &what, const std::vector<config_fault> &faults)
