--- a/src/libagent/agent_state_test.cpp
+++ b/src/libagent/agent_state_test.cpp
@@ -102,9 +102,8 @@
     const auto state = coreWithOpenFlow()->saveState(kStart);
     for (std::size_t size = 0; size < state.size(); size += 7) {
         agent_core after(settings(8), capacity());
-        if (!after.restoreState(state.substr(0, size), kStart)) {
-            EXPECT_EQ(after.boundFlows(), 0U);
-        }
+        EXPECT_FALSE(after.restoreState(state.substr(0, size), kStart)) << size << " of " << state.size() << " bytes";
+        EXPECT_EQ(after.boundFlows(), 0U);
     }
 }
 
