--- a/src/citroncrank/client.cpp
+++ b/src/citroncrank/client.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 
+#include <chrono>
 #include <fstream>
 #include <iostream>
 #include <numeric>
@@ -35,6 +36,16 @@
     return "unknown";
 }
 
+time_point steadyNow()
+{
+    return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+wall_time wallNow()
+{
+    return std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
+}
+
 exit_code succeed(const client &client, const json::value &result, const std::string &text)
 {
     std::cout << (client.isJson() ? json::serialize(result) + "\n" : text) << std::flush;
--- a/src/citroncrank/client.h
+++ b/src/citroncrank/client.h
@@ -63,6 +63,11 @@
 /// Reads a whole file. Errors: invalid_input.
 std::optional<std::string> readFile(const std::string &path, client_failure *lastReason);
 
+/// Monotonic time, for waits.
+time_point steadyNow();
+/// Time of day, for what operators read.
+wall_time wallNow();
+
 /// Add the subcommands. The selected one sets `client->action`.
 void addConfigCommands(CLI::App *app, client *client);
 void addExceptionCommands(CLI::App *app, client *client);
--- a/src/citroncrank/config_commands.cpp
+++ b/src/citroncrank/config_commands.cpp
@@ -46,8 +46,7 @@
 
 exit_code showEffective(const client &client, const show_arguments &arguments, const config_revision &revision)
 {
-    const auto now = std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
-    const auto value = effectiveValue(revision, arguments.key, arguments.place, now);
+    const auto value = effectiveValue(revision, arguments.key, arguments.place, wallNow());
     if (!value)
         return fail(client, unknownKeyFailure(arguments.key));
     std::string text = absl::StrCat(arguments.key, ": ", formatValue(value->value), "\n");
--- a/src/citroncrank/exception_commands.cpp
+++ b/src/citroncrank/exception_commands.cpp
@@ -29,11 +29,6 @@
     return text + "\n";
 }
 
-wall_time wallNow()
-{
-    return std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
-}
-
 /// Fills in the fields of the exception that are parsed from option values or taken from the client.
 bool fillException(add_arguments *arguments, const client &client, client_failure *lastReason)
 {
--- a/src/citroncrank/revision_store.cpp
+++ b/src/citroncrank/revision_store.cpp
@@ -17,16 +17,6 @@
 constexpr std::chrono::seconds kMaxRestoreWait{15};
 constexpr std::chrono::milliseconds kRestorePollPeriod{500};
 
-time_point steadyNow()
-{
-    return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
-}
-
-wall_time wallNow()
-{
-    return std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
-}
-
 std::uint64_t randomSeed()
 {
     std::random_device device;
