--- a/src/libpacket/packet_balancer_nodes_test.cpp
+++ b/src/libpacket/packet_balancer_nodes_test.cpp
@@ -40,7 +40,7 @@
 /// A balancer that has just started; the store lists two agents and another balancer, and holds routes of version 5.
 class PacketBalancerAfterRestore : public ::testing::Test
 {
-protected:
+public:
     PacketBalancerAfterRestore()
     {
         core.applyListing({{kAgentA, true, kService, "nbi-west"}, {kOtherBalancer, false, {}, "nbi-west"}}, now,
--- a/src/libpacket/routes_watch_role_test.cpp
+++ b/src/libpacket/routes_watch_role_test.cpp
@@ -19,7 +19,7 @@
 /// Balancers of a failure domain that hear each other's confirmations at once.
 class RoutesWatchRole : public ::testing::Test
 {
-protected:
+public:
     void start(std::uint32_t count)
     {
         for (std::uint32_t i = 0; i < count; ++i) {
--- a/src/libpacketnode/node_registry_worker.cpp
+++ b/src/libpacketnode/node_registry_worker.cpp
@@ -268,6 +268,7 @@
             known = {entry.version, *node};
     }
     std::vector<listed_node> nodes;
+    nodes.reserve(latest.size());
     for (const auto &[address, entry] : latest)
         nodes.push_back(entry.node);
     m_receive(std::move(nodes));
