--- a/src/include/citroncrank/store_worker.h
+++ b/src/include/citroncrank/store_worker.h
@@ -76,7 +76,7 @@
     std::minstd_rand m_random;
     std::uint32_t m_failuresInRow = 0;
     bool m_isLost = false;
-    std::atomic<bool> m_isWatching = false; ///< A watch is in progress.
+    std::atomic<bool> m_isWatchInProgress = false;
 };
 
 } // namespace citroncrank
--- a/src/libpacketnode/restored_store_fixture_test.h
+++ b/src/libpacketnode/restored_store_fixture_test.h
@@ -8,6 +8,7 @@
 
 #include <gtest/gtest.h>
 
+#include <absl/strings/str_cat.h>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -66,6 +67,12 @@
     std::shared_ptr<store_era_monitor> m_eras = std::make_shared<store_era_monitor>();
 };
 
+/// An operator's configuration without routes.
+inline std::string configuration(std::uint64_t version)
+{
+    return absl::StrCat(R"({"version":)", version, R"(,"routes":[],"services":[],"limits":{}})");
+}
+
 /// Writes an object whatever version it has.
 inline void writeObject(standin_platform &store, const std::string &key, const std::string &value)
 {
--- a/src/libpacketnode/routes_after_restore_test.cpp
+++ b/src/libpacketnode/routes_after_restore_test.cpp
@@ -10,11 +10,6 @@
 
 namespace {
 
-std::string configuration(std::uint64_t version)
-{
-    return absl::StrCat(R"({"version":)", version, R"(,"routes":[],"services":[],"limits":{}})");
-}
-
 class RoutesAfterRestore : public restored_store
 {
 protected:
--- a/src/libpacketnode/routes_watch_test.cpp
+++ b/src/libpacketnode/routes_watch_test.cpp
@@ -2,8 +2,6 @@
 
 #include "restored_store_fixture_test.h"
 
-#include <absl/strings/str_cat.h>
-
 #include <atomic>
 
 using namespace citroncrank;
@@ -15,11 +13,6 @@
 // Longer than a watch without a change.
 constexpr milliseconds kWatchTime{1800};
 
-std::string configuration(std::uint64_t version)
-{
-    return absl::StrCat(R"({"version":)", version, R"(,"routes":[],"services":[],"limits":{}})");
-}
-
 class RoutesWatch : public restored_store
 {
 protected:
--- a/src/libpacketnode/store_worker.cpp
+++ b/src/libpacketnode/store_worker.cpp
@@ -33,7 +33,7 @@
 // wait until its time-out.
 void store_worker::onLaterEra()
 {
-    if (m_isWatching)
+    if (m_isWatchInProgress)
         m_store.abortCall();
     wake();
 }
@@ -92,9 +92,9 @@
     platform_failure reason = platform_failure::unavailable;
     // A store that was lost may have come back from an older copy, and a watch from a number of an earlier era waits in
     // vain. Its answer tells the era, so the first one does not wait.
-    m_isWatching = true;
+    m_isWatchInProgress = true;
     auto result = m_store.watch({prefix, *m_cursor->from(), m_isLost ? milliseconds(0) : wait}, &reason);
-    m_isWatching = false;
+    m_isWatchInProgress = false;
     if (!result && takeLaterEra()) {
         log("store came back from an older copy, as others know, listing objects again");
         m_cursor->invalidate();
