--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -41,6 +41,11 @@
     void markListed(const host_address &address, const std::string &service, const std::string &domain, time_point now);
     /// Records that the object store has no entry for the agent.
     void markUnlisted(const host_address &address);
+    /// Records that another balancer hears the agent although the object store has no entry for it. Returns whether the
+    /// agent was unknown.
+    bool markNamed(const host_address &address, time_point now);
+    /// Agents that report and may own flows, but have no entry in the object store.
+    std::vector<host_address> unlistedAgents(time_point now) const;
     /// Counts a new flow sent to the agent until its next report.
     void recordFlowSent(const host_address &address);
     /// Counts an owner query sent to the agent until its next message.
--- a/src/include/citroncrank/agent_record.h
+++ b/src/include/citroncrank/agent_record.h
@@ -31,7 +31,8 @@
     std::uint32_t sentSinceLoad = 0;       ///< New flows that this balancer sent to it after that load was measured.
     std::uint32_t sentSinceReport = 0;     ///< New flows that this balancer sent to it after the last report.
     bool isListed = false;                 ///< The object store has an entry for it.
-    std::optional<time_point> listedAt;    ///< Time when the agent last became listed.
+    std::optional<time_point> listedAt;    ///< Time when the agent last became listed or was named.
+    bool isNamedByBalancer = false;        ///< Another balancer has named it as an agent that reports without an entry.
     bool wasEntryMissing = false;          ///< Reported without an entry when takeMissingEntries() was last called.
     bool isSilenceReported = false;        ///< takeNewlySilent() has returned it since its last report.
     std::optional<time_point> lastReplyAt; ///< Of the last message other than a report.
--- a/src/include/citroncrank/node_message.h
+++ b/src/include/citroncrank/node_message.h
@@ -182,6 +182,8 @@
     std::uint32_t agents = 0;            ///< Number of known agents, which share the write rate of the object store.
     bool isEntryMissing = false;         ///< The receiving agent reports, but the object store does not list it.
     std::uint64_t storeEra = 0;          ///< Latest era of the object store that the sender knows. 0: unknown.
+    std::vector<host_address>
+        unlistedAgents; ///< Agents that report to the sender, but that the object store does not list.
     auto operator<=>(const balancer_hello &) const = default;
 };
 
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -79,6 +79,8 @@
     /// Sends the owners of all flows to the other balancers of this failure domain, before they receive the callers'
     /// packets.
     void handOffFlows(packet_actions *out) const;
+    /// Whether this balancer has just started and waits for newer routes, which another balancer has.
+    bool isWaitingForNewerRoutes() const { return !m_isStoreConfirmed && newerRoutes(); }
     /// Reasons why this balancer should not receive callers' packets. Empty: ready.
     std::vector<std::string> notReadyReasons(time_point now) const;
     /// Balancer with the newest routes, if they are newer than the routes in force here.
@@ -167,7 +169,8 @@
     void onOwnerList(const flow_owner_list &owners, time_point now);
     void sendOwnerList(const host_address &balancer, packet_actions *out) const;
     void addBalancer(const host_address &address, time_point now);
-    balancer_hello hello() const;
+    balancer_hello hello(time_point now) const;
+    void confirmStore(time_point now, packet_actions *out);
     void sendHellos(time_point now, packet_actions *out);
     void requestMissingEntries(time_point now, packet_actions *out);
     void expireFlows(time_point now);
@@ -198,6 +201,9 @@
     bool m_isListingKnown = false;
     std::uint64_t m_helloRound = 0;
     std::uint64_t m_storeEra = 0;
+    std::optional<time_point> m_routesKnownAt;
+    bool m_isStoreConfirmed = false; ///< What the store holds was compared with what another balancer knows.
+    bool m_isNeighbourHeard = false; ///< Another balancer with routes in force has said hello.
     std::optional<time_point> m_nextHello;
     std::optional<time_point> m_nextSweep;
 };
--- a/src/include/citroncrank/routes_worker.h
+++ b/src/include/citroncrank/routes_worker.h
@@ -7,6 +7,7 @@
 #include "citroncrank/route_set.h"
 #include "citroncrank/store_worker.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -46,6 +47,9 @@
     peer_routes_worker(routes_worker::receiver receive, routes_worker::peer_source peer, store_log log);
     ~peer_routes_worker() override { stop(); }
 
+    /// Fetches the newer routes without delay. May be called from any thread.
+    void fetchNow();
+
 protected:
     std::optional<duration> step() override;
 
@@ -56,6 +60,7 @@
     routes_worker::peer_source m_peer;
     store_log m_log;
     bool m_wasBehind = false; ///< Another balancer had a newer version at the last step.
+    std::atomic<bool> m_isUrgent = false;
 };
 
 } // namespace citroncrank
--- a/src/libpacket/agent_directory.cpp
+++ b/src/libpacket/agent_directory.cpp
@@ -63,7 +63,8 @@
 // An agent is listed from its upstream's first announcement on; before that, its upstream holds no flow.
 bool canOwnFlows(const agent_record &agent)
 {
-    const bool isUnannounced = !agent.isListed && agent.report.state == agent_state::unconfirmed;
+    const bool isAbsent = !agent.isListed && !agent.isNamedByBalancer;
+    const bool isUnannounced = isAbsent && agent.report.state == agent_state::unconfirmed;
     return agent.report.state != agent_state::left && !isUnannounced;
 }
 
@@ -123,6 +124,27 @@
         found->second.isListed = false;
 }
 
+bool agent_directory::markNamed(const host_address &address, time_point now)
+{
+    const auto [entry, isNew] = m_agents.try_emplace(address);
+    if (isNew) {
+        entry->second.address = address;
+        entry->second.listedAt = now;
+        entry->second.isNamedByBalancer = true;
+    }
+    return isNew;
+}
+
+std::vector<host_address> agent_directory::unlistedAgents(time_point now) const
+{
+    std::vector<host_address> result;
+    for (const auto &[address, agent] : m_agents) {
+        if (!agent.isListed && agent.lastHeardAt && isFresh(agent, now) && canOwnFlows(agent))
+            result.push_back(address);
+    }
+    return result;
+}
+
 void agent_directory::recordFlowSent(const host_address &address)
 {
     const auto found = m_agents.find(address);
@@ -413,7 +435,7 @@
 {
     absl::erase_if(m_agents, [&](auto &entry) {
         agent_record &agent = entry.second;
-        const bool isStale = !agent.isListed && (!agent.lastHeardAt || now - *agent.lastHeardAt > age);
+        const bool isStale = !agent.isListed && timeSinceHeard(agent, now) > age;
         if (isStale)
             clearUnanswered(&agent);
         return isStale;
--- a/src/libpacket/node_message.cpp
+++ b/src/libpacket/node_message.cpp
@@ -143,10 +143,11 @@
 flatbuffers::Offset<void> encodeBody(builder *out, const balancer_hello &message)
 {
     const auto balancers = toWire(out, message.balancers);
+    const auto unlisted = toWire(out, message.unlistedAgents);
     const auto http = toWire(message.http);
     const auto domain = out->CreateString(message.domain);
     return wire::CreateBalancerHello(*out, domain, message.incarnation, message.routesVersion, &http, balancers,
-                                     message.agents, message.isEntryMissing, message.storeEra)
+                                     message.agents, message.isEntryMissing, message.storeEra, unlisted)
         .Union();
 }
 
@@ -294,7 +295,8 @@
                           .balancers = fromWire(source.balancers()),
                           .agents = source.agents(),
                           .isEntryMissing = source.entry_missing(),
-                          .storeEra = source.store_era()};
+                          .storeEra = source.store_era(),
+                          .unlistedAgents = fromWire(source.unlisted_agents())};
 }
 
 std::optional<node_message> decodeBody(const wire::AgentHello &source)
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -68,11 +68,12 @@
 
 void packet_balancer::callerPacket(packet arrived, time_point now, packet_actions *out)
 {
-    if (!m_routes) {
+    const packet_route *const route = m_routes ? m_routes->find(arrived.header.destination) : nullptr;
+    const bool dependsOnRoutes = route == nullptr || arrived.header.open;
+    if (!m_routes || (dependsOnRoutes && !m_isStoreConfirmed)) {
         hold(std::move(arrived), now, out);
         return;
     }
-    const packet_route *const route = m_routes->find(arrived.header.destination);
     if (route == nullptr)
         onUnroutedPacket(arrived, out);
     else if (arrived.header.open)
@@ -306,7 +307,7 @@
         void operator()(const agent_hello &hello) const
         {
             self->onAgentReport(from, hello.report, now, out);
-            out->emplace_back(send_to_node{from, self->hello()});
+            out->emplace_back(send_to_node{from, self->hello(now)});
         }
         void operator()(const owner_nack &nack) const { self->onOwnerNack(from, nack, now, out); }
         void operator()(const owner_nack_list &list) const
@@ -397,6 +398,10 @@
     if (m_routes && routes->version <= m_routes->version)
         return;
     const auto earlier = std::exchange(m_routes, std::move(routes));
+    if (!m_routesKnownAt) {
+        m_routesKnownAt = now;
+        m_nextHello = now; // Other balancers that have just started wait for it.
+    }
     if (earlier) {
         for (const auto &[address, route] : earlier->routes) {
             if (m_routes->find(address) == nullptr)
@@ -408,6 +413,7 @@
         absl::StrCat("routes in force, version=", m_routes->version, " before=", earlier ? earlier->version : 0,
                      " routes=", m_routes->routes.size()),
         out);
+    confirmStore(now, out);
     replayHeld(now, out);
 }
 
@@ -443,6 +449,7 @@
         sendHellos(now, out);
         m_nextHello = now + kHelloPeriod;
     }
+    confirmStore(now, out);
     if (!m_held.empty())
         replayHeld(now, out);
     advanceSearches(now, out);
@@ -479,6 +486,8 @@
     std::vector<std::string> reasons;
     if (!m_routes)
         reasons.emplace_back("no routes are in force yet");
+    else if (!m_isStoreConfirmed)
+        reasons.emplace_back("the routes are not confirmed by another balancer yet");
     if (!m_agents.hasFreshAgent(now))
         reasons.emplace_back("no agent reports");
     return reasons;
--- a/src/libpacket/packet_balancer_nodes.cpp
+++ b/src/libpacket/packet_balancer_nodes.cpp
@@ -16,6 +16,11 @@
 // balancer.
 constexpr std::uint64_t kAgentHelloRounds = 10;
 constexpr std::size_t kMaxListedBalancers = 64;
+constexpr std::size_t kMaxUnlistedAgents = 64;
+// A hello takes a round trip between failure domains, about 9 ms, and is repeated after a second.
+constexpr duration kNeighbourWait = std::chrono::milliseconds(250);
+// Longest time that a balancer which has just started waits for newer routes of another balancer.
+constexpr duration kMaxRoutesWait = seconds(1);
 // A node that is silent for longer counts as replaced. A node that is alive writes its entry again.
 constexpr duration kStaleEntryTimeout = seconds(8);
 constexpr duration kStaleEntryStagger = seconds(2);
@@ -39,7 +44,7 @@
                      " state=", toString(report.state), " incarnation=", report.incarnation, " number=", report.number),
         out);
     if (before == nullptr)
-        out->emplace_back(send_to_node{agent, hello()});
+        out->emplace_back(send_to_node{agent, hello(now)});
     replayHeld(now, out);
 }
 
@@ -57,13 +62,19 @@
     m_balancers[from] = {now, hello.domain};
     for (const host_address &other : hello.balancers)
         addBalancer(other, now);
+    for (const host_address &agent : hello.unlistedAgents) {
+        if (m_agents.markNamed(agent, now))
+            out->emplace_back(send_to_node{agent, this->hello(now)});
+    }
     if (hello.routesVersion > routesVersion() && (!m_newerRoutes || hello.routesVersion > m_newerRoutes->version))
         m_newerRoutes = routes_source{hello.http, hello.routesVersion};
+    m_isNeighbourHeard = m_isNeighbourHeard || hello.routesVersion > 0;
+    confirmStore(now, out);
     if (!isNew)
         return;
     log(log_class::belief,
         absl::StrCat("balancer said hello, balancer=", toString(from), " routes=", hello.routesVersion), out);
-    out->emplace_back(send_to_node{from, this->hello()});
+    out->emplace_back(send_to_node{from, this->hello(now)});
     if (hello.domain == m_settings.domain)
         sendOwnerList(from, out);
 }
@@ -89,7 +100,7 @@
         const bool isNew = m_agents.find(node.address) == nullptr;
         m_agents.markListed(node.address, node.service, node.domain, now);
         if (isNew)
-            out->emplace_back(send_to_node{node.address, hello()});
+            out->emplace_back(send_to_node{node.address, hello(now)});
     }
     for (const host_address &address : m_agents.agentsOfService("")) {
         if (!listedAgents.contains(address))
@@ -103,6 +114,7 @@
     log(log_class::belief,
         absl::StrCat("nodes listed, agents=", listedAgents.size(), " balancers=", nodes.size() - listedAgents.size()),
         out);
+    confirmStore(now, out);
     replayHeld(now, out);
 }
 
@@ -118,7 +130,28 @@
     m_nextHello = now;
 }
 
-balancer_hello packet_balancer::hello() const
+// The store may have come back from an older copy, without the latest routes and without the entries of agents that own
+// flows. Another balancer knows both. A balancer that has just started therefore waits a moment for a hello.
+void packet_balancer::confirmStore(time_point now, packet_actions *out)
+{
+    if (m_isStoreConfirmed || !m_routesKnownAt)
+        return;
+    const duration waited = now - *m_routesKnownAt;
+    const bool isAlone = m_balancers.empty() && (m_isListingKnown || m_settings.seeds.empty());
+    if (m_isNeighbourHeard)
+        m_isStoreConfirmed = !newerRoutes() || waited >= kMaxRoutesWait;
+    else
+        m_isStoreConfirmed = isAlone || waited >= kNeighbourWait;
+    if (!m_isStoreConfirmed)
+        return;
+    log(log_class::belief,
+        absl::StrCat("routes confirmed, by=", m_isNeighbourHeard ? "balancer" : "time-out",
+                     " version=", routesVersion(), " waited_ms=", wholeMilliseconds(waited)),
+        out);
+    replayHeld(now, out);
+}
+
+balancer_hello packet_balancer::hello(time_point now) const
 {
     balancer_hello result{.incarnation = m_settings.incarnation,
                           .domain = m_settings.domain,
@@ -127,12 +160,17 @@
                           .balancers = {},
                           .agents = std::uint32_t(m_agents.size()),
                           .isEntryMissing = false,
-                          .storeEra = m_storeEra};
+                          .storeEra = m_storeEra,
+                          .unlistedAgents = {}};
     for (const auto &[address, heard] : m_balancers) {
         if (result.balancers.size() == kMaxListedBalancers)
             break;
         result.balancers.push_back(address);
     }
+    if (m_isListingKnown)
+        result.unlistedAgents = m_agents.unlistedAgents(now);
+    if (result.unlistedAgents.size() > kMaxUnlistedAgents)
+        result.unlistedAgents.resize(kMaxUnlistedAgents);
     return result;
 }
 
@@ -150,8 +188,9 @@
         const auto agents = m_agents.agentsOfService("");
         targets.insert(targets.end(), agents.begin(), agents.end());
     }
+    const balancer_hello message = hello(now);
     for (const host_address &target : targets)
-        out->emplace_back(send_to_node{target, hello()});
+        out->emplace_back(send_to_node{target, message});
     if (m_isListingKnown && m_helloRound % kAgentHelloRounds == 0)
         requestMissingEntries(now, out);
     ++m_helloRound;
@@ -162,7 +201,7 @@
 void packet_balancer::requestMissingEntries(time_point now, packet_actions *out)
 {
     for (const host_address &agent : m_agents.takeMissingEntries(now)) {
-        balancer_hello request = hello();
+        balancer_hello request = hello(now);
         request.isEntryMissing = true;
         log(log_class::belief, absl::StrCat("agent has no entry, agent=", toString(agent)), out);
         out->emplace_back(send_to_node{agent, std::move(request)});
--- a/src/libpacket/packet_balancer_test.cpp
+++ b/src/libpacket/packet_balancer_test.cpp
@@ -130,6 +130,112 @@
     EXPECT_TRUE(core.notReadyReasons(now).empty());
 }
 
+/// A balancer that has just started; the store lists two agents and another balancer, and holds routes of version 5.
+class PacketBalancerAfterRestore : public ::testing::Test
+{
+protected:
+    PacketBalancerAfterRestore()
+    {
+        core.applyListing({{kAgentA, true, kService, "nbi-west"}, {kOtherBalancer, false, {}, "nbi-west"}}, now,
+                          &actions);
+        core.applyRoutes(makeRoutes(5), now, &actions);
+        core.message(kAgentA, makeReport(1), now, &actions);
+        actions.clear();
+    }
+
+    void helloFromNeighbour(std::uint64_t routesVersion, const std::vector<host_address> &unlisted = {})
+    {
+        core.message(kOtherBalancer,
+                     balancer_hello{.incarnation = 1,
+                                    .domain = "nbi-west",
+                                    .routesVersion = routesVersion,
+                                    .http = kOtherBalancer,
+                                    .unlistedAgents = unlisted},
+                     now, &actions);
+    }
+
+    time_point now{};
+    packet_actions actions;
+    packet_balancer core{{.self = kBalancer, .domain = "nbi-west", .flowLifetime = seconds(60)}, decodeTestHeader, now};
+};
+
+// Guards against an older configuration that a balancer serves after its start, because the store came back from an
+// older copy: its neighbours know a newer one.
+TEST_F(PacketBalancerAfterRestore, OlderRoutesAreNotServedBeforeANeighbourWasHeard)
+{
+    core.callerPacket(openingPacket(), now, &actions);
+    EXPECT_TRUE(messagesOf<forwarded_packet>(actions).empty());
+    EXPECT_FALSE(core.notReadyReasons(now).empty());
+    now += milliseconds(9);
+    helloFromNeighbour(9);
+    EXPECT_TRUE(messagesOf<forwarded_packet>(actions).empty()) << "the neighbour has newer routes";
+    EXPECT_TRUE(core.isWaitingForNewerRoutes());
+    EXPECT_FALSE(core.notReadyReasons(now).empty());
+    now += milliseconds(20);
+    core.applyRoutes(makeRoutes(9), now, &actions);
+    EXPECT_EQ(messagesOf<forwarded_packet>(actions).size(), 1U);
+    EXPECT_FALSE(core.isWaitingForNewerRoutes());
+    EXPECT_TRUE(core.notReadyReasons(now).empty());
+}
+
+// Guards against callers that wait for a neighbour which is gone, or whose newer routes cannot be read.
+TEST_F(PacketBalancerAfterRestore, TheWaitForNeighboursIsBounded)
+{
+    core.callerPacket(openingPacket(), now, &actions);
+    now += milliseconds(250);
+    core.advance(now, &actions);
+    EXPECT_EQ(messagesOf<forwarded_packet>(actions).size(), 1U);
+    EXPECT_TRUE(core.notReadyReasons(now).empty());
+    helloFromNeighbour(9);
+    EXPECT_TRUE(core.notReadyReasons(now).empty()) << "it serves already";
+}
+
+// Guards against callers that wait for newer routes which cannot be read from the neighbour that has them.
+TEST_F(PacketBalancerAfterRestore, TheWaitForNewerRoutesIsBounded)
+{
+    core.callerPacket(openingPacket(), now, &actions);
+    helloFromNeighbour(9);
+    now += milliseconds(999);
+    core.message(kAgentA, makeReport(2), now, &actions);
+    core.advance(now, &actions);
+    EXPECT_TRUE(messagesOf<forwarded_packet>(actions).empty());
+    now += milliseconds(1);
+    core.advance(now, &actions);
+    EXPECT_EQ(messagesOf<forwarded_packet>(actions).size(), 1U);
+    EXPECT_TRUE(core.notReadyReasons(now).empty());
+}
+
+// Guards against the reset of an open flow whose agent the store does not list, because it has lost the agent's entry
+// (fleetbench run mwangaza-returns deploy/days/restored-then-new-hosts.toml --seed 1, FLOW at 22.936 s).
+TEST_F(PacketBalancerAfterRestore, AnAgentThatOnlyANeighbourHearsMayOwnAFlow)
+{
+    helloFromNeighbour(5, {kAgentB});
+    const auto hellos = messagesOf<balancer_hello>(actions);
+    EXPECT_TRUE(std::any_of(hellos.begin(), hellos.end(), [](const auto &sent) { return sent.first == kAgentB; }))
+        << "the agent must learn of this balancer";
+    now += milliseconds(400);
+    core.message(kAgentA, makeReport(2), now, &actions);
+    core.callerPacket(callerPacket(77), now, &actions);
+    core.message(kAgentA, owner_nack{kFlow, false}, now, &actions);
+    EXPECT_TRUE(actionsOf<reset_flow>(actions).empty()) << "kAgentB has not denied";
+    core.message(kAgentB, makeReport(1), now, &actions);
+    core.advance(now, &actions);
+    core.message(kAgentB, owner_nack{kFlow, false}, now, &actions);
+    EXPECT_EQ(actionsOf<reset_flow>(actions).size(), 1U);
+}
+
+// Guards against agents without an entry that a balancer does not name to its neighbours.
+TEST_F(PacketBalancer, NamesAgentsThatReportWithoutAnEntry)
+{
+    core.applyListing({{kAgentA, true, kService, "nbi-west"}}, now, &actions);
+    report();
+    actions.clear();
+    core.message(kOtherBalancer, balancer_hello{.incarnation = 1, .domain = "nbi-west"}, now, &actions);
+    const auto hellos = messagesOf<balancer_hello>(actions);
+    ASSERT_FALSE(hellos.empty());
+    EXPECT_EQ(hellos[0].second.unlistedAgents, std::vector{kAgentB});
+}
+
 // Guards against sending callers to a balancer that cannot reach any agent.
 TEST_F(PacketBalancer, IsNotReadyWhenNoAgentReports)
 {
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -170,6 +170,8 @@
         m_sharedNewerRoutes = m_core.newerRoutes();
         m_sharedStaleNodes = m_core.staleNodes(now);
     }
+    if (m_core.isWaitingForNewerRoutes())
+        m_peerRoutes.fetchNow();
     if (m_stopRequestedAt && (!m_lastHandoffAt || now - *m_lastHandoffAt >= kHandoffPeriod)) {
         m_core.handOffFlows(&m_actions);
         perform(&m_actions);
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -118,7 +118,8 @@
 std::optional<duration> peer_routes_worker::step()
 {
     const auto offer = m_peer();
-    if (!std::exchange(m_wasBehind, offer.has_value()))
+    const bool isUrgent = m_isUrgent.exchange(false);
+    if (!std::exchange(m_wasBehind, offer.has_value()) && !isUrgent)
         return offer ? kPeerDelay : kPeerCheckPeriod;
     if (offer)
         fetch(*offer);
@@ -126,6 +127,12 @@
     return kPeerCheckPeriod;
 }
 
+void peer_routes_worker::fetchNow()
+{
+    m_isUrgent = true;
+    wake();
+}
+
 void peer_routes_worker::fetch(const routes_source &offer)
 {
     const auto text = fetchRoutes(offer.http);
