--- a/review/standins/foreign_heartbeat.cpp
+++ b/review/standins/foreign_heartbeat.cpp
@@ -70,9 +70,10 @@
         return 2;
 
     if (hasTrouble) {
-        const std::string body = "{\"service\":\"" + service + "\",\"address\":\"" + d.app(1).text()
-                                 + "\",\"version\":\"v1\",\"slots\":7,\"state\":\"ready\",\"cold-remaining-ms\":0,\"seq-no\":1,\"born\":"
-                                 + std::to_string(unixMs()) + "}";
+        const std::string body =
+            "{\"service\":\"" + service + "\",\"address\":\"" + d.app(1).text()
+            + "\",\"version\":\"v1\",\"slots\":7,\"state\":\"ready\",\"cold-remaining-ms\":0,\"seq-no\":1,\"born\":"
+            + std::to_string(unixMs()) + "}";
         record.line("a heartbeat without `zone` comes from another writer: %s", body.c_str());
         httpCall(d.control(1), "POST", "/-/Instances.Heartbeat/i-x", body, 1.0,
                  [](int status) { record.line("it is answered with status %d", status); });
@@ -89,7 +90,8 @@
         timeouts += c->timeouts;
         answered += !isReset && c->isAnswered() ? 1 : 0;
     }
-    record.line("flows at server S1: %zu; their second requests answered: %d, without an answer: %d; flows reset while server S1 "
+    record.line("flows at server S1: %zu; their second requests answered: %d, without an answer: %d; flows reset while "
+                "server S1 "
                 "lives and holds them: %d; resets sent by server S1: %zu",
                 held.size(), answered, timeouts, resets, one.resetsSent());
     record.line(resets > 0 ? "FLOW is broken" : "FLOW holds");
--- a/review/standins/late_heartbeats.cpp
+++ b/review/standins/late_heartbeats.cpp
@@ -130,9 +130,10 @@
         timeouts += c->timeouts;
         answered += !isReset && c->isAnswered() ? 1 : 0;
     }
-    record.line("flows at server B: %zu; their second requests answered: %d, without an answer: %d; flows reset while server B "
-                "lives and holds them: %d; resets sent by server B: %zu",
-                onB.size(), answered, timeouts, resets, bootB.resetsSent());
+    record.line(
+        "flows at server B: %zu; their second requests answered: %d, without an answer: %d; flows reset while server B "
+        "lives and holds them: %d; resets sent by server B: %zu",
+        onB.size(), answered, timeouts, resets, bootB.resetsSent());
     const bool isBroken = resets > 0;
     record.line(isBroken ? "FLOW is broken" : "FLOW holds");
     return isBroken ? 1 : timeouts > 0 ? 2 : 0;
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -94,7 +94,10 @@
 class Loop
 {
 public:
-    void watch(int fd, short events, std::function<void(short)> handler) { m_watched[fd] = {events, std::move(handler)}; }
+    void watch(int fd, short events, std::function<void(short)> handler)
+    {
+        m_watched[fd] = {events, std::move(handler)};
+    }
     void setEvents(int fd, short events) { m_watched.at(fd).events = events; }
     void forget(int fd) { m_watched.erase(fd); }
     void after(double seconds, std::function<void()> work) { m_timers.emplace(now() + seconds, std::move(work)); }
@@ -295,8 +298,8 @@
     {
         if (c->fd < 0)
             return;
-        std::string out = "HTTP/1.1 " + std::to_string(reply.status) + " X\r\nContent-Type: application/json\r\n" + m_extra
-                          + "Content-Length: " + std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body;
+        std::string out = "HTTP/1.1 " + std::to_string(reply.status) + " X\r\nContent-Type: application/json\r\n"
+                          + m_extra + "Content-Length: " + std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body;
         // Bodies are small; a loopback socket takes them at once.
         std::size_t at = 0;
         while (at < out.size()) {
@@ -339,7 +342,8 @@
     c->done = std::move(done);
     c->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     c->out = method + " " + target + " HTTP/1.1\r\nHost: " + to.text()
-             + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+             + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+             + body;
     const sockaddr_in s = toSockaddr(to);
     if (connect(c->fd, reinterpret_cast<const sockaddr *>(&s), sizeof s) != 0 && errno != EINPROGRESS) {
         const int fd = c->fd;
@@ -564,7 +568,8 @@
                 if (key.first == kind)
                     items += std::string(items.empty() ? "" : ",") + objectText(kind, key.second);
             }
-            respond({200, "{\"items\":[" + items + "],\"has-more\":false,\"as-of\":" + std::to_string(m_revision) + "}"});
+            respond(
+                {200, "{\"items\":[" + items + "],\"has-more\":false,\"as-of\":" + std::to_string(m_revision) + "}"});
             return;
         }
         const std::string meta = jsonField(r.body, "meta");
@@ -712,9 +717,10 @@
         , m_label(std::move(label))
         , m_born(unixMs())
         , m_fd(openUdp(m_settings.app))
-        , m_health(std::make_unique<HttpServer>(m_settings.app, "", [](const HttpRequest &, HttpServer::Respond respond) {
-            respond({200, "{}"});
-        }))
+        , m_health(std::make_unique<HttpServer>(m_settings.app, "",
+                                                [](const HttpRequest &, HttpServer::Respond respond) {
+                                                    respond({200, "{}"});
+                                                }))
         , m_alive(std::make_shared<bool>(true))
     {
         loop.watch(m_fd, POLLIN, [this](short) {
@@ -770,7 +776,8 @@
     {
         const std::string target = "/-/Instances.Heartbeat/" + m_settings.id;
         const std::string body = "{\"service\":\"" + m_settings.service + "\",\"address\":\"" + m_settings.app.text()
-                                 + "\",\"zone\":\"" + m_settings.zone + "\",\"version\":\"v1\",\"slots\":7,\"state\":\"ready\","
+                                 + "\",\"zone\":\"" + m_settings.zone
+                                 + "\",\"version\":\"v1\",\"slots\":7,\"state\":\"ready\","
                                  + "\"cold-remaining-ms\":0,\"seq-no\":" + std::to_string(++m_sequence)
                                  + ",\"born\":" + std::to_string(m_born) + "}";
         const auto alive = m_alive;
@@ -846,8 +853,8 @@
                 return;
             Flow &f = flow->second;
             const std::string text = "done " + id + " by " + m_label;
-            f.lastAnswer = "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n"
-                           + text;
+            f.lastAnswer = "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: " + std::to_string(text.size())
+                           + "\r\n\r\n" + text;
             f.lastAnswerAt = f.next;
             f.next += std::uint32_t(f.lastAnswer.size());
             send({kAck, 0, f.lastAnswerAt, f.expected, 0, key.first, key.second, f.lastAnswer});
@@ -982,10 +989,13 @@
         m_next = random32();
         record.line("client %s opens a flow from %s", m_name.c_str(), m_self.text().c_str());
         for (int copy = 0; copy < 3; ++copy) {
-            loop.after(copy == 0 ? 0 : copy == 1 ? 0.2 : 0.6, [this, copy] {
-                if (m_state == State::opening)
-                    send({kSyn, 0, m_next, std::uint32_t(copy), 0, m_route, m_self, {}});
-            });
+            loop.after(copy == 0   ? 0
+                       : copy == 1 ? 0.2
+                                   : 0.6,
+                       [this, copy] {
+                           if (m_state == State::opening)
+                               send({kSyn, 0, m_next, std::uint32_t(copy), 0, m_route, m_self, {}});
+                       });
         }
         loop.after(1.4, [this] {
             if (m_state == State::opening) {
@@ -1158,9 +1168,9 @@
 /// Addresses of a small deployment, and the settings files of its nodes, as the deploy file's template gives them.
 struct Deployment
 {
-    std::string folder;    ///< Temporary folder for settings and logs.
-    std::string programs;  ///< Folder of the project's programs.
-    std::string network;   ///< First two bytes of all addresses.
+    std::string folder;   ///< Temporary folder for settings and logs.
+    std::string programs; ///< Folder of the project's programs.
+    std::string network;  ///< First two bytes of all addresses.
     std::uint16_t base = 28100;
     std::string seeds;
 
@@ -1195,15 +1205,16 @@
         const std::string name = "front-" + zone + "-" + std::to_string(n), ip = frontPackets(n).ip;
         const std::string path =
             write(name, common(name, zone, ip) + "  packets: \"" + frontPackets(n).text() + "\"\n" + tail(ip));
-        return std::make_unique<Node>(name, programs + "/citroncrank-packet-balancer", path, folder + "/" + name + ".log");
+        return std::make_unique<Node>(name, programs + "/citroncrank-packet-balancer", path,
+                                      folder + "/" + name + ".log");
     }
     std::unique_ptr<Node> agent(int n, const std::string &zone, const std::string &service) const
     {
         const std::string name = "side-" + zone + "-" + std::to_string(n), ip = outbound(n).ip;
-        const std::string path =
-            write(name, common(name, zone, ip) + "  upstream-packets: \"" + outbound(n).text() + "\"\n  announcements: \""
-                            + control(n).text() + "\"\nupstream:\n  address: \"" + app(n).text() + "\"\n  service: \""
-                            + service + "\"\n  announcement-period: \"770ms\"\n" + tail(ip));
+        const std::string path = write(name, common(name, zone, ip) + "  upstream-packets: \"" + outbound(n).text()
+                                                 + "\"\n  announcements: \"" + control(n).text()
+                                                 + "\"\nupstream:\n  address: \"" + app(n).text() + "\"\n  service: \""
+                                                 + service + "\"\n  announcement-period: \"770ms\"\n" + tail(ip));
         return std::make_unique<Node>(name, programs + "/citroncrank-packet-agent", path, folder + "/" + name + ".log");
     }
     ServerSettings server(int n, const std::string &zone, const std::string &service, const std::string &id) const
@@ -1227,8 +1238,8 @@
 {
     return "{\"version\":" + std::to_string(version) + ",\"routes\":[{\"name\":\"r1\",\"host\":\"" + route.ip
            + "\",\"path-prefix\":\"/" + std::to_string(route.port)
-           + "/\",\"route-type\":\"safe\",\"timeout-ms\":2500,\"target-latency-ms\":300,\"priority\":1,\"service\":\"" + service
-           + "\"}],\"services\":[{\"name\":\"" + service
+           + "/\",\"route-type\":\"safe\",\"timeout-ms\":2500,\"target-latency-ms\":300,\"priority\":1,\"service\":\""
+           + service + "\"}],\"services\":[{\"name\":\"" + service
            + "\",\"health-path\":\"/health\"}],\"limits\":{\"idle-timeout-ms\":15000}}";
 }
 
