--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -461,6 +461,17 @@
                    [this](const HttpRequest &r, HttpServer::Respond respond) { handle(r, std::move(respond)); })
     {}
 
+    /// Serves the same store at an address of one machine, and refuses each call with 503 while `isAway` is set.
+    void listenAlso(const Address &at, const bool *isAway)
+    {
+        m_others.push_back(std::make_unique<HttpServer>(
+            at, "Store-Era: 1\r\n", [this, isAway](const HttpRequest &r, HttpServer::Respond respond) {
+                if (*isAway)
+                    respond({503, "{}"});
+                else
+                    handle(r, std::move(respond));
+            }));
+    }
     /// A write of the operator.
     void put(const std::string &kind, const std::string &name, const std::string &spec)
     {
@@ -616,6 +627,7 @@
     std::vector<std::shared_ptr<Watch>> m_watches;
     std::uint64_t m_revision = 1;
     HttpServer m_server;
+    std::vector<std::unique_ptr<HttpServer>> m_others;
 };
 
 // ---------------------------------------------------------------- packets
@@ -1195,10 +1207,11 @@
         return "name: \"" + name + "\"\nregion: \"r\"\ndomain: \"" + zone + "\"\nlisten:\n  plane: \"" + ip + ":"
                + std::to_string(port(20)) + "\"\n  http: \"" + ip + ":" + std::to_string(port(67)) + "\"\n";
     }
-    std::string tail(const std::string &ip) const
+    std::string tail(const std::string &ip, const std::string &storeAddress = {}) const
     {
-        return "caller-address: \"" + ip + ":" + std::to_string(packetPort()) + "\"\nplatform: \"" + store().text()
-               + "\"\nstore-writes: 400\nseeds: [" + seeds + "]\nflow-lifetime: \"60s\"\nstop-time: \"6s\"\n";
+        return "caller-address: \"" + ip + ":" + std::to_string(packetPort()) + "\"\nplatform: \""
+               + (storeAddress.empty() ? store().text() : storeAddress) + "\"\nstore-writes: 400\nseeds: [" + seeds
+               + "]\nflow-lifetime: \"60s\"\nstop-time: \"6s\"\n";
     }
     std::unique_ptr<Node> balancer(int n, const std::string &zone) const
     {
@@ -1208,13 +1221,15 @@
         return std::make_unique<Node>(name, programs + "/citroncrank-packet-balancer", path,
                                       folder + "/" + name + ".log");
     }
-    std::unique_ptr<Node> agent(int n, const std::string &zone, const std::string &service) const
+    /// `storeAddress`: of the store as this machine reaches it, if not store().
+    std::unique_ptr<Node> agent(int n, const std::string &zone, const std::string &service,
+                                const std::string &storeAddress = {}) const
     {
         const std::string name = "side-" + zone + "-" + std::to_string(n), ip = outbound(n).ip;
-        const std::string path = write(name, common(name, zone, ip) + "  upstream-packets: \"" + outbound(n).text()
-                                                 + "\"\n  announcements: \"" + control(n).text()
-                                                 + "\"\nupstream:\n  address: \"" + app(n).text() + "\"\n  service: \""
-                                                 + service + "\"\n  announcement-period: \"770ms\"\n" + tail(ip));
+        const std::string path = write(
+            name, common(name, zone, ip) + "  upstream-packets: \"" + outbound(n).text() + "\"\n  announcements: \""
+                      + control(n).text() + "\"\nupstream:\n  address: \"" + app(n).text() + "\"\n  service: \""
+                      + service + "\"\n  announcement-period: \"770ms\"\n" + tail(ip, storeAddress));
         return std::make_unique<Node>(name, programs + "/citroncrank-packet-agent", path, folder + "/" + name + ".log");
     }
     ServerSettings server(int n, const std::string &zone, const std::string &service, const std::string &id) const
