--- a/src/include/citroncrank/node_message.h
+++ b/src/include/citroncrank/node_message.h
@@ -3,6 +3,7 @@
 /// @file
 /// Datagrams between balancers and agents of the packet path.
 
+#include "citroncrank/evacuation_set.h"
 #include "citroncrank/ids.h"
 #include "citroncrank/packet.h"
 #include "citroncrank/time.h"
@@ -31,6 +32,8 @@
     std::uint32_t priority = 0;        ///< 0 is the most urgent.
     std::uint32_t latencyTargetMs = 0; ///< 0: none.
     std::uint32_t timeoutMs = 0;       ///< Caller's timeout, from the start of a request; 0: unknown.
+    /// New flows per second that an upstream of the service bears while it is cold, in thousandths. 0: no limit.
+    std::uint32_t coldRateMilli = 0;
     auto operator<=>(const request_limits &) const = default;
 };
 
@@ -96,8 +99,11 @@
     full,          ///< Its upstream returned the opening packet.
     unknown_flow,  ///< Its upstream does not hold the flow.
     ended_flow,    ///< The upstream that held the flow has ended, so the flow has no owner.
+    evacuated,     ///< Its failure domain is evacuated.
+    cold,          ///< Its cold upstream has received as many new flows as it bears.
+    no_time,       ///< The request could not be answered before its caller times out.
 };
-constexpr int kRejectionReasonCount = 6;
+constexpr int kRejectionReasonCount = 9;
 const char *toString(rejection_reason reason);
 
 /// The agent did not deliver the packet, or its upstream returned it to the agent.
@@ -138,6 +144,10 @@
     std::uint32_t processingMilliseconds = 0; ///< Mean processing time of a request. 0: unknown.
     bool isFailing = false;                   ///< The upstream fails requests; other upstreams should get new flows.
     bool isTrialDue = false;                  ///< The failing upstream may get one flow as a trial.
+    evacuation_version evacuations;           ///< Version of the evacuations that the agent applies.
+    std::uint32_t processingMicroseconds = 0; ///< Mean processing time of a request. 0: unknown.
+    std::uint32_t answers = 0;                ///< Recent answers that the processing time rests on.
+    std::uint32_t waitMilliseconds = 0;       ///< Expected wait of a new request for a slot.
     auto operator<=>(const agent_report &) const = default;
 };
 
@@ -186,6 +196,9 @@
         unlistedAgents;              ///< Agents that report to the sender, but that the object store does not list.
     bool areRoutesConfirmed = false; ///< The sender watches the store, which holds no newer routes than routesVersion.
     std::uint32_t confirmationAgeMilliseconds = 0; ///< Age of that answer of the store.
+    std::optional<evacuation_set> evacuations;     ///< Evacuations that the sender applies; nullopt: not known.
+    bool areEvacuationsConfirmed = false;          ///< The sender watches the store, which holds no newer evacuations.
+    std::uint32_t evacuationsAgeMilliseconds = 0;  ///< Age of that answer of the store.
     auto operator<=>(const balancer_hello &) const = default;
 };
 
--- a/src/libpacket/node_message.cpp
+++ b/src/libpacket/node_message.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <type_traits>
+#include <utility>
 
 namespace citroncrank {
 
@@ -85,6 +86,49 @@
             .isExpected = certainty == kExpected};
 }
 
+// Values of the field "detail". Older readers drop a message with a reason that they do not know, so a newer reason is
+// sent as the closest older one, with a detail.
+constexpr std::uint8_t kNoDetail = 0;
+constexpr std::uint8_t kEvacuated = 1;
+constexpr std::uint8_t kCold = 2;
+constexpr std::uint8_t kNoTime = 3;
+
+std::pair<rejection_reason, std::uint8_t> encodeReason(rejection_reason reason)
+{
+    switch (reason) {
+    case rejection_reason::evacuated:
+        return {rejection_reason::draining, kEvacuated};
+    case rejection_reason::cold:
+        return {rejection_reason::full, kCold};
+    case rejection_reason::no_time:
+        return {rejection_reason::full, kNoTime};
+    default:
+        return {reason, kNoDetail};
+    }
+}
+
+rejection_reason decodeReason(std::uint8_t reason, std::uint8_t detail)
+{
+    switch (detail) {
+    case kEvacuated:
+        return rejection_reason::evacuated;
+    case kCold:
+        return rejection_reason::cold;
+    case kNoTime:
+        return rejection_reason::no_time;
+    default:
+        return rejection_reason(reason);
+    }
+}
+
+flatbuffers::Offset<wire::Evacuations> toWire(builder *out, const std::optional<evacuation_set> &evacuations)
+{
+    if (!evacuations)
+        return {};
+    const auto domains = out->CreateVectorOfStrings(evacuations->domains);
+    return wire::CreateEvacuations(*out, evacuations->version.era, evacuations->version.revision, domains);
+}
+
 flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> toWire(builder *out, const std::string &bytes)
 {
     return out->CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
@@ -100,6 +144,18 @@
     return text == nullptr ? std::string() : text->str();
 }
 
+std::optional<evacuation_set> fromWire(const wire::Evacuations *source)
+{
+    if (source == nullptr)
+        return std::nullopt;
+    evacuation_set result{.version = {source->era(), source->revision()}, .domains = {}};
+    if (source->domains() != nullptr) {
+        for (const flatbuffers::String *domain : *source->domains())
+            result.domains.push_back(fromWire(domain));
+    }
+    return result;
+}
+
 flatbuffers::Offset<void> encodeBody(builder *out, const forwarded_packet &message)
 {
     const auto service = out->CreateString(message.service);
@@ -109,7 +165,7 @@
     const auto visited = toWire(out, message.visited);
     return wire::CreateForward(*out, std::uint8_t(message.purpose), service, &origin, alternates, bytes,
                                message.limits.priority, message.limits.latencyTargetMs, message.limits.timeoutMs,
-                               message.isTrial, message.isSettled, visited)
+                               message.isTrial, message.isSettled, visited, message.limits.coldRateMilli)
         .Union();
 }
 
@@ -122,7 +178,8 @@
 flatbuffers::Offset<void> encodeBody(builder *out, const rejection_notice &message)
 {
     const auto bytes = toWire(out, message.packetBytes);
-    return wire::CreateNotTaken(*out, std::uint8_t(message.reason), std::uint8_t(message.purpose), bytes).Union();
+    const auto [reason, detail] = encodeReason(message.reason);
+    return wire::CreateNotTaken(*out, std::uint8_t(reason), std::uint8_t(message.purpose), bytes, detail).Union();
 }
 
 flatbuffers::Offset<wire::Report> encodeReport(builder *out, const agent_report &report)
@@ -132,7 +189,8 @@
     return wire::CreateReport(*out, service, domain, report.incarnation, report.number, std::uint8_t(report.state),
                               report.slots, report.busy, report.flows, report.meanBusyMilli, report.coldMilliseconds,
                               report.periodMilliseconds, report.isFailing, report.isTrialDue,
-                              report.processingMilliseconds);
+                              report.processingMilliseconds, report.evacuations.era, report.evacuations.revision,
+                              report.processingMicroseconds, report.answers, report.waitMilliseconds);
 }
 
 flatbuffers::Offset<void> encodeBody(builder *out, const agent_report &message)
@@ -146,9 +204,11 @@
     const auto unlisted = toWire(out, message.unlistedAgents);
     const auto http = toWire(message.http);
     const auto domain = out->CreateString(message.domain);
+    const auto evacuations = toWire(out, message.evacuations);
     return wire::CreateBalancerHello(*out, domain, message.incarnation, message.routesVersion, &http, balancers,
                                      message.agents, message.isEntryMissing, message.storeEra, unlisted,
-                                     message.areRoutesConfirmed, message.confirmationAgeMilliseconds)
+                                     message.areRoutesConfirmed, message.confirmationAgeMilliseconds, evacuations,
+                                     message.areEvacuationsConfirmed, message.evacuationsAgeMilliseconds)
         .Union();
 }
 
@@ -233,15 +293,16 @@
 {
     if (source.purpose() > std::uint8_t(forward_purpose::probe) || source.packet() == nullptr)
         return std::nullopt;
-    return forwarded_packet{.purpose = forward_purpose(source.purpose()),
-                            .service = fromWire(source.service()),
-                            .origin = fromWire(source.origin()),
-                            .alternates = fromWire(source.alternates()),
-                            .limits = {source.priority(), source.latency_target_ms(), source.timeout_ms()},
-                            .packetBytes = fromWire(source.packet()),
-                            .isTrial = source.trial(),
-                            .isSettled = source.settled(),
-                            .visited = fromWire(source.visited())};
+    return forwarded_packet{
+        .purpose = forward_purpose(source.purpose()),
+        .service = fromWire(source.service()),
+        .origin = fromWire(source.origin()),
+        .alternates = fromWire(source.alternates()),
+        .limits = {source.priority(), source.latency_target_ms(), source.timeout_ms(), source.cold_rate_milli()},
+        .packetBytes = fromWire(source.packet()),
+        .isTrial = source.trial(),
+        .isSettled = source.settled(),
+        .visited = fromWire(source.visited())};
 }
 
 std::optional<node_message> decodeBody(const wire::Owner &source)
@@ -257,7 +318,7 @@
     if (source.reason() >= kRejectionReasonCount || source.purpose() > std::uint8_t(forward_purpose::probe)
         || source.packet() == nullptr)
         return std::nullopt;
-    return rejection_notice{rejection_reason(source.reason()), forward_purpose(source.purpose()),
+    return rejection_notice{decodeReason(source.reason(), source.detail()), forward_purpose(source.purpose()),
                             fromWire(source.packet())};
 }
 
@@ -278,7 +339,11 @@
                         .periodMilliseconds = source->period_ms(),
                         .processingMilliseconds = source->processing_ms(),
                         .isFailing = source->failing(),
-                        .isTrialDue = source->trial_due()};
+                        .isTrialDue = source->trial_due(),
+                        .evacuations = {source->evacuations_era(), source->evacuations_revision()},
+                        .processingMicroseconds = source->processing_us(),
+                        .answers = source->answers(),
+                        .waitMilliseconds = source->wait_ms()};
 }
 
 std::optional<node_message> decodeBody(const wire::Report &source)
@@ -299,7 +364,10 @@
                           .storeEra = source.store_era(),
                           .unlistedAgents = fromWire(source.unlisted_agents()),
                           .areRoutesConfirmed = source.routes_confirmed(),
-                          .confirmationAgeMilliseconds = source.confirmation_age_ms()};
+                          .confirmationAgeMilliseconds = source.confirmation_age_ms(),
+                          .evacuations = fromWire(source.evacuations()),
+                          .areEvacuationsConfirmed = source.evacuations_confirmed(),
+                          .evacuationsAgeMilliseconds = source.evacuations_age_ms()};
 }
 
 std::optional<node_message> decodeBody(const wire::AgentHello &source)
@@ -376,6 +444,12 @@
         return "unknown_flow";
     case rejection_reason::ended_flow:
         return "ended_flow";
+    case rejection_reason::evacuated:
+        return "evacuated";
+    case rejection_reason::cold:
+        return "cold";
+    case rejection_reason::no_time:
+        return "no_time";
     }
     return "unknown";
 }
--- a/src/libpacket/node_message_test.cpp
+++ b/src/libpacket/node_message_test.cpp
@@ -24,17 +24,24 @@
     agent_report failing = makeReport(4);
     failing.isFailing = true;
     failing.isTrialDue = true;
+    failing.evacuations = {2, 71};
+    failing.processingMicroseconds = 4200;
+    failing.answers = 17;
+    failing.waitMilliseconds = 35;
     return {forwarded_packet{.purpose = forward_purpose::probe,
                              .service = kService,
                              .origin = kBalancer,
                              .alternates = {kAgentA, kAgentB},
-                             .limits = {1, 300, 2500},
+                             .limits = {1, 300, 2500, 12'500},
                              .packetBytes = content.bytes,
                              .isTrial = true,
                              .isSettled = true,
                              .visited = {{kAgentC, 2, 2, 50}}},
             owner_notice{kFlow, {{kAgentA, 3, 2, 55}, {kAgentB, 1, 2, 60}}},
             rejection_notice{rejection_reason::full, forward_purpose::open, content.bytes},
+            rejection_notice{rejection_reason::evacuated, forward_purpose::open, content.bytes},
+            rejection_notice{rejection_reason::cold, forward_purpose::open, content.bytes},
+            rejection_notice{rejection_reason::no_time, forward_purpose::open, content.bytes},
             makeReport(9, agent_state::draining, 2),
             balancer_hello{.incarnation = 4,
                            .domain = "a",
@@ -46,7 +53,11 @@
                            .storeEra = 3,
                            .unlistedAgents = {kAgentB},
                            .areRoutesConfirmed = true,
-                           .confirmationAgeMilliseconds = 9},
+                           .confirmationAgeMilliseconds = 9,
+                           .evacuations = evacuation_set{{2, 71}, {"a", "b"}},
+                           .areEvacuationsConfirmed = true,
+                           .evacuationsAgeMilliseconds = 12},
+            balancer_hello{.domain = "a", .evacuations = evacuation_set{{2, 70}, {}}},
             agent_hello{makeReport(3)},
             owner_query{kFlow, kService, true, 77},
             owner_nack{kFlow, true},
