evacuation of a failure domain and limit of cold upstreams, end-to-end path

Cause: the operator's evacuations of a failure domain were not read, and nothing limited the opening packets that a cold upstream gets from all balancers together.

Change: with the setting evacuation-time, one balancer of each failure domain watches evacuations/ in the platform's store and confirms what it reads; hellos pass the set on to balancers and agents; balancers place no new flow in an evacuated domain, and its agents refuse opening packets, also copies for flows that are not open. With cold-excess, agents limit opening packets at a cold upstream in a sliding 1.2 s. The configuration watch waits half of configuration-time (3 s: 1.5 s, as before).

The end-to-end case testsuite/evacuation has not been run yet.

--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -14,6 +14,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace citroncrank {
@@ -54,7 +55,17 @@
     bool recordReply(const host_address &address, time_point now);
 
     const agent_record *find(const host_address &address) const;
+    /// Excluded in an evacuated failure domain, otherwise stateAvailability().
     agent_availability availability(const agent_record &agent, time_point now) const;
+    /// Availability by the agent's own state, whether its failure domain is evacuated or not.
+    agent_availability stateAvailability(const agent_record &agent, time_point now) const;
+    /// Sets the failure domains that get no new flow. Sorted.
+    void setEvacuatedDomains(std::vector<std::string> domains) { m_evacuatedDomains = std::move(domains); }
+    bool isEvacuated(const agent_record &agent) const;
+    /// Reporting agents, and how many of them apply at least this version of the evacuations.
+    std::pair<std::size_t, std::size_t> countEvacuationReports(const evacuation_version &version, time_point now) const;
+    /// Whether the service has agents that could get new flows if their failure domains were not evacuated.
+    bool hasEvacuatedAgents(std::string_view service, time_point now) const;
     /// Whether the agent's availability is agent_availability::ready.
     bool isReady(const host_address &address, time_point now) const;
     /// Whether the last report of the agent is recent enough to treat the agent as alive.
@@ -110,6 +121,7 @@
     /// Ordered, so that the same input gives the same decisions in every process.
     absl::btree_map<host_address, agent_record> m_agents;
     std::size_t m_unansweredAgents = 0;
+    std::vector<std::string> m_evacuatedDomains;
 };
 
 } // namespace citroncrank
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -5,10 +5,12 @@
 /// requests it has in progress. Performs no I/O; the caller carries out the returned actions.
 
 #include "citroncrank/caller_budget.h"
+#include "citroncrank/evacuation_state.h"
 #include "citroncrank/flow_snapshot.h"
 #include "citroncrank/packet_action.h"
 #include "citroncrank/request_head.h"
 #include "citroncrank/request_queue.h"
+#include "citroncrank/sliding_limit.h"
 #include "citroncrank/time.h"
 #include "citroncrank/upstream_health.h"
 
@@ -26,6 +28,15 @@
 
 namespace citroncrank {
 
+/// Opening packets that a cold upstream may get in any second: the rate that its service bears, times `excessMilli`
+/// thousandths, plus `slackMilli` thousandths.
+struct cold_opening_limit
+{
+    std::uint32_t excessMilli = 1000;
+    std::uint32_t slackMilli = 0;
+    auto operator<=>(const cold_opening_limit &) const = default;
+};
+
 struct packet_agent_settings
 {
     host_address self; ///< Address at which other nodes reach this one.
@@ -38,6 +49,8 @@
     duration flowLifetime{0};        ///< Flows older than this need not be kept.
     duration minSnapshotInterval{0}; ///< Shortest time between two snapshots of the open flows. 0 disables snapshots.
     std::uint32_t storeWritesPerSecond = 1; ///< Write calls that the store accepts from all nodes together.
+    duration evacuationTime{0};             ///< An evacuation is in force this long after its write. 0: there are none.
+    std::optional<cold_opening_limit> coldLimit = std::nullopt; ///< Nullopt: none.
 };
 
 /// Announcement that an upstream sends to its agent periodically.
@@ -81,6 +94,9 @@
     std::uint64_t returned = 0; ///< Packets that the upstream returned because it did not accept them.
     std::uint64_t resets = 0;
     std::uint64_t requests = 0;
+    std::uint64_t openedEvacuated = 0; ///< Opening packets delivered while the failure domain was evacuated.
+    std::uint64_t refusedEvacuated = 0;
+    std::uint64_t refusedCold = 0; ///< Opening packets over the limit of a cold upstream.
     auto operator<=>(const packet_agent_counts &) const = default;
 };
 
@@ -135,6 +151,7 @@
     void advance(time_point now, packet_actions *out);
 
     agent_report report(time_point now);
+    const evacuation_state &evacuations() const { return m_evacuations; }
     agent_state state() const { return m_state; }
     const packet_agent_counts &counts() const { return m_counts; }
     std::size_t flowCount() const { return m_flows.size(); }
@@ -201,6 +218,16 @@
     void forwardToAlternate(forwarded_packet arrived, const char *reason, const flow_key &flow, packet_actions *out);
     std::optional<rejection_reason> openingRejectionReason(const std::string &service) const;
     std::optional<forwarding_reason> forwardingReason(bool isTrial, time_point now) const;
+    bool isEvacuated() const { return m_evacuations.isEvacuated(m_settings.domain); }
+    void applyEvacuations(const host_address &from, const balancer_hello &hello, time_point now, packet_actions *out);
+    void checkEvacuations(time_point now, packet_actions *out);
+    bool deliverCopy(const flow_key &key, agent_flow *flow, const packet &content, time_point now, packet_actions *out);
+    void withdrawOpening(const flow_key &key, time_point now);
+    bool isWithdrawn(const flow_key &key, const packet_header &header) const;
+    bool isColdOpeningAllowed(const request_limits &limits, time_point now);
+    void recordOpening(const flow_key &key, time_point now);
+    bool mayBeCold(time_point now) const;
+    duration coldRemaining(time_point now) const;
     bool hasFreeSlot(time_point now) const;
     bool isOverloaded(const request_limits &limits) const;
     bool acknowledgementFits(const agent_flow &flow, const packet_header &header) const;
@@ -295,6 +322,11 @@
     std::optional<time_point> m_nextSeedHello;
     duration m_seedHelloDelay{0};
     std::optional<time_point> m_nextSweep;
+    evacuation_state m_evacuations;
+    bool m_areEvacuationsMissed = false; ///< Their absence has been logged.
+    /// Flows that were refused although an opening packet had been delivered; the upstream's answers to them are dropped.
+    absl::flat_hash_map<flow_key, time_point> m_withdrawnOpenings;
+    sliding_limit m_openingsDelivered; ///< Opening packets, including copies.
 };
 
 /// Interval between calls of packet_agent::advance().
--- a/src/include/citroncrank/packet_agent_node.h
+++ b/src/include/citroncrank/packet_agent_node.h
@@ -3,6 +3,7 @@
 /// @file
 /// Process of the packet agent: sockets, HTTP endpoint and store workers around packet_agent.
 
+#include "citroncrank/evacuation_metrics.h"
 #include "citroncrank/node_registry_worker.h"
 #include "citroncrank/packet_agent.h"
 #include "citroncrank/packet_node.h"
@@ -50,6 +51,9 @@
     metric_histogram &m_latency;
     metric_gauge &m_busy;
     metric_gauge &m_flows;
+    metric_counter &m_openedEvacuated;
+    std::uint64_t m_openedEvacuatedBefore = 0; ///< Counted in m_openedEvacuated already.
+    evacuation_metrics m_evacuationMetrics;
 };
 
 } // namespace citroncrank
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -4,6 +4,7 @@
 /// Decision core of a balancer: selects route, agent and owner for each packet of a caller. Performs no I/O.
 
 #include "citroncrank/agent_directory.h"
+#include "citroncrank/balancer_evacuations.h"
 #include "citroncrank/owner_search.h"
 #include "citroncrank/packet_action.h"
 #include "citroncrank/route_set.h"
@@ -35,6 +36,8 @@
     duration flowLifetime{0};        ///< The state of older flows may be dropped.
     std::uint64_t randomSeed = 0;
     routes_watch_settings routesWatch;
+    /// How the balancers of a failure domain share the watch of evacuations. Nullopt: the deployment has none.
+    std::optional<routes_watch_settings> evacuationsWatch = std::nullopt;
 };
 
 /// A node as the object store lists it.
@@ -74,6 +77,11 @@
     void storeConfirmedRoutes(duration age, time_point now, packet_actions *out);
     /// Whether this balancer watches the operator's configuration in the object store itself.
     bool watchesRoutes(time_point now) const { return m_watchRole.isWatcher(routesVersion(), now); }
+    /// Call after each answer of the object store about evacuations, with all that it holds. `age`: of its answer.
+    void storeListedEvacuations(const evacuation_set &listed, duration age, time_point now, packet_actions *out);
+    /// Whether this balancer watches the evacuations in the object store itself.
+    bool watchesEvacuations(time_point now) const { return m_evacuations.isWatcher(now); }
+    const evacuation_state &evacuations() const { return m_evacuations.state(); }
     /// Applies the latest era of the object store that this node has heard of.
     void applyStoreEra(std::uint64_t era, time_point now);
     /// Applies the seeds, the flow lifetime and the number of watchers. The other settings cannot change after the start.
@@ -186,6 +194,13 @@
     void introduceSelf(const host_address &balancer, time_point now, packet_actions *out) const;
     void confirmStore(time_point now, packet_actions *out);
     void sendHellos(time_point now, packet_actions *out);
+    balancer_hello helloWithoutLists() const;
+    void sendToOwnDomain(const balancer_hello &message, packet_actions *out) const;
+    void onEvacuationsHeard(const host_address &from, const balancer_hello &hello, time_point now, packet_actions *out);
+    void applyEvacuations(const evacuation_set &heard, const std::string &source, time_point now, packet_actions *out);
+    void updateAgentEvacuations(const host_address &agent, time_point now, packet_actions *out);
+    bool isTeller(const host_address &agent) const;
+    bool areEvacuationsAwaited(duration waited) const;
     void requestMissingEntries(time_point now, packet_actions *out);
     void expireFlows(time_point now);
     bool isStarting(time_point now) const;
@@ -214,6 +229,7 @@
     std::vector<held_packet> m_held;
     std::optional<routes_source> m_newerRoutes;
     routes_watch_role m_watchRole;
+    balancer_evacuations m_evacuations;
     absl::btree_map<host_address, time_point> m_listedBalancers; ///< Other balancers and when they became listed.
     bool m_isListingKnown = false;
     std::uint64_t m_helloRound = 0;
--- a/src/include/citroncrank/packet_balancer_node.h
+++ b/src/include/citroncrank/packet_balancer_node.h
@@ -3,6 +3,7 @@
 /// @file
 /// Process of the packet balancer: sockets, HTTP endpoint and store workers around packet_balancer.
 
+#include "citroncrank/evacuations_endpoint.h"
 #include "citroncrank/node_registry_worker.h"
 #include "citroncrank/packet_balancer.h"
 #include "citroncrank/packet_node.h"
@@ -49,6 +50,7 @@
     datagram_socket m_callerSocket;
     http_endpoint m_http;
     routes_worker m_routesWorker;
+    evacuations_endpoint m_evacuations;
     peer_routes_worker m_peerRoutes;
     node_registry_worker m_nodeRegistry;
     std::optional<time_point> m_stopRequestedAt; ///< When SIGTERM or SIGINT arrived.
--- a/src/include/citroncrank/packet_node_settings.h
+++ b/src/include/citroncrank/packet_node_settings.h
@@ -4,9 +4,11 @@
 /// Settings of the packet programs.
 
 #include "citroncrank/ids.h"
+#include "citroncrank/packet_agent.h"
 #include "citroncrank/settings.h"
 #include "citroncrank/time.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,8 @@
     std::vector<host_address> seeds;        ///< Balancers that may be running; the port is that of nodeAddress.
     duration flowLifetime{0};
     duration stopTime{0}; ///< The process is killed this long after SIGTERM.
+    /// Longest time from the write of an evacuation until it is in force. Nullopt: the deployment has no evacuations.
+    std::optional<duration> evacuationTime;
     bool operator==(const packet_node_settings &) const = default;
 };
 
@@ -34,6 +38,7 @@
     packet_node_settings node;
     host_address packets;           ///< Receives the callers' packets from the routers.
     std::size_t routesWatchers = 0; ///< Balancers of a failure domain that watch the configuration.
+    duration configurationTime{0};  ///< Longest time from the confirmation of a configuration until it is in force.
     bool operator==(const packet_balancer_node_settings &) const = default;
 };
 
@@ -46,6 +51,7 @@
     std::string service;
     duration announcementPeriod{0};
     duration minSnapshotInterval{0}; ///< Minimum time between two snapshots of the open flows. 0: none are made.
+    std::optional<cold_opening_limit> coldLimit; ///< Nullopt: none.
     bool operator==(const packet_agent_node_settings &) const = default;
 };
 
--- a/src/include/citroncrank/route_set.h
+++ b/src/include/citroncrank/route_set.h
@@ -42,6 +42,12 @@
     absl::flat_hash_map<host_address, packet_route> routes;
     duration flowIdleTimeout{0}; ///< State of a flow that was idle for longer may be dropped.
 
+    /// New flows per second that an upstream of a service bears while it is cold, in thousandths. Services without a
+    /// limit are absent.
+    absl::flat_hash_map<std::string, std::uint32_t> coldRatesMilli;
+
+    /// 0: no limit.
+    std::uint32_t coldRateMilli(const std::string &service) const;
     const packet_route *find(const host_address &address) const;
 };
 
--- a/src/include/citroncrank/routes_watch_role.h
+++ b/src/include/citroncrank/routes_watch_role.h
@@ -38,6 +38,7 @@
 
 private:
     std::uint64_t rank(const host_address &balancer) const;
+    duration watcherTimeout() const;
 
     host_address m_self;
     routes_watch_settings m_settings;
--- a/src/include/citroncrank/routes_worker.h
+++ b/src/include/citroncrank/routes_worker.h
@@ -8,6 +8,7 @@
 #include "citroncrank/store_worker.h"
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -15,6 +16,10 @@
 
 namespace citroncrank {
 
+/// All balancers apply a configuration within this time of its confirmation to the operator, unless the settings tell
+/// another time.
+constexpr std::chrono::milliseconds kDefaultConfigurationTime{3000};
+
 /// Watches the operator's configuration in the platform's store.
 class routes_worker : public store_worker
 {
@@ -28,7 +33,9 @@
     /// received. `age`: of its answer, at most.
     using confirmation_receiver = std::function<void(duration age)>;
 
-    routes_worker(const store_access &access, receiver receive, confirmation_receiver confirm, peer_source peer);
+    /// `wait`: of a watch without a change.
+    routes_worker(const store_access &access, receiver receive, confirmation_receiver confirm, peer_source peer,
+                  std::chrono::milliseconds wait = kDefaultConfigurationTime / 2);
     ~routes_worker() override;
 
     /// Whether to watch, which it does from the start on. Otherwise it calls the store only after a restore of it. May be
@@ -47,6 +54,7 @@
     receiver m_receive;
     confirmation_receiver m_confirm;
     peer_source m_peer;
+    std::chrono::milliseconds m_wait;
     std::atomic<bool> m_isWatching = true;
     bool m_wasIdle = false; ///< The last step did not call the store.
 };
--- a/src/include/citroncrank/settings.h
+++ b/src/include/citroncrank/settings.h
@@ -21,6 +21,7 @@
     text,
     integer,
     number,   ///< Whole number or decimal fraction; fractions are rounded down.
+    decimal,  ///< Decimal fraction, kept as an integer in thousandths.
     boolean,  ///< true or false.
     duration, ///< Whole number with a unit: us, ms, s, m or h.
     address,  ///< IPv4 address and port, "127.0.0.1:9000".
@@ -36,7 +37,7 @@
     bool required = false;
     /// In the file's notation; list items are separated by commas. An optional key without a default may be absent.
     std::optional<std::string> defaultValue = std::nullopt;
-    /// Inclusive bounds: of the value of an integer or number, the microseconds of a duration, the port of an address,
+    /// Inclusive bounds: of the value of an integer or number, of the thousandths of a decimal, the microseconds of a duration, the port of an address,
     /// the length in bytes of a text or secret, the number of items of a list.
     std::optional<std::int64_t> minimum = std::nullopt;
     std::optional<std::int64_t> maximum = std::nullopt;
--- a/src/include/citroncrank/standin_platform.h
+++ b/src/include/citroncrank/standin_platform.h
@@ -38,6 +38,10 @@
     /// `endsWatches`, and go on at their numbers otherwise, like watches that begin right after the return.
     void restoreCopy(bool endsWatches = true);
 
+    /// Drops the changes so far: waiting watches of the metadata store end without them, and later ones from before get
+    /// status 410.
+    void dropHistory() { m_historyFrom = m_objects.version(); }
+
 private:
     using exchange_pointer = std::shared_ptr<standin_exchange>;
     struct waiting_watch;
@@ -69,6 +73,7 @@
     boost::asio::io_context &m_context;
     versioned_objects m_objects;
     versioned_objects m_copy;
+    write_number m_historyFrom = 0; ///< Earlier changes have been dropped.
     standin_platform_switches m_switches;
     std::map<std::string, std::uint64_t> m_counts;
     std::list<std::shared_ptr<waiting_watch>> m_watches;
--- a/src/libpacket/agent_directory.cpp
+++ b/src/libpacket/agent_directory.cpp
@@ -216,6 +216,11 @@
 }
 
 agent_availability agent_directory::availability(const agent_record &agent, time_point now) const
+{
+    return isEvacuated(agent) ? agent_availability::excluded : stateAvailability(agent, now);
+}
+
+agent_availability agent_directory::stateAvailability(const agent_record &agent, time_point now) const
 {
     switch (agent.report.state) {
     case agent_state::draining:
--- a/src/libpacket/packet_agent.cpp
+++ b/src/libpacket/packet_agent.cpp
@@ -63,6 +63,7 @@
     , m_meanProcessingMs(kInitialProcessingMs)
     , m_meanSlackMs(kInitialSlackMs)
     , m_meanUpdatedAt(now)
+    , m_openingsDelivered(kColdWindow)
 {}
 
 void packet_agent::changeSettings(const packet_agent_settings &changed)
@@ -72,6 +73,7 @@
     m_settings.flowLifetime = changed.flowLifetime;
     m_settings.minSnapshotInterval = changed.minSnapshotInterval;
     m_settings.storeWritesPerSecond = changed.storeWritesPerSecond;
+    m_settings.coldLimit = changed.coldLimit;
     m_nextSeedHello = std::nullopt;
 }
 
@@ -103,6 +105,7 @@
     const bool isNew = !m_balancers.contains(from);
     m_balancers[from] = now;
     m_fleetAgents = std::max<std::size_t>(1, hello->agents);
+    applyEvacuations(from, *hello, now, out);
     m_isEntryMissing = m_isEntryMissing || (hello->isEntryMissing && m_upstream);
     for (const host_address &other : hello->balancers) {
         if (m_balancers.try_emplace(other, now).second)
@@ -254,6 +257,8 @@
         return;
     }
     const flow_key key = flowFromUpstream(arrived.header);
+    if (isWithdrawn(key, arrived.header))
+        return;
     const auto found = m_flows.find(key);
     if (found == m_flows.end() && m_flows.size() < kMaxAgentFlows) {
         // After a restart of this agent, packets from the upstream show which flows it holds.
@@ -366,6 +371,7 @@
         evictFlows(now);
         absl::erase_if(m_balancers, [&](const auto &entry) { return now - entry.second > kStaleBalancerTime; });
         m_nextSweep = now + kSweepPeriod;
+        checkEvacuations(now, out);
     }
 }
 
--- a/src/libpacket/packet_agent_opening.cpp
+++ b/src/libpacket/packet_agent_opening.cpp
@@ -19,6 +19,8 @@
 
 std::optional<rejection_reason> packet_agent::openingRejectionReason(const std::string &service) const
 {
+    if (isEvacuated())
+        return rejection_reason::evacuated;
     if (service != m_settings.service)
         return rejection_reason::wrong_service;
     switch (m_state) {
@@ -115,16 +117,20 @@
     const auto known = m_flows.find(key);
     const bool isDuplicate = known != m_flows.end()
                              && (known->second.phase == flow_phase::opening || known->second.phase == flow_phase::open);
-    if (isDuplicate) {
+    if (isDuplicate && !(isEvacuated() && known->second.phase == flow_phase::opening)) {
         known->second.origin = arrived.origin;
-        deliver(key, &known->second, std::move(content), now, out);
+        if (deliverCopy(key, &known->second, content, now, out))
+            deliver(key, &known->second, std::move(content), now, out);
         return;
     }
+    if (isDuplicate)
+        withdrawOpening(key, now);
     if (const auto rejection = openingRejectionReason(arrived.service)) {
         log(log_class::refusal,
             absl::StrCat("turned flow away, flow=", toString(key), " reason=", toString(*rejection),
                          " state=", toString(m_state), " asked_service=", arrived.service),
             out);
+        m_counts.refusedEvacuated += *rejection == rejection_reason::evacuated ? 1 : 0;
         arrived.packetBytes = std::move(content.bytes);
         if (!arrived.alternates.empty())
             forwardToAlternate(std::move(arrived), toString(*rejection), key, out);
@@ -147,6 +153,16 @@
         rejectPacket(std::move(arrived), rejection_reason::full, out);
         return;
     }
+    if (!isColdOpeningAllowed(arrived.limits, now)) {
+        ++m_counts.refusedCold;
+        arrived.packetBytes = std::move(content.bytes);
+        if (!arrived.alternates.empty())
+            forwardToAlternate(std::move(arrived), toString(rejection_reason::cold), key, out);
+        else
+            rejectPacket(std::move(arrived), rejection_reason::cold, out);
+        return;
+    }
+    recordOpening(key, now);
     ++m_counts.opened;
     agent_flow &flow = m_flows[key];
     flow = agent_flow{};
--- a/src/libpacket/packet_agent_pvt.h
+++ b/src/libpacket/packet_agent_pvt.h
@@ -35,6 +35,10 @@
 /// Limits memory use, at about 300 bytes per flow.
 constexpr std::size_t kMaxAgentFlows = 20'000;
 
+/// A cold upstream's limit holds for any second at the upstream. The queues of a small host delay datagrams by up to
+/// 0.1 s before and behind the loopback, so that packets sent in a longer period may arrive in a second.
+constexpr duration kColdWindow = std::chrono::milliseconds(1200);
+
 /// Slots assumed until the upstream's first announcement. No known deployment has fewer.
 constexpr std::uint32_t kAssumedSlots = 2;
 
--- a/src/libpacket/packet_agent_upstream.cpp
+++ b/src/libpacket/packet_agent_upstream.cpp
@@ -181,9 +181,6 @@
 agent_report packet_agent::report(time_point now)
 {
     updateMean(now);
-    const duration sinceAnnouncement = m_lastAnnouncementAt ? now - *m_lastAnnouncementAt : duration(0);
-    const duration cold =
-        m_upstream ? std::max(duration(0), m_upstream->coldRemaining - sinceAnnouncement) : duration(0);
     return {.service = m_settings.service,
             .domain = m_settings.domain,
             .incarnation = m_settings.incarnation,
@@ -193,11 +190,12 @@
             .busy = std::uint16_t(std::min<std::size_t>(competingRequests(now), UINT16_MAX)),
             .flows = std::uint32_t(m_flows.size()),
             .meanBusyMilli = std::uint32_t(m_meanBusy * 1000),
-            .coldMilliseconds = std::uint32_t(wholeMilliseconds(cold)),
+            .coldMilliseconds = std::uint32_t(wholeMilliseconds(coldRemaining(now))),
             .periodMilliseconds = std::uint32_t(wholeMilliseconds(reportPeriod())),
             .processingMilliseconds = std::uint32_t(std::lround(std::max(1.0, m_meanProcessingMs))),
             .isFailing = m_health.isFailing(),
-            .isTrialDue = m_health.isTrialDue(now)};
+            .isTrialDue = m_health.isTrialDue(now),
+            .evacuations = m_evacuations.version()};
 }
 
 void packet_agent::sendReports(time_point now, packet_actions *out)
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -44,6 +44,7 @@
     , m_queryAllowance(kWideQueriesPerSecond)
     , m_allowanceUpdatedAt(now)
     , m_watchRole(m_settings.self, m_settings.routesWatch)
+    , m_evacuations(m_settings.self, m_settings.evacuationsWatch)
 {
     changeSettings(m_settings);
 }
@@ -173,7 +174,7 @@
         return placeNewFlow(key, route, service, now);
     const balancer_flow &flow = known->second;
     const agent_record *const agent = m_agents.find(flow.owner);
-    if (agent != nullptr && m_agents.availability(*agent, now) < agent_availability::failing)
+    if (agent != nullptr && m_agents.stateAvailability(*agent, now) < agent_availability::failing)
         return {flow.service, {flow.owner}};
     if (agent != nullptr && agent->report.state == agent_state::draining && m_agents.isFresh(*agent, now))
         return {flow.service, {flow.owner}};
@@ -185,13 +186,15 @@
     const flow_key key = flowFromCaller(arrived.header);
     placement chosen = placeFlow(key, route, now);
     if (chosen.agents.empty()) {
-        if (isStarting(now))
+        const bool isEvacuated = m_isListingKnown && m_agents.hasEvacuatedAgents(chosen.service, now);
+        if (isStarting(now) && !isEvacuated)
             hold(std::move(arrived), now, out);
         else
-            rejectPacket(arrived, "no_agent", out);
+            rejectPacket(arrived, isEvacuated ? toString(rejection_reason::evacuated) : "no_agent", out);
         return;
     }
     const host_address agent = chosen.agents.front();
+    updateAgentEvacuations(agent, now, out);
     logPlacement(arrived.header, route, chosen, now, out);
     m_agents.recordFlowSent(agent);
     if (m_flows.size() < kMaxFlows || m_flows.contains(key)) {
@@ -418,32 +421,6 @@
     replayHeld(now, out);
 }
 
-forwarded_packet packet_balancer::makeForwardedPacket(forward_purpose purpose, const std::string &service,
-                                                      const flow_key &key, std::string packetBytes,
-                                                      std::vector<host_address> alternates) const
-{
-    request_limits limits;
-    if (const packet_route *const route = m_routes->find(key.service)) {
-        limits = {.priority = route->priority,
-                  .latencyTargetMs = std::uint32_t(wholeMilliseconds(route->latencyTarget)),
-                  .timeoutMs = std::uint32_t(wholeMilliseconds(route->timeout))};
-    }
-    return {.purpose = purpose,
-            .service = service,
-            .origin = m_settings.self,
-            .alternates = std::move(alternates),
-            .limits = limits,
-            .packetBytes = std::move(packetBytes)};
-}
-
-void packet_balancer::forward(const host_address &agent, forward_purpose purpose, const std::string &service,
-                              const flow_key &key, std::string packetBytes, std::vector<host_address> alternates,
-                              packet_actions *out) const
-{
-    out->emplace_back(
-        send_to_node{agent, makeForwardedPacket(purpose, service, key, std::move(packetBytes), std::move(alternates))});
-}
-
 void packet_balancer::advance(time_point now, packet_actions *out)
 {
     if (!m_nextHello || now >= *m_nextHello) {
@@ -487,7 +464,7 @@
     if (!m_routes)
         reasons.emplace_back("no routes are in force yet");
     else if (!m_isStoreConfirmed)
-        reasons.emplace_back("the routes are not confirmed by another balancer yet");
+        reasons.emplace_back("the routes or the evacuations are not confirmed yet");
     if (!m_agents.hasFreshAgent(now))
         reasons.emplace_back("no agent reports");
     return reasons;
--- a/src/libpacket/packet_balancer_nodes.cpp
+++ b/src/libpacket/packet_balancer_nodes.cpp
@@ -40,7 +40,9 @@
     const bool isChange = before == nullptr || !before->lastHeardAt || before->report.state != report.state
                           || before->report.incarnation != report.incarnation || !m_agents.isFresh(*before, now);
     const bool wasRestarting = isInPlannedRestart(agent);
-    if (!m_agents.applyReport(agent, report, now) || !isChange)
+    const bool isApplied = m_agents.applyReport(agent, report, now);
+    updateAgentEvacuations(agent, now, out);
+    if (!isApplied || !isChange)
         return;
     if (wasRestarting && !isInPlannedRestart(agent))
         releaseHeldForRestart(agent, now, out);
@@ -77,6 +79,7 @@
     if (hello.areRoutesConfirmed && hello.domain == m_settings.domain)
         m_watchRole.recordConfirmation(from, hello.routesVersion,
                                        now - std::chrono::milliseconds(hello.confirmationAgeMilliseconds), now);
+    onEvacuationsHeard(from, hello, now, out);
     confirmStore(now, out);
     if (!isNew)
         return;
@@ -149,12 +152,15 @@
         m_isStoreConfirmed = !newerRoutes() || waited >= kMaxRoutesWait;
     else
         m_isStoreConfirmed = isAlone() || waited >= kNeighbourWait;
+    m_isStoreConfirmed = m_isStoreConfirmed && !areEvacuationsAwaited(waited);
     if (!m_isStoreConfirmed)
         return;
     log(log_class::belief,
         absl::StrCat("routes confirmed, by=", m_isNeighbourHeard ? "balancer" : "time-out",
                      " version=", routesVersion(), " waited_ms=", wholeMilliseconds(waited)),
         out);
+    if (m_evacuations.isEnabled() && !m_evacuations.state().current())
+        log(log_class::belief, "evacuations are not known, serving as if there were none", out);
     replayHeld(now, out);
 }
 
@@ -181,7 +187,8 @@
                           .agents = std::uint32_t(m_agents.size()),
                           .isEntryMissing = false,
                           .storeEra = m_storeEra,
-                          .unlistedAgents = {}};
+                          .unlistedAgents = {},
+                          .evacuations = m_evacuations.state().current()};
     for (const auto &[address, heard] : m_balancers) {
         if (result.balancers.size() == kMaxListedBalancers)
             break;
@@ -195,14 +202,10 @@
 {
     if (!watchesRoutes(now))
         return;
-    balancer_hello confirmation = hello();
-    confirmation.balancers.clear();
+    balancer_hello confirmation = helloWithoutLists();
     confirmation.areRoutesConfirmed = true;
     confirmation.confirmationAgeMilliseconds = std::uint32_t(wholeMilliseconds(age));
-    for (const auto &[address, balancer] : m_balancers) {
-        if (balancer.domain == m_settings.domain)
-            out->emplace_back(send_to_node{address, confirmation});
-    }
+    sendToOwnDomain(confirmation, out);
 }
 
 // Hellos to another balancer, which name all agents without an entry. One datagram holds a part of them.
--- a/src/libpacket/route_set.cpp
+++ b/src/libpacket/route_set.cpp
@@ -10,6 +10,12 @@
     return found == routes.end() ? nullptr : &found->second;
 }
 
+std::uint32_t route_set::coldRateMilli(const std::string &service) const
+{
+    const auto found = coldRatesMilli.find(service);
+    return found == coldRatesMilli.end() ? 0 : found->second;
+}
+
 const std::string &chooseService(const packet_route &route, const flow_key &flow)
 {
     const std::uint64_t total =
--- a/src/libpacket/routes_watch_role.cpp
+++ b/src/libpacket/routes_watch_role.cpp
@@ -9,8 +9,8 @@
 
 // Equal on all balancers, so that those of a failure domain agree on the order.
 constexpr std::uint64_t kRankSalt = 0x726F75746573;
-// A watcher confirms about every 1.5 s, so it counts as gone after three lost confirmations.
-constexpr duration kWatcherTimeout = std::chrono::seconds(6);
+// A confirmation is due in less than the time-out, so a watcher counts as gone after three lost ones.
+constexpr std::int64_t kLostConfirmations = 3;
 
 } // namespace
 
@@ -24,10 +24,15 @@
     return hashPair(packAddress(balancer), kRankSalt);
 }
 
+duration routes_watch_role::watcherTimeout() const
+{
+    return kLostConfirmations * m_settings.confirmationTimeout;
+}
+
 void routes_watch_role::recordConfirmation(const host_address &from, std::uint64_t version, time_point when,
                                            time_point now)
 {
-    absl::erase_if(m_heardAt, [&](const auto &entry) { return now - entry.second > kWatcherTimeout; });
+    absl::erase_if(m_heardAt, [&](const auto &entry) { return now - entry.second > watcherTimeout(); });
     absl::erase_if(m_confirmedAt,
                    [&](const auto &entry) { return now - entry.second > m_settings.confirmationTimeout; });
     m_heardAt[from] = now;
@@ -45,7 +50,7 @@
         return true;
     const std::uint64_t ownRank = rank(m_self);
     const auto isBefore = [&](const auto &entry) {
-        return now - entry.second <= kWatcherTimeout && rank(entry.first) < ownRank;
+        return now - entry.second <= watcherTimeout() && rank(entry.first) < ownRank;
     };
     return std::size_t(std::count_if(m_heardAt.begin(), m_heardAt.end(), isBefore)) < m_settings.watchers;
 }
--- a/src/libpacketnode/packet_agent_node.cpp
+++ b/src/libpacketnode/packet_agent_node.cpp
@@ -38,7 +38,9 @@
             .announcementPeriod = file.announcementPeriod,
             .flowLifetime = file.node.flowLifetime,
             .minSnapshotInterval = file.minSnapshotInterval,
-            .storeWritesPerSecond = file.node.storeWritesPerSecond};
+            .storeWritesPerSecond = file.node.storeWritesPerSecond,
+            .evacuationTime = file.node.evacuationTime.value_or(duration(0)),
+            .coldLimit = file.coldLimit};
 }
 
 listed_node makeOwnEntry(const packet_agent_node_settings &file)
@@ -79,6 +81,9 @@
                                     {{"service", m_fileSettings.service}}))
     , m_busy(m_metrics.gauge("citroncrank_agent_busy", "Requests at work at the upstream."))
     , m_flows(m_metrics.gauge("citroncrank_agent_flows", "Flows known to the agent."))
+    , m_openedEvacuated(m_metrics.counter("citroncrank_agent_opened_evacuated_total",
+                                          "Opening packets delivered while the failure domain was evacuated."))
+    , m_evacuationMetrics(m_metrics)
 {}
 
 bool packet_agent_node::listen(std::error_code *lastReason)
@@ -221,6 +226,11 @@
     setDecisionCount("turned_away", counts.rejected);
     setDecisionCount("returned", counts.returned);
     setDecisionCount("reset", counts.resets);
+    setDecisionCount("turned_away_evacuated", counts.refusedEvacuated);
+    setDecisionCount("turned_away_cold", counts.refusedCold);
+    m_openedEvacuated.increment(counts.openedEvacuated
+                                - std::exchange(m_openedEvacuatedBefore, counts.openedEvacuated));
+    m_evacuationMetrics.update(m_core.evacuations());
 }
 
 void packet_agent_node::setDecisionCount(const char *decision, std::uint64_t count)
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -1,5 +1,7 @@
 #include "citroncrank/packet_balancer_node.h"
 
+#include "citroncrank/watch_timing.h"
+
 #include "documents.h"
 #include "packet_codec.h"
 
@@ -29,6 +31,10 @@
 
 packet_balancer_settings coreSettings(const packet_balancer_node_settings &file, std::uint64_t incarnation)
 {
+    std::optional<routes_watch_settings> evacuationsWatch;
+    if (file.node.evacuationTime)
+        evacuationsWatch = {.watchers = 1,
+                            .confirmationTimeout = watchTimingFor(*file.node.evacuationTime).confirmationTimeout};
     return {.self = file.node.nodeAddress,
             .http = file.node.http,
             .domain = file.node.domain,
@@ -36,7 +42,9 @@
             .seeds = file.node.seeds,
             .flowLifetime = file.node.flowLifetime,
             .randomSeed = std::random_device{}(),
-            .routesWatch = {.watchers = file.routesWatchers}};
+            .routesWatch = {.watchers = file.routesWatchers,
+                            .confirmationTimeout = watchTimingFor(file.configurationTime).confirmationTimeout},
+            .evacuationsWatch = evacuationsWatch};
 }
 
 } // namespace
@@ -57,7 +65,16 @@
                   perform(&m_actions);
               });
           },
-          [this] { return newerRoutes(); })
+          [this] { return newerRoutes(); }, watchTimingFor(m_fileSettings.configurationTime).wait)
+    , m_evacuations(
+          m_fileSettings.node.evacuationTime, m_metrics,
+          [this](const evacuation_set &set, duration age) {
+              m_loop.post([this, set, age] {
+                  m_core.storeListedEvacuations(set, age, monotonicNow(), &m_actions);
+                  perform(&m_actions);
+              });
+          },
+          storeAccess())
     , m_peerRoutes([this](std::shared_ptr<const route_set> routes,
                           std::string text) { receiveRoutes(std::move(routes), std::move(text)); },
                    [this] { return newerRoutes(); }, storeLog())
@@ -86,6 +103,7 @@
     });
     m_http.handle("GET", platform::kReadinessPath, [this](const http_request &) { return readiness(); });
     m_http.handle("GET", "/routes", [this](const http_request &) { return routesText(); });
+    m_http.handle("GET", "/evacuations", [this](const http_request &) { return m_evacuations.status(); });
     if (const auto failure = m_http.start()) {
         *lastReason = {failure->systemError, std::generic_category()};
         return false;
@@ -101,6 +119,7 @@
     m_nodeRegistry.allowEntry(0);
     m_nodeRegistry.setStaleNodesSource([this] { return staleNodes(); });
     m_routesWorker.start();
+    m_evacuations.start();
     m_nodeRegistry.start();
     m_peerRoutes.start();
     m_timers.push_back(m_loop.timers().subscribe(kBalancerTick, [this](time_point now) { tick(now); }));
@@ -108,6 +127,7 @@
     m_loop.run();
     log(log_class::lifecycle, absl::StrCat("stopped, flows=", m_core.flowCount()));
     m_routesWorker.stop();
+    m_evacuations.stop();
     m_nodeRegistry.stop();
     m_peerRoutes.stop();
     m_http.stop();
@@ -207,6 +227,8 @@
     }
     fetchNeededRoutes(now);
     updateWatch(now);
+    if (m_evacuations.update(m_core, now))
+        log(log_class::lifecycle, absl::StrCat("evacuations watch, watching=", m_core.watchesEvacuations(now)));
     if (m_stopRequestedAt && (!m_lastHandoffAt || now - *m_lastHandoffAt >= kHandoffPeriod)) {
         m_core.handOffFlows(&m_actions);
         perform(&m_actions);
--- a/src/libpacketnode/packet_node_settings.cpp
+++ b/src/libpacketnode/packet_node_settings.cpp
@@ -1,6 +1,7 @@
 #include "citroncrank/packet_node_settings.h"
 
 #include "citroncrank/settings_rows.h"
+#include "citroncrank/watch_timing.h"
 
 namespace citroncrank {
 
@@ -49,6 +50,32 @@
          .description = "Time between SIGTERM and SIGKILL.",
          .defaultValue = "6s",
          .isReloadable = true},
+        {.path = "evacuation-time",
+         .type = settings_type::duration,
+         .description = "Longest time from the write of an evacuation to the platform's store until no upstream of the "
+                        "failure domain gets a new flow. Without it evacuations are neither read nor applied.",
+         .minimum = duration(kMinWatchLimit).count()},
+        {.path = "configuration-time",
+         .type = settings_type::duration,
+         .description =
+             "Longest time from the confirmation of a configuration until all balancers apply it. Half of it "
+             "is the wait of a balancer's watch of the platform's store.",
+         .defaultValue = "3s",
+         .minimum = duration(kMinWatchLimit).count()},
+        {.path = "cold-excess",
+         .type = settings_type::decimal,
+         .description = "Agents: an upstream that is cold after its start gets at most the rate of new flows of its "
+                        "service times this factor, plus cold-slack, in any second. Without it there is no limit.",
+         .minimum = 0,
+         .maximum = 1'000'000,
+         .isReloadable = true},
+        {.path = "cold-slack",
+         .type = settings_type::decimal,
+         .description = "Agents: new flows beyond cold-excess that a cold upstream may get in any second.",
+         .defaultValue = "0",
+         .minimum = 0,
+         .maximum = 1'000'000,
+         .isReloadable = true},
     };
     table.insert(table.end(), further.begin(), further.end());
     return table;
@@ -120,7 +147,10 @@
                               .storeWritesPerSecond = std::uint32_t(values.getInteger("store-writes")),
                               .seeds = {},
                               .flowLifetime = values.getDuration("flow-lifetime"),
-                              .stopTime = values.getDuration("stop-time")};
+                              .stopTime = values.getDuration("stop-time"),
+                              .evacuationTime = values.has("evacuation-time")
+                                                    ? std::optional(values.getDuration("evacuation-time"))
+                                                    : std::nullopt};
     if (values.has("seeds")) {
         for (const host_address &seed : values.getAddresses("seeds"))
             node.seeds.push_back({seed.ip, node.nodeAddress.port});
@@ -132,18 +162,24 @@
 {
     return {.node = parsePacketNodeSettings(values),
             .packets = values.getAddress("listen.packets"),
-            .routesWatchers = std::size_t(values.getInteger("configuration-watchers"))};
+            .routesWatchers = std::size_t(values.getInteger("configuration-watchers")),
+            .configurationTime = values.getDuration("configuration-time")};
 }
 
 packet_agent_node_settings parsePacketAgentNodeSettings(const settings_values &values)
 {
+    std::optional<cold_opening_limit> coldLimit;
+    if (values.has("cold-excess"))
+        coldLimit = {.excessMilli = std::uint32_t(values.getInteger("cold-excess")),
+                     .slackMilli = std::uint32_t(values.getInteger("cold-slack"))};
     return {.node = parsePacketNodeSettings(values),
             .upstreamPackets = values.getAddress("listen.upstream-packets"),
             .announcements = values.getAddress("listen.announcements"),
             .upstream = values.getAddress("upstream.address"),
             .service = values.getText("upstream.service"),
             .announcementPeriod = values.getDuration("upstream.announcement-period"),
-            .minSnapshotInterval = values.getDuration("snapshot-pause")};
+            .minSnapshotInterval = values.getDuration("snapshot-pause"),
+            .coldLimit = coldLimit};
 }
 
 } // namespace citroncrank
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -1,12 +1,14 @@
 #include "citroncrank/routes_worker.h"
 
 #include "citroncrank/timer_service.h"
+#include "citroncrank/watch_timing.h"
 #include "documents.h"
 #include "watch_cursor_pvt.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <chrono>
+#include <initializer_list>
 #include <utility>
 
 namespace citroncrank {
@@ -15,13 +17,14 @@
 
 using std::chrono::milliseconds;
 
-// A watch may end without a change that it should have reported, on all balancers at once if the store drops its
-// history. Only the next call then returns that change, so this time-out is a part of kConfigApplyLimit.
-constexpr milliseconds kConfigWatchTimeout{1500};
-// All balancers apply a configuration within this time of its confirmation to the operator.
-constexpr milliseconds kConfigApplyLimit{3000};
-static_assert(kConfigWatchTimeout + kStoreCallDeadline < kConfigApplyLimit);
-static_assert(routes_watch_settings{}.confirmationTimeout + kStoreCallDeadline + kBalancerTick < kConfigApplyLimit);
+constexpr bool areWithinLimit(std::initializer_list<milliseconds> limits)
+{
+    return std::all_of(limits.begin(), limits.end(),
+                       [](milliseconds limit) { return isWithinLimit(watchTimingFor(limit), limit); });
+}
+static_assert(areWithinLimit({std::chrono::duration_cast<milliseconds>(kMinWatchLimit), milliseconds(1800),
+                              milliseconds(2700), kDefaultConfigurationTime, milliseconds(5000),
+                              milliseconds(60'000)}));
 // setWatching() ends this wait.
 constexpr duration kIdleWait = std::chrono::seconds(60);
 constexpr duration kPeerCheckPeriod = milliseconds(250);
@@ -44,11 +47,12 @@
 } // namespace
 
 routes_worker::routes_worker(const store_access &access, receiver receive, confirmation_receiver confirm,
-                             peer_source peer)
+                             peer_source peer, milliseconds wait)
     : store_worker("configuration", access)
     , m_receive(std::move(receive))
     , m_confirm(std::move(confirm))
     , m_peer(std::move(peer))
+    , m_wait(wait)
 {}
 
 routes_worker::~routes_worker()
@@ -100,7 +104,7 @@
 {
     const time_point calledAt = monotonicNow();
     duration pause{0};
-    const auto result = awaitChanges(platform::kConfigPrefix, kConfigWatchTimeout, &pause);
+    const auto result = awaitChanges(platform::kConfigPrefix, m_wait, &pause);
     if (!result)
         return pause;
     for (const object_change &change : result->changes) {
@@ -108,7 +112,7 @@
             applyDocument(*change.value);
     }
     // A call that took longer than its wait may have been answered before this process was paused.
-    m_confirm(std::max(monotonicNow() - calledAt - duration(kConfigWatchTimeout), duration(0)));
+    m_confirm(std::max(monotonicNow() - calledAt - duration(m_wait), duration(0)));
     return duration(0);
 }
 
--- a/src/libruntime/settings_test.cpp
+++ b/src/libruntime/settings_test.cpp
@@ -91,6 +91,28 @@
         EXPECT_EQ(rate(wrong), std::nullopt) << wrong;
 }
 
+// Guards against a factor that loses its fraction, and against bounds that are reported in another unit than the file's.
+TEST(Settings, DecimalsAreKeptInThousandths)
+{
+    const settings_table table = {
+        {.path = "excess", .type = settings_type::decimal, .description = "Excess.", .minimum = 500, .maximum = 4000}};
+    std::vector<settings_fault> faults;
+    const auto excess = [&](const std::string &text) -> std::optional<std::int64_t> {
+        const auto values = parseSettings("excess: " + text + "\n", "agent.yaml", table, &faults);
+        return values ? std::optional(values->getInteger("excess")) : std::nullopt;
+    };
+    EXPECT_EQ(excess("1.25"), 1250);
+    EXPECT_EQ(excess("4"), 4000);
+    EXPECT_EQ(excess("1.2999999"), 1300);
+    for (const char *const wrong : {"many", "nan", "inf", "1e300"})
+        EXPECT_EQ(excess(wrong), std::nullopt) << wrong;
+    faults.clear();
+    EXPECT_EQ(excess("4.5"), std::nullopt);
+    ASSERT_EQ(faults.size(), 1U);
+    EXPECT_EQ(toString(faults.front()),
+              R"(agent.yaml:1: value of key "excess" is out of range; 4.5 is not within 0.5 to 4)");
+}
+
 // Guards against defaults that are not applied, and against a getter that returns a value for an absent key.
 TEST(Settings, DefaultsAndAbsentKeys)
 {
--- a/src/libruntime/settings_text.cpp
+++ b/src/libruntime/settings_text.cpp
@@ -52,6 +52,8 @@
         return "integer";
     case settings_type::number:
         return "number";
+    case settings_type::decimal:
+        return "decimal";
     case settings_type::boolean:
         return "boolean";
     case settings_type::duration:
--- a/src/libruntime/settings_value.cpp
+++ b/src/libruntime/settings_value.cpp
@@ -26,6 +26,7 @@
 
 // Below 2^53 (about 9e15), a double represents every whole number exactly.
 constexpr double kMaxNumber = 1e15;
+constexpr double kThousandths = 1000;
 
 using parsed_value = std::variant<settings_value, value_fault>;
 
@@ -49,6 +50,10 @@
         if (double value = 0; absl::SimpleAtod(text, &value) && std::abs(value) < kMaxNumber)
             return std::int64_t(std::floor(value));
         return std::nullopt;
+    case settings_type::decimal:
+        if (double value = 0; absl::SimpleAtod(text, &value) && std::abs(value) * kThousandths < kMaxNumber)
+            return std::int64_t(std::llround(value * kThousandths));
+        return std::nullopt;
     case settings_type::boolean:
         if (text == "true" || text == "false")
             return text == "true";
@@ -81,6 +86,8 @@
 {
     if (key.type == settings_type::duration && !key.isList)
         return formatSettingsDuration(duration(measure));
+    if (key.type == settings_type::decimal)
+        return absl::StrCat(double(measure) / kThousandths);
     return absl::StrCat(measure);
 }
 
@@ -94,6 +101,7 @@
         return " bytes";
     case settings_type::integer:
     case settings_type::number:
+    case settings_type::decimal:
         return key.unit.empty() ? "" : absl::StrCat(" ", key.unit);
     case settings_type::address:
         return " (port)";
@@ -158,6 +166,7 @@
     case settings_type::integer:
         return "a whole number";
     case settings_type::number:
+    case settings_type::decimal:
         return "a number";
     case settings_type::boolean:
         return "true or false";
--- a/src/libstandin/platform.cpp
+++ b/src/libstandin/platform.cpp
@@ -262,7 +262,9 @@
 void standin_platform::answerWatch(const std::shared_ptr<waiting_watch> &watch)
 {
     runAfter(m_switches.delayWatches, [this, watch] {
-        const auto changes = m_objects.changesAfter(watch->prefix, watch->from);
+        const bool isGone = watch->isStoreCall && watch->from < m_historyFrom;
+        const auto changes = isGone ? watch_result{{}, {m_objects.era(), watch->from}}
+                                    : m_objects.changesAfter(watch->prefix, watch->from);
         respond(watch->exchange, {.body = watch->isStoreCall ? storeEventsAsJson(changes) : watchAsJson(changes)});
     });
 }
--- a/testsuite/packet-lib.sh
+++ b/testsuite/packet-lib.sh
@@ -4,15 +4,17 @@
 packets_port=27172
 http_port=27167
 
-# packet_settings NAME IP [SEEDS]: prints the settings that balancer and agent share.
+# packet_settings NAME IP [SEEDS]: prints the settings that balancer and agent share. node_domain: failure domain of the
+# nodes that are started next; node_extra: further lines of their settings.
 packet_settings() {
     cat <<YAML
 name: $1
 region: is-sudvestur
-domain: rvk-a
+domain: ${node_domain:-rvk-a}
 caller-address: "127.0.77.1:$packets_port"
 platform: "$store"
 seeds: [${3:-127.0.71.1:27166, 127.0.71.2:27166}]
+${node_extra:-}
 listen:
   plane: "$2:27200"
   http: "$2:$http_port"
