--- a/src/soak/fault_plan.cpp
+++ b/src/soak/fault_plan.cpp
@@ -20,6 +20,7 @@
 constexpr int kMaxStoreFaultMs = 5000;
 constexpr int kMaxLossMs = 2500;
 constexpr int kMaxCopyAgeMs = 9000;
+constexpr int kMaxEvacuationMs = 6000; ///< After the time within which it must be in force.
 
 /// Draws random faults and the gaps between them.
 class fault_source
@@ -89,6 +90,24 @@
     const int lastMs = int(wholeMilliseconds(settings.length - kFirstFault));
     for (std::size_t i = 0; i < settings.storeRestores; ++i)
         plan->push_back({kFirstFault + below(lastMs), restore_store{below(kMaxCopyAgeMs)}});
+}
+
+// Drawn apart likewise.
+void addEvacuations(const fault_plan_settings &settings, std::uint64_t seed, std::vector<planned_fault> *plan)
+{
+    constexpr std::uint64_t kSalt = 0x65766163;
+    std::mt19937_64 random(seed ^ kSalt);
+    const auto below = [&](int limit) { return std::uniform_int_distribution<int>(0, std::max(limit - 1, 0))(random); };
+    const int lastMs = int(wholeMilliseconds(settings.length - kFirstFault));
+    for (std::size_t i = 0; i < settings.evacuations; ++i) {
+        const duration at = kFirstFault + milliseconds(below(lastMs));
+        const auto domain = std::size_t(below(int(kDomains)));
+        plan->push_back({at, evacuate_domain{domain, kEvacuationTime + milliseconds(1 + below(kMaxEvacuationMs))}});
+    }
+}
+
+void sortPlan(std::vector<planned_fault> *plan)
+{
     std::stable_sort(plan->begin(), plan->end(),
                      [](const planned_fault &left, const planned_fault &right) { return left.at < right.at; });
 }
@@ -105,6 +124,11 @@
     return absl::StrCat(name.kind == node_kind::balancer ? "balancer" : "agent", name.index + 1);
 }
 
+std::string domainName(std::size_t index)
+{
+    return index == 0 ? "rvk-a" : "rvk-b";
+}
+
 std::string toString(const fault &what)
 {
     struct visitor
@@ -130,6 +154,10 @@
         {
             return absl::StrCat("restore store,", inMilliseconds(f.age));
         }
+        std::string operator()(const evacuate_domain &f) const
+        {
+            return absl::StrCat("evacuate ", domainName(f.domain), inMilliseconds(f.length));
+        }
         std::string operator()(const change_route &f) const { return absl::StrCat("route to service ", f.service); }
         std::string operator()(const lose_packets &f) const
         {
@@ -146,6 +174,8 @@
     for (duration at = kFirstFault; at < settings.length; at += source.gap())
         plan.push_back({at, source.next()});
     addRestores(settings, seed, &plan);
+    addEvacuations(settings, seed, &plan);
+    sortPlan(&plan);
     return plan;
 }
 
--- a/src/soak/fault_plan.h
+++ b/src/soak/fault_plan.h
@@ -74,6 +74,14 @@
     auto operator<=>(const restore_store &) const = default;
 };
 
+/// The operator evacuates a failure domain, and ends the evacuation after `length`.
+struct evacuate_domain
+{
+    std::size_t domain = 0; ///< Index for domainName().
+    duration length{0};
+    auto operator<=>(const evacuate_domain &) const = default;
+};
+
 /// The operator changes the route to another service.
 struct change_route
 {
@@ -90,7 +98,7 @@
 };
 
 using fault = std::variant<restart_node, pause_node, reload_node, replace_upstream, disturb_store, change_route,
-                           lose_packets, restore_store>;
+                           lose_packets, restore_store, evacuate_domain>;
 std::string toString(const fault &what);
 
 struct planned_fault
@@ -107,9 +115,16 @@
     std::size_t services = 2;
     duration length = std::chrono::seconds(20); ///< All faults begin before this time.
     std::size_t storeRestores = 0; ///< Restores of the store, besides the other faults, which do not depend on them.
+    std::size_t evacuations = 0;   ///< Evacuations of a failure domain, likewise.
     auto operator<=>(const fault_plan_settings &) const = default;
 };
 
+/// An evacuation is in force from this time after its write.
+constexpr duration kEvacuationTime = std::chrono::seconds(2);
+constexpr std::size_t kDomains = 2;
+/// Name of one of the failure domains of a fleet with evacuations.
+std::string domainName(std::size_t index);
+
 /// Draws faults, ordered by time; the same seed gives the same plan. Faults overlap, and some come in quick succession.
 std::vector<planned_fault> planFaults(const fault_plan_settings &settings, std::uint64_t seed);
 
--- a/src/soak/guarantee_checker.h
+++ b/src/soak/guarantee_checker.h
@@ -29,6 +29,11 @@
     /// A fault begins or ends. `subject` is the node, or the id of the upstream.
     void beginDisturbance(disturbance_kind kind, const std::string &subject, time_point now);
     void endDisturbance(const std::string &subject, time_point now);
+    /// Whether the store was disturbed at some time of the period; by `subject` unless it is empty.
+    bool wasStoreDisturbed(time_point from, time_point until, const std::string &subject = {}) const
+    {
+        return wasDisturbed(disturbance_kind::store, from, until, subject);
+    }
     /// Records that the store has confirmed a route to the service.
     void recordRoute(const std::string &service, time_point now);
     void recordCallerEvent(const standin_caller_event &event, time_point now);
--- a/src/soak/main.cpp
+++ b/src/soak/main.cpp
@@ -23,6 +23,7 @@
     std::size_t agents = 5;
     std::uint32_t callers = 8;
     std::size_t restores = 0;
+    std::size_t evacuations = 0;
 };
 
 std::string createWorkFolder()
@@ -39,10 +40,12 @@
                                      .workFolder = work,
                                      .network = chosen.network,
                                      .balancers = chosen.balancers,
-                                     .agents = chosen.agents},
+                                     .agents = chosen.agents,
+                                     .hasEvacuations = chosen.evacuations > 0},
                            .seed = seed,
                            .length = std::chrono::seconds(chosen.seconds),
                            .callers = chosen.callers,
+                           .evacuations = chosen.evacuations,
                            .storeRestores = chosen.restores};
     soak_outcome outcome;
     std::error_code reason;
@@ -86,6 +89,9 @@
     app.add_option("--restores", chosen.restores, "Times that the store comes back from an older copy")
         ->check(CLI::Range(0, 100))
         ->capture_default_str();
+    app.add_option("--evacuations", chosen.evacuations, "Evacuations of a failure domain")
+        ->check(CLI::Range(0, 100))
+        ->capture_default_str();
     CLI11_PARSE(app, argumentCount, arguments);
     std::uint32_t failed = 0;
     for (std::uint64_t seed = chosen.seed; seed < chosen.seed + chosen.seeds; ++seed)
--- a/src/soak/soak_fleet.cpp
+++ b/src/soak/soak_fleet.cpp
@@ -79,6 +79,16 @@
     return all;
 }
 
+std::size_t soak_fleet::domainOf(const node_name &node) const
+{
+    return m_settings.hasEvacuations ? node.index % kDomains : 0;
+}
+
+host_address soak_fleet::httpAddress(const node_name &node) const
+{
+    return *parseHostAddress(absl::StrCat(ip(subnetFor(node.kind), node.index), ":", kHttpPort));
+}
+
 std::vector<rotation_member> soak_fleet::rotation() const
 {
     std::vector<rotation_member> members;
@@ -94,18 +104,21 @@
 {
     const std::string own = ip(subnetFor(node.kind), node.index);
     std::ofstream out(absl::StrCat(m_settings.workFolder, "/", toString(node), ".yaml"));
-    out << "name: " << toString(node) << "\nregion: is-sudvestur\ndomain: rvk-a\ncaller-address: \""
-        << toString(firstCaller()) << "\"\nplatform: \"" << toString(proxyAddress()) << "\"\nseeds: ["
-        << ip(kBalancerSubnet, 0) << ":" << kAnnouncementPort << ", " << ip(kBalancerSubnet, 1) << ":"
+    out << "name: " << toString(node) << "\nregion: is-sudvestur\ndomain: " << domainName(domainOf(node))
+        << "\ncaller-address: \"" << toString(firstCaller()) << "\"\nplatform: \"" << toString(proxyAddress())
+        << "\"\nseeds: [" << ip(kBalancerSubnet, 0) << ":" << kAnnouncementPort << ", " << ip(kBalancerSubnet, 1) << ":"
         << kAnnouncementPort << "]\nlisten:\n  plane: \"" << own << ":" << kNodeMessagePort << "\"\n  http: \"" << own
         << ":" << kHttpPort << "\"\n";
+    const std::string evacuations =
+        m_settings.hasEvacuations ? absl::StrCat("evacuation-time: ", wholeMilliseconds(kEvacuationTime), "ms\n") : "";
     if (node.kind == node_kind::balancer) {
-        out << "  packets: \"" << own << ":" << kPacketPort << "\"\n";
+        out << "  packets: \"" << own << ":" << kPacketPort << "\"\n" << evacuations;
         return;
     }
     out << "  upstream-packets: \"" << own << ":" << kUpstreamPacketsPort << "\"\n  announcements: \"" << own << ":"
         << kAnnouncementPort << "\"\nupstream: {address: \"" << own << ":" << kUpstreamPort << "\", service: \""
-        << serviceOf(node.index) << "\", announcement-period: 300ms}\n";
+        << serviceOf(node.index) << "\", announcement-period: 300ms}\n"
+        << evacuations;
 }
 
 bool soak_fleet::startProcess(const std::string &name, const std::vector<std::string> &command, const std::string &log,
--- a/src/soak/soak_fleet.h
+++ b/src/soak/soak_fleet.h
@@ -24,6 +24,7 @@
     std::uint32_t network = 90; ///< Second byte of all addresses, 127.NETWORK.x.y.
     std::size_t balancers = 3;
     std::size_t agents = 5;
+    bool hasEvacuations = false; ///< Nodes are in two failure domains, and the settings have an evacuation-time.
 };
 
 /// Exit of a process that was not requested, or with an unexpected status.
@@ -60,6 +61,8 @@
     std::string upstreamProcess(std::size_t index) const;
     std::vector<std::string> upstreamLogs() const { return m_upstreamLogs; }
     std::vector<node_name> nodes() const;
+    std::size_t domainOf(const node_name &node) const;
+    host_address httpAddress(const node_name &node) const;
 
 private:
     std::string ip(std::uint32_t subnet, std::size_t index) const;
--- a/src/soak/soak_run.cpp
+++ b/src/soak/soak_run.cpp
@@ -84,7 +84,8 @@
     const auto plan = planFaults({.balancers = m_settings.fleet.balancers,
                                   .agents = m_settings.fleet.agents,
                                   .length = m_settings.length,
-                                  .storeRestores = m_settings.storeRestores},
+                                  .storeRestores = m_settings.storeRestores,
+                                  .evacuations = m_settings.evacuations},
                                  m_settings.seed);
     for (const planned_fault &planned : plan)
         m_scheduled.emplace(m_trafficStart + planned.at,
@@ -251,6 +252,7 @@
             m_checker.reportViolation("the store stand-in was not restored");
         if (!platform::writeRoute(m_fleet.storeAddress(), m_routesVersion, m_service, false))
             m_checker.reportViolation("the store stand-in did not confirm a route");
+        writeEvacuationsAgain();
         m_checker.endDisturbance("restore", monotonicNow());
     });
 }
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -25,6 +25,7 @@
     std::uint64_t seed = 1;
     duration length = std::chrono::seconds(20); ///< Time in which faults begin.
     std::uint32_t callers = 8;
+    std::size_t evacuations = 0;   ///< Evacuations of a failure domain.
     std::size_t storeRestores = 0; ///< Times that the store comes back from an older copy.
 };
 
@@ -57,6 +58,12 @@
     void begin(const restore_store &what, time_point now);
     void begin(const change_route &what, time_point now);
     void begin(const lose_packets &what, time_point now);
+    void begin(const evacuate_domain &what, time_point now);
+    bool writeEvacuation(std::size_t domain, bool isEvacuated) const;
+    void writeEvacuationsAgain() const;
+    std::optional<std::uint64_t> openedAt(const node_name &agent) const;
+    void checkEvacuation(std::size_t domain, time_point written);
+    void endEvacuation(std::size_t domain, std::uint64_t turn);
     void schedule(duration delay, std::function<void(time_point)> run);
     void restartAfterExit(const std::string &process, bool isKilled, duration downtime,
                           std::function<void(time_point)> start);
@@ -79,7 +86,16 @@
     std::uint64_t m_routesVersion = 1;
     std::string m_service = serviceName(0); ///< Of the route in m_routesVersion.
     std::uint64_t m_answeredBeforeFinalTraffic = 0;
-    std::uint32_t m_lossFaults = 0; ///< Gives overlapping packet losses distinct subjects.
+    struct evacuation
+    {
+        std::uint64_t turn = 0; ///< Of the fault that wrote it last.
+        bool isWritten = false;
+        time_point writtenAt;
+        /// Flows that each agent of the domain had opened once the evacuation was in force.
+        std::map<node_name, std::uint64_t> openedBefore;
+    };
+    std::map<std::size_t, evacuation> m_evacuations; ///< By domain.
+    std::uint32_t m_lossFaults = 0;                  ///< Gives overlapping packet losses distinct subjects.
 };
 
 } // namespace citroncrank::soak
--- a/testsuite/packet-lib.sh
+++ b/testsuite/packet-lib.sh
@@ -59,7 +59,7 @@
     local rotation=()
     for i in 1 2 3; do rotation+=(--balancer "127.0.71.$i:$packets_port=127.0.71.$i:$http_port"); done
     start callers "$bin/standin-packet-callers" "${rotation[@]}" --service-address 198.18.0.1:443 \
-        --first-caller "127.0.77.1:$packets_port" --callers 8 --seconds "$seconds" "$@"
+        --first-caller "${first_caller:-127.0.77.1}:$packets_port" --callers 8 --seconds "$seconds" "$@"
 }
 
 # stop_and_wait NAME SIGNAL: sends the signal to a process of this case and waits for its end.
