packet agent: starts of an upstream are proven before flows end; documents of other writers change nothing

Cause: the first announcement after a restart of the agent was taken for the living start, a notice to leave was matched by id only, and a heartbeat without zone passed for a valid one. A notice to leave that does not name the proven start is confirmed by the listener probe. Parsers check each field and name the fault; malformed documents are counted. Calls into the loop end with it (loop_call_gate).

--- a/src/include/citroncrank/flow_snapshot.h
+++ b/src/include/citroncrank/flow_snapshot.h
@@ -57,8 +57,7 @@
 {
     bool isAbsent = false; ///< Nothing listened at its address when the agent started, and it has not announced itself.
     std::optional<std::uint64_t> startedAtMs; ///< Start time in its announcements.
-    bool isStartSeen = false;                 ///< The agent was running when this start began.
-    std::uint32_t announcements = 0;          ///< Number of accepted announcements of this start.
+    bool isProven = false;                    ///< This start is the living one, and not one that announced itself late.
     auto operator<=>(const upstream_evidence &) const = default;
 };
 
--- a/src/include/citroncrank/node_registry_worker.h
+++ b/src/include/citroncrank/node_registry_worker.h
@@ -6,6 +6,8 @@
 #include "citroncrank/packet_balancer.h"
 #include "citroncrank/store_worker.h"
 
+#include "json_fields.h"
+
 #include <atomic>
 #include <functional>
 #include <map>
@@ -57,6 +59,8 @@
     void removeEarlierEntries();
     void removeEntriesOf(const host_address &address, const removal_texts &texts);
     std::optional<duration> watchEntries();
+    bool isReadable(const std::string &key, const std::optional<std::string> &value);
+    void keepReadableEntries(std::map<std::string, object_entry> *entries);
     void publish();
 
     std::string m_key;
@@ -75,7 +79,8 @@
 
 /// Encodes the entry of a node as JSON.
 std::string formatNode(const listed_node &node);
-/// Inverse of formatNode(). Returns nullopt if the text is not a valid entry.
-std::optional<listed_node> parseNode(const std::string &text);
+/// Inverse of formatNode(). Returns nullopt if the text is not a valid entry, and stores the cause unless `lastReason` is
+/// null.
+std::optional<listed_node> parseNode(const std::string &text, platform::document_fault *lastReason = nullptr);
 
 } // namespace citroncrank
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -11,6 +11,7 @@
 #include "citroncrank/request_queue.h"
 #include "citroncrank/time.h"
 #include "citroncrank/upstream_health.h"
+#include "citroncrank/upstream_starts.h"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
@@ -52,17 +53,18 @@
     duration coldRemaining{0};     ///< Remaining time for which it is slow after its start.
     std::uint64_t number = 0;      ///< Increases with each announcement of one start.
     std::uint64_t startedAtMs = 0; ///< Start time, in milliseconds since the Unix epoch. Identifies a start.
+    /// Unix time of the arrival at the agent, in milliseconds. 0: not known, so it may have been delayed.
+    std::uint64_t receivedAtMs = 0;
     auto operator<=>(const upstream_announcement &) const = default;
 };
 
-/// Result of an announcement.
-enum class announcement_result : std::uint8_t {
-    accepted,
-    foreign,      ///< For another service or address, or from another upstream.
-    out_of_order, ///< A later announcement of the same start has been accepted.
-    earlier_start ///< A later start of the upstream has announced itself.
+/// Notice of an upstream that it leaves permanently.
+struct upstream_leave
+{
+    std::string id;
+    std::optional<std::uint64_t> startedAtMs; ///< Of the start that leaves, if the notice names it.
+    auto operator<=>(const upstream_leave &) const = default;
 };
-const char *toString(announcement_result result);
 
 /// A request whose answer has begun.
 struct request_observation
@@ -106,10 +108,15 @@
     /// Handles an announcement of the upstream. The caller confirms it to the upstream once the actions are carried
     /// out.
     announcement_result announce(const upstream_announcement &announcement, time_point now, packet_actions *out);
-    /// Handles the upstream's notice that it leaves permanently.
-    announcement_result leave(const std::string &upstreamId, time_point now, packet_actions *out);
+    /// Handles the upstream's notice that it leaves permanently. One that does not name the start which announces itself
+    /// may be late, so it takes effect only once recordUpstreamAbsent() confirms it.
+    announcement_result leave(const upstream_leave &notice, time_point now, packet_actions *out);
+    /// Whether a notice that the upstream leaves has not been confirmed yet.
+    bool isLeavePending() const { return m_pendingLeave.has_value(); }
+    /// Whether the caller should probe now if something listens at the upstream's address, to confirm such a notice.
+    bool takeProbeRequest(time_point now);
     /// Records that nothing listens at the upstream's address, so no running upstream holds flows. Ignored once the
-    /// upstream has announced itself.
+    /// upstream has announced itself, unless it has sent a notice that it leaves since.
     void recordUpstreamAbsent(time_point now, packet_actions *out);
     /// Sets the number of slots that an earlier start of this agent wrote to the store. Used until the upstream
     /// announces itself. 0 if the store does not have it.
@@ -190,6 +197,14 @@
         time_point firstSeen;
     };
     using flow_map = absl::flat_hash_map<flow_key, agent_flow>;
+    /// A notice that the upstream leaves, which may be a late one of an earlier start.
+    struct pending_leave
+    {
+        upstream_leave notice;
+        time_point arrivedAt;
+        time_point nextProbe;
+        duration probePause{0};
+    };
 
     void handleForwarded(forwarded_packet arrived, time_point now, packet_actions *out);
     void answerOwnerQuery(const host_address &from, const owner_query &query, time_point now, packet_actions *out);
@@ -241,10 +256,12 @@
     void sendSeedHellos(time_point now, packet_actions *out);
     void evictFlows(time_point now);
     duration reportPeriod() const;
-    bool isStartSeen(const upstream_announcement &first, packet_actions *out) const;
+    bool isStartSeen(const known_start &start, packet_actions *out) const;
+    void recordProvenStart(const std::optional<known_start> &ended, time_point now, packet_actions *out);
+    void recordLeft(time_point leftAt, const std::string &cause, time_point now, packet_actions *out);
     upstream_evidence evidence() const;
     void resolveRestored(time_point now, packet_actions *out);
-    void endFlowsOfEarlierStart(time_point now, packet_actions *out);
+    void endFlowsOfEarlierStart(const std::optional<known_start> &ended, time_point now, packet_actions *out);
     bool restoreFlow(const snapshot_flow &entry, snapshot_verdict verdict, time_point now);
     void sendResets(packet_actions *out);
     bool isInSnapshot(const agent_flow &flow, time_point now) const;
@@ -261,15 +278,17 @@
     std::optional<time_point> m_lastAnnouncementAt;
     std::uint32_t m_assumedSlots; ///< Until the upstream announces itself.
     bool m_wasUpstreamAbsent = false;
-    bool m_sawUpstreamStart = false;          ///< The upstream's current start is later than this agent's.
-    std::uint32_t m_announcementsOfStart = 0; ///< Accepted ones of the upstream's current start.
-    std::optional<flow_snapshot> m_restored;  ///< Until it is known whether its flows still exist.
-    std::deque<reset_flow> m_resetsToSend;    ///< Of flows that ended with an earlier start of the upstream.
+    upstream_starts m_starts;
+    bool m_sawUpstreamStart = false;         ///< A proven start of the upstream is later than this agent's.
+    std::optional<flow_snapshot> m_restored; ///< Until it is known whether its flows still exist.
+    std::uint64_t m_restoredStartMs = 0;     ///< Start of the upstream that the snapshot names.
+    std::deque<reset_flow> m_resetsToSend;   ///< Of flows that ended with an earlier start of the upstream.
     snapshot_schedule m_snapshotSchedule;
     std::optional<time_point> m_nextSnapshotCheck;
     std::size_t m_fleetAgents = 1; ///< Number of agents, as reported by the balancers.
     bool m_isEntryMissing = false;
     std::optional<time_point> m_leftAt;
+    std::optional<pending_leave> m_pendingLeave;
     std::optional<time_point> m_stoppingSince;
     time_point m_lastUpstreamPacketAt; ///< Time of the last packet from the upstream.
     flow_map m_flows;
--- a/src/include/citroncrank/packet_agent_node.h
+++ b/src/include/citroncrank/packet_agent_node.h
@@ -3,6 +3,7 @@
 /// @file
 /// Process of the packet agent: sockets, HTTP endpoint and store workers around packet_agent.
 
+#include "citroncrank/loop_call_gate.h"
 #include "citroncrank/node_registry_worker.h"
 #include "citroncrank/packet_agent.h"
 #include "citroncrank/packet_node.h"
@@ -36,13 +37,15 @@
     void setDecisionCount(const char *decision, std::uint64_t count);
     http_reply announcement(const http_request &request);
     http_reply leave(const http_request &request);
-    /// Runs `decide` in the loop's thread and waits for its result. Nullopt if the loop does not run it within 800 ms.
-    std::optional<announcement_result> decideInLoop(const std::function<announcement_result()> &decide);
-    http_reply formatReply(const std::optional<announcement_result> &result, const std::string &id);
+    /// Runs `decide` in the loop's thread and waits for its result, for 800 ms at most.
+    http_reply decideInLoop(const std::string &id, const std::function<announcement_result()> &decide);
+    http_reply rejectDocument(const char *document, const std::string &id, const platform::document_fault &fault);
+    http_reply formatReply(announcement_result result, const std::string &id);
 
     packet_agent_node_settings m_fileSettings;
     packet_agent m_core;
     datagram_socket m_upstreamSocket;
+    loop_call_gate m_calls;
     http_endpoint m_http;
     node_registry_worker m_nodeRegistry;
     snapshot_worker m_snapshots;
--- a/src/include/citroncrank/packet_node.h
+++ b/src/include/citroncrank/packet_node.h
@@ -54,7 +54,9 @@
     store_log storeLog();
     /// Latest era of the store that this node has heard of; also updates its metric.
     store_era storeEra();
-    store_access storeAccess() { return {m_settings.platform, m_storeEras, storeLog()}; }
+    store_access storeAccess();
+    /// Counts a document of another writer that cannot be read. Thread safe.
+    void countMalformedDocument(const char *document);
 
     settings_watch m_settingsFile;
     packet_node_settings m_settings;
--- a/src/include/citroncrank/store_worker.h
+++ b/src/include/citroncrank/store_worker.h
@@ -24,12 +24,16 @@
 /// Writes a line about the store to the log. Called in the worker's thread.
 using store_log = std::function<void(const std::string &text)>;
 
+/// Counts a document of another writer that cannot be read. `document` names its kind. Thread safe.
+using malformed_document_counter = std::function<void(const char *document)>;
+
 /// What the workers of a node share.
 struct store_access
 {
     host_address address;
     std::shared_ptr<store_era_monitor> eras;
     store_log log;
+    malformed_document_counter countMalformed = [](const char *) {};
 };
 
 /// Deadline of one call. Reads take a few milliseconds, so a store that is slower by a factor of 100 still answers
@@ -61,6 +65,7 @@
     /// Era of the store's last answer, as `era=N` for the log.
     std::string eraText() const;
     void log(const std::string &text) const { m_log(m_name + ": " + text); }
+    void countMalformed(const char *document) const { m_countMalformed(document); }
 
 private:
     void recordEra();
@@ -68,6 +73,7 @@
 
     std::string m_name;
     store_log m_log;
+    malformed_document_counter m_countMalformed;
     std::shared_ptr<store_era_monitor> m_eras;
     store_era m_era = 0;        ///< Of the last answer.
     store_era m_handledEra = 0; ///< For which takeLaterEra() has returned true.
--- a/src/libpacket/flow_snapshot.cpp
+++ b/src/libpacket/flow_snapshot.cpp
@@ -143,9 +143,9 @@
     return snapshot;
 }
 
-// The first announcement after a restart of the agent may be a delayed one of an earlier start of the upstream. It says
-// nothing about a snapshot of a later start. If the time of day was set back, its start time may seem later than the
-// snapshot's, but no second announcement of that start follows.
+// An announcement after a restart of the agent may be a delayed one of an earlier start of the upstream. It says nothing
+// about a snapshot of a later start. If the time of day was set back, its start time may seem later than the snapshot's,
+// but that start is never proven to be the living one.
 snapshot_verdict evaluateSnapshot(const flow_snapshot &snapshot, const upstream_evidence &evidence)
 {
     if (!evidence.startedAtMs)
@@ -153,8 +153,7 @@
     if (*evidence.startedAtMs == snapshot.upstreamStartedAtMs)
         return snapshot_verdict::living;
     const bool isLater = *evidence.startedAtMs > snapshot.upstreamStartedAtMs;
-    const bool isReliable = evidence.isStartSeen || evidence.announcements > 1;
-    return isLater && isReliable ? snapshot_verdict::dead : snapshot_verdict::unknown;
+    return isLater && evidence.isProven ? snapshot_verdict::dead : snapshot_verdict::unknown;
 }
 
 bool snapshot_schedule::isDue(const flow_snapshot &current, duration minInterval, time_point now) const
--- a/src/libpacket/packet_agent.cpp
+++ b/src/libpacket/packet_agent.cpp
@@ -38,21 +38,6 @@
 
 } // namespace
 
-const char *toString(announcement_result result)
-{
-    switch (result) {
-    case announcement_result::accepted:
-        return "accepted";
-    case announcement_result::foreign:
-        return "foreign";
-    case announcement_result::out_of_order:
-        return "out_of_order";
-    case announcement_result::earlier_start:
-        return "earlier_start";
-    }
-    return "unknown";
-}
-
 packet_agent::packet_agent(packet_agent_settings settings, packet_header_decoder decoder, request_head_reader readHead,
                            time_point now)
     : m_settings(std::move(settings))
@@ -60,6 +45,7 @@
     , m_readHead(readHead)
     , m_startedAt(now)
     , m_assumedSlots(kAssumedSlots)
+    , m_starts(m_settings.announcementPeriod)
     , m_meanProcessingMs(kInitialProcessingMs)
     , m_meanSlackMs(kInitialSlackMs)
     , m_meanUpdatedAt(now)
@@ -69,6 +55,7 @@
 {
     m_settings.seeds = changed.seeds;
     m_settings.announcementPeriod = changed.announcementPeriod;
+    m_starts.setPeriod(changed.announcementPeriod);
     m_settings.flowLifetime = changed.flowLifetime;
     m_settings.minSnapshotInterval = changed.minSnapshotInterval;
     m_settings.storeWritesPerSecond = changed.storeWritesPerSecond;
--- a/src/libpacket/packet_agent_snapshot.cpp
+++ b/src/libpacket/packet_agent_snapshot.cpp
@@ -17,8 +17,6 @@
 constexpr duration kSnapshotCheckPeriod = milliseconds(500);
 // Flows that carry a single request end within this time, too soon to be worth writing.
 constexpr duration kSnapshotMinAge = milliseconds(500);
-// A snapshot that matches none of this many announcements is discarded, since no later one can match it.
-constexpr std::uint32_t kAnnouncementsToResolve = 3;
 // Resets per kAgentTick. About 6 KB, since the link also carries answers to callers.
 constexpr std::size_t kResetsPerTick = 200;
 
@@ -44,8 +42,7 @@
 {
     return {.isAbsent = m_wasUpstreamAbsent && !m_upstream,
             .startedAtMs = m_upstream ? std::optional(m_upstream->startedAtMs) : std::nullopt,
-            .isStartSeen = m_sawUpstreamStart,
-            .announcements = m_announcementsOfStart};
+            .isProven = m_starts.isProven()};
 }
 
 void packet_agent::resolveRestored(time_point now, packet_actions *out)
@@ -53,10 +50,12 @@
     if (!m_restored)
         return;
     const snapshot_verdict verdict = evaluateSnapshot(*m_restored, evidence());
-    if (verdict == snapshot_verdict::unknown && m_announcementsOfStart < kAnnouncementsToResolve)
+    // A late announcement of an earlier start says nothing. Once the living start is known, no later one can match.
+    if (verdict == snapshot_verdict::unknown && !m_starts.isProven())
         return;
     const flow_snapshot resolved = std::move(*m_restored);
     m_restored = std::nullopt;
+    m_restoredStartMs = resolved.upstreamStartedAtMs;
     std::size_t taken = 0;
     for (const snapshot_flow &entry : resolved.flows) {
         if (verdict != snapshot_verdict::unknown && restoreFlow(entry, verdict, now))
@@ -122,7 +121,8 @@
 std::optional<flow_snapshot> packet_agent::takeDueSnapshot(time_point now)
 {
     const bool isOff = m_settings.minSnapshotInterval == duration(0);
-    if (isOff || !m_upstream || m_restored || (m_nextSnapshotCheck && now < *m_nextSnapshotCheck))
+    if (isOff || !m_upstream || !m_starts.isProven() || m_restored
+        || (m_nextSnapshotCheck && now < *m_nextSnapshotCheck))
         return std::nullopt;
     m_nextSnapshotCheck = now + kSnapshotCheckPeriod;
     flow_snapshot current{.upstreamStartedAtMs = m_upstream->startedAtMs, .flows = {}};
--- a/src/libpacket/packet_agent_upstream.cpp
+++ b/src/libpacket/packet_agent_upstream.cpp
@@ -19,6 +19,9 @@
 constexpr std::uint64_t kMaxFirstAnnouncementNumber = 3;
 // An upstream abandons an announcement after a second, so one that arrives is at most this old.
 constexpr duration kMaxAnnouncementDelay = seconds(1);
+// An upstream ends soon after its notice that it leaves, at most 250 ms later. One that stays is probed rarely.
+constexpr duration kMinProbePause = milliseconds(50);
+constexpr duration kMaxProbePause = seconds(1);
 constexpr duration kReportPeriod = milliseconds(200);
 // Limits the reports that one agent sends per second, whatever the number of balancers.
 constexpr std::int64_t kMaxReportsPerSecond = 40;
@@ -32,32 +35,27 @@
 {
     if (announcement.service != m_settings.service || announcement.address != m_settings.upstream)
         return announcement_result::foreign;
-    const bool isOtherStart = m_upstream && m_upstream->startedAtMs != announcement.startedAtMs;
-    // While the current start is announcing itself, an announcement with an earlier start time is a delayed one.
-    // Otherwise the upstream may have restarted after the time of day was set back.
-    const bool isServing = m_state == agent_state::ready || m_state == agent_state::draining;
-    if (isOtherStart && isServing && announcement.startedAtMs < m_upstream->startedAtMs)
-        return announcement_result::earlier_start;
-    if (m_upstream && !isOtherStart && announcement.number <= m_upstream->number)
-        return announcement_result::out_of_order;
-    if (isOtherStart) {
+    const bool isServing =
+        m_state == agent_state::ready || m_state == agent_state::draining || m_state == agent_state::stopping;
+    const std::uint64_t startedBefore = m_upstream ? m_upstream->startedAtMs : 0;
+    const start_decision decision = m_starts.observe(
+        {{announcement.id, announcement.startedAtMs}, announcement.number, announcement.receivedAtMs}, isServing, now);
+    if (decision.result != announcement_result::accepted)
+        return decision.result;
+    if (decision.isOtherStart)
         log(log_class::belief,
             absl::StrCat("upstream restarted, upstream=", announcement.id, " started_at_ms=", announcement.startedAtMs,
-                         " before=", m_upstream->startedAtMs, " flows=", m_flows.size(),
+                         " before=", startedBefore, " proven=", m_starts.isProven(), " flows=", m_flows.size(),
                          " working=", m_requestsInProgress),
             out);
-        releaseRequestsInProgress(now);
-        endFlowsOfEarlierStart(now, out);
-        m_health.reset();
-        // A single announcement of the earlier start may have been a delayed one, from before this agent's start.
-        m_sawUpstreamStart = m_sawUpstreamStart || m_announcementsOfStart > 1 || isStartSeen(announcement, out);
-    }
-    if (!m_upstream)
-        m_sawUpstreamStart = isStartSeen(announcement, out);
-    m_announcementsOfStart = isOtherStart ? 1 : m_announcementsOfStart + 1;
     m_upstream = announcement;
     m_lastAnnouncementAt = now;
     m_leftAt = std::nullopt;
+    if (m_pendingLeave)
+        log(log_class::belief, absl::StrCat("notice to leave was late, upstream=", m_pendingLeave->notice.id), out);
+    m_pendingLeave = std::nullopt;
+    if (decision.isNowProven)
+        recordProvenStart(decision.ended, now, out);
     setState(announcement.isDraining ? agent_state::draining : agent_state::ready,
              absl::StrCat("announcement=", announcement.number, " upstream=", announcement.id,
                           " started_at_ms=", announcement.startedAtMs, " slots=", announcement.slots),
@@ -66,37 +64,75 @@
     return announcement_result::accepted;
 }
 
+// Only a proven start shows that an earlier one has ended: a single announcement may be a late one of a start that
+// crashed before the living one began.
+void packet_agent::recordProvenStart(const std::optional<known_start> &ended, time_point now, packet_actions *out)
+{
+    if (ended) {
+        releaseRequestsInProgress(now);
+        m_health.reset();
+    }
+    endFlowsOfEarlierStart(ended, now, out);
+    m_sawUpstreamStart = m_sawUpstreamStart || ended || isStartSeen(*m_starts.current(), out);
+}
+
 // An upstream announces itself as soon as it starts, so an agent that gets its first announcement was running by then.
-bool packet_agent::isStartSeen(const upstream_announcement &first, packet_actions *out) const
+bool packet_agent::isStartSeen(const known_start &start, packet_actions *out) const
 {
-    if (first.number == kFirstAnnouncementNumber)
+    if (start.firstNumber == kFirstAnnouncementNumber)
         return true;
-    if (!m_upstream && m_wasUpstreamAbsent && first.number > kMaxFirstAnnouncementNumber)
+    if (m_wasUpstreamAbsent && start.firstNumber > kMaxFirstAnnouncementNumber)
         log(log_class::belief,
-            absl::StrCat("upstream ran although nothing listened at its address, upstream=", first.id,
-                         " announcement=", first.number),
+            absl::StrCat("upstream ran although nothing listened at its address, upstream=", start.start.id,
+                         " announcement=", start.firstNumber),
             out);
-    return m_wasUpstreamAbsent && first.number <= kMaxFirstAnnouncementNumber;
+    return m_wasUpstreamAbsent && start.firstNumber <= kMaxFirstAnnouncementNumber;
 }
 
 void packet_agent::recordUpstreamAbsent(time_point now, packet_actions *out)
 {
-    if (m_upstream)
+    if (m_upstream && !m_pendingLeave)
         return;
-    m_wasUpstreamAbsent = true;
+    m_wasUpstreamAbsent = m_wasUpstreamAbsent || !m_upstream;
+    if (m_pendingLeave)
+        recordLeft(m_pendingLeave->arrivedAt, "left, and nothing listens at its address", now, out);
     setState(agent_state::left, "nothing listens at its address", now, out);
     resolveRestored(now, out);
 }
 
-announcement_result packet_agent::leave(const std::string &upstreamId, time_point now, packet_actions *out)
+announcement_result packet_agent::leave(const upstream_leave &notice, time_point now, packet_actions *out)
 {
-    if (m_upstream && m_upstream->id != upstreamId)
+    if (m_upstream && !m_starts.isKnownId(notice.id))
         return announcement_result::foreign;
-    m_leftAt = now;
-    setState(agent_state::left, absl::StrCat("left upstream=", upstreamId), now, out);
+    if (m_upstream && notice.startedAtMs && m_starts.isProven()) {
+        if (upstream_start{notice.id, *notice.startedAtMs} != m_starts.current()->start)
+            return announcement_result::earlier_start;
+        recordLeft(now, absl::StrCat("left upstream=", notice.id), now, out);
+        return announcement_result::accepted;
+    }
+    if (m_leftAt)
+        return announcement_result::accepted;
+    m_pendingLeave = {.notice = notice, .arrivedAt = now, .nextProbe = now, .probePause = kMinProbePause};
+    log(log_class::belief, absl::StrCat("notice to leave is to be confirmed, upstream=", notice.id), out);
     return announcement_result::accepted;
 }
 
+void packet_agent::recordLeft(time_point leftAt, const std::string &cause, time_point now, packet_actions *out)
+{
+    m_leftAt = leftAt;
+    m_pendingLeave = std::nullopt;
+    setState(agent_state::left, cause, now, out);
+}
+
+bool packet_agent::takeProbeRequest(time_point now)
+{
+    if (!m_pendingLeave || now < m_pendingLeave->nextProbe)
+        return false;
+    m_pendingLeave->nextProbe = now + m_pendingLeave->probePause;
+    m_pendingLeave->probePause = std::min(2 * m_pendingLeave->probePause, kMaxProbePause);
+    return true;
+}
+
 void packet_agent::setState(agent_state state, const std::string &cause, time_point now, packet_actions *out)
 {
     if (state == m_state)
@@ -119,18 +155,21 @@
     }
 }
 
-// A flow that was open when the earlier start of the upstream sent its last announcement belonged to that start, so it
-// has ended. Its caller gets a reset now, before it loses a request on the flow. Later flows may belong to the current
-// start. A single announcement may have been a delayed one, which gives no evidence of that time.
-void packet_agent::endFlowsOfEarlierStart(time_point now, packet_actions *out)
+// A flow that was open when the ended start of the upstream sent its last announcement belonged to that start, so it has
+// ended. Its caller gets a reset now, before it loses a request on the flow. Later flows may belong to the current start.
+// A single announcement may have been a delayed one, which gives no evidence of that time. Flows from a snapshot belong
+// to the start that the snapshot names.
+void packet_agent::endFlowsOfEarlierStart(const std::optional<known_start> &ended, time_point now, packet_actions *out)
 {
-    if (m_announcementsOfStart < 2)
-        return;
-    const time_point lastOfEarlier = *m_lastAnnouncementAt - m_settings.announcementPeriod - kMaxAnnouncementDelay;
+    const bool hasEndedStart = ended && ended->announcements > 1;
+    const time_point lastOfEarlier =
+        hasEndedStart ? ended->lastAt - m_settings.announcementPeriod - kMaxAnnouncementDelay : time_point{};
+    const bool hasEndedSnapshot = m_restoredStartMs < m_starts.current()->start.startedAtMs;
     std::size_t count = 0;
     for (auto &[key, flow] : m_flows) {
-        const bool isOpen = flow.phase == flow_phase::open && (flow.isConfirmed || flow.isRestored);
-        if (!isOpen || flow.firstSeen >= lastOfEarlier)
+        const bool isEarlier =
+            (hasEndedStart && flow.firstSeen < lastOfEarlier) || (flow.isRestored && hasEndedSnapshot);
+        if (flow.phase != flow_phase::open || (!flow.isConfirmed && !flow.isRestored) || !isEarlier)
             continue;
         releaseRequest(key, &flow, now);
         flow.phase = flow_phase::ended;
--- a/src/libpacketnode/node_registry_worker.cpp
+++ b/src/libpacketnode/node_registry_worker.cpp
@@ -1,6 +1,7 @@
 #include "citroncrank/node_registry_worker.h"
 
 #include "citroncrank/snapshot_worker.h"
+#include "json_fields.h"
 #include "names.h"
 #include "watch_cursor_pvt.h"
 
@@ -51,27 +52,32 @@
     return json::serialize(entry);
 }
 
-std::optional<listed_node> parseNode(const std::string &text)
+std::optional<listed_node> parseNode(const std::string &text, platform::document_fault *lastReason)
 {
-    try {
-        const json::value parsed = json::parse(text);
-        const json::object &entry = parsed.as_object();
-        const auto address = parseHostAddress(std::string(entry.at("address").as_string()));
-        const auto &role = entry.at("role").as_string();
-        if (!address || (role != "agent" && role != "balancer"))
-            return std::nullopt;
-        listed_node node{.address = *address,
+    platform::document_fault ignored;
+    std::optional<listed_node> result;
+    const auto read = [&result](const json::object &entry) {
+        const std::string address = platform::textAt(entry, "address");
+        const auto parsedAddress = parseHostAddress(address);
+        if (!parsedAddress)
+            platform::throwFault(platform::document_fault_kind::unknown_value, "address",
+                                 absl::StrCat("invalid address ", address));
+        const std::string role = platform::textAt(entry, "role");
+        if (role != "agent" && role != "balancer")
+            platform::throwFault(platform::document_fault_kind::unknown_value, "role",
+                                 absl::StrCat("unknown role ", role));
+        listed_node node{.address = *parsedAddress,
                          .isAgent = role == "agent",
                          .service = {},
-                         .domain = std::string(entry.at("domain").as_string())};
+                         .domain = platform::textAt(entry, "domain")};
         if (node.isAgent) {
-            node.service = std::string(entry.at("service").as_string());
-            node.slots = entry.at("slots").to_number<std::uint32_t>();
+            node.service = platform::textAt(entry, "service");
+            node.slots = platform::number32At(entry, "slots");
         }
-        return node;
-    } catch (const std::exception &) {
-        return std::nullopt;
-    }
+        result = std::move(node);
+    };
+    platform::parseDocument(text, read, lastReason == nullptr ? &ignored : lastReason);
+    return result;
 }
 
 node_registry_worker::node_registry_worker(const store_access &access, std::string nodeName, listed_node self,
@@ -134,6 +140,7 @@
         if (more)
             after = list->entries.back().key;
     }
+    keepReadableEntries(&entries);
     m_entries = std::move(entries);
     // The store may have lost the entry, or another node may have removed it.
     m_isOwnEntryWritten = false;
@@ -146,6 +153,28 @@
     return duration(0);
 }
 
+bool node_registry_worker::isReadable(const std::string &key, const std::optional<std::string> &value)
+{
+    platform::document_fault fault{.what = "no value"};
+    if (value && parseNode(*value, &fault))
+        return true;
+    log(absl::StrCat("node entry cannot be parsed, key=", key, " reason=", fault.what));
+    countMalformed("node_entry");
+    return false;
+}
+
+// An entry that another writer has replaced by an unreadable one keeps its last readable content. Its version is kept
+// too, so no write or removal matches the unreadable one. This node replaces its own.
+void node_registry_worker::keepReadableEntries(std::map<std::string, object_entry> *entries)
+{
+    for (auto &[key, entry] : *entries) {
+        if (isReadable(key, entry.value) || key == m_key)
+            continue;
+        if (const auto known = m_entries.find(key); known != m_entries.end())
+            entry = known->second;
+    }
+}
+
 // Saves a write if an earlier incarnation wrote the same entry.
 std::optional<duration> node_registry_worker::checkOwnEntry()
 {
@@ -205,10 +234,12 @@
     if (!result)
         return pause;
     for (const object_change &change : result->changes) {
-        if (change.value)
-            m_entries[change.key] = {change.key, change.version, change.value->size(), change.value};
-        else
+        if (!change.value)
             m_entries.erase(change.key);
+        else if (isReadable(change.key, change.value))
+            m_entries[change.key] = {change.key, change.version, change.value->size(), change.value};
+        else if (change.key == m_key)
+            m_entries.erase(change.key); // It is listed and written again.
     }
     if (!m_entries.contains(m_key))
         m_isOwnEntryWritten = false;
@@ -259,10 +290,8 @@
     std::map<host_address, latest_entry> latest;
     for (const auto &[key, entry] : m_entries) {
         const auto node = entry.value ? parseNode(*entry.value) : std::nullopt;
-        if (!node) {
-            log(absl::StrCat("node entry cannot be parsed, key=", key));
+        if (!node)
             continue;
-        }
         latest_entry &known = latest[node->address];
         if (known.version < entry.version)
             known = {entry.version, *node};
--- a/src/libpacketnode/packet_agent_node.cpp
+++ b/src/libpacketnode/packet_agent_node.cpp
@@ -8,7 +8,6 @@
 
 #include <absl/strings/str_cat.h>
 #include <chrono>
-#include <future>
 #include <memory>
 #include <utility>
 
@@ -27,6 +26,11 @@
 constexpr int kStatusConflict = 409;
 constexpr int kStatusUnavailable = 503;
 
+std::uint64_t wallMilliseconds()
+{
+    return std::uint64_t(std::chrono::duration_cast<milliseconds>(wallNow().time_since_epoch()).count());
+}
+
 packet_agent_settings coreSettings(const packet_agent_node_settings &file, std::uint64_t incarnation)
 {
     return {.self = file.node.nodeAddress,
@@ -53,6 +57,7 @@
     , m_fileSettings(parsePacketAgentNodeSettings(m_settingsFile.values()))
     , m_core(coreSettings(m_fileSettings, m_incarnation), platform::decodePacketHeader, platform::readRequestHead,
              monotonicNow())
+    , m_calls([this](std::function<void()> work) { return m_loop.post(std::move(work)); })
     , m_http({.address = m_fileSettings.announcements, .additionalAddresses = {m_settings.http}}, m_metrics,
              [] { return std::vector<std::string>(); })
     , m_nodeRegistry(storeAccess(), m_settings.name, makeOwnEntry(m_fileSettings), false,
@@ -114,6 +119,11 @@
     m_timers.push_back(m_loop.timers().subscribe(kAgentTick, [this](time_point now) { tick(now); }));
     tick(monotonicNow());
     m_loop.run();
+    // Announcements that wait for the loop, and later ones, are answered at once: their upstream repeats them to the next
+    // start of the agent.
+    m_calls.close();
+    if (m_core.isLeavePending())
+        probeUpstream();
     m_core.stop(monotonicNow(), &m_actions);
     perform(&m_actions);
     log(log_class::lifecycle, absl::StrCat("stopped, flows=", m_core.flowCount(), " busy=", m_core.busy()));
@@ -126,7 +136,7 @@
 }
 
 // After a power loss an agent may start on a host whose upstream does not run. Without this probe the agent would learn
-// that only later, from missing announcements.
+// that only later, from missing announcements. A notice that the upstream leaves is confirmed in the same way.
 void packet_agent_node::probeUpstream()
 {
     std::error_code reason;
@@ -208,6 +218,8 @@
     perform(&m_actions);
     if (m_core.isDoneStopping(now))
         m_loop.stop();
+    if (m_core.takeProbeRequest(now))
+        probeUpstream();
     if (m_core.takeRegistrationRequest())
         m_nodeRegistry.renewEntry();
     if (const auto snapshot = m_core.takeDueSnapshot(now))
@@ -232,51 +244,63 @@
 }
 
 // A confirmation guarantees that the agent has already applied the announcement, so the HTTP thread waits for the loop.
-std::optional<announcement_result> packet_agent_node::decideInLoop(const std::function<announcement_result()> &decide)
+http_reply packet_agent_node::decideInLoop(const std::string &id, const std::function<announcement_result()> &decide)
 {
-    const auto decided = std::make_shared<std::promise<announcement_result>>();
-    auto result = decided->get_future();
-    const bool isPosted = m_loop.post([this, decide, decided] {
-        decided->set_value(decide());
-        perform(&m_actions);
-    });
-    if (!isPosted || result.wait_for(kDecisionTimeout) != std::future_status::ready)
-        return std::nullopt;
-    return result.get();
+    const auto result = std::make_shared<announcement_result>();
+    const loop_call_failure failure = m_calls.call(
+        [this, decide, result] {
+            *result = decide();
+            perform(&m_actions);
+        },
+        kDecisionTimeout);
+    if (failure == loop_call_failure::none)
+        return formatReply(*result, id);
+    const char *const reason = failure == loop_call_failure::stopping ? "stopping" : "overloaded";
+    log(log_class::refusal, absl::StrCat("announcement not confirmed, id=", id, " reason=", reason));
+    return {.status = kStatusUnavailable, .body = absl::StrCat(reason, "\n")};
 }
 
 http_reply packet_agent_node::announcement(const http_request &request)
 {
     const std::string id = platform::idFromPath(request.path, platform::kAnnouncementPath);
     platform::document_fault fault;
-    const auto announced = platform::parseAnnouncement(id, request.body, &fault);
-    if (!announced) {
-        log(log_class::refusal, absl::StrCat("announcement names no upstream, id=", id, " reason=", fault.what));
-        return {.status = kStatusBadRequest, .body = "the announcement cannot be read\n"};
-    }
-    const auto result =
-        decideInLoop([this, announced = *announced] { return m_core.announce(announced, monotonicNow(), &m_actions); });
-    if (result == announcement_result::accepted)
+    auto announced = platform::parseAnnouncement(id, request.body, &fault);
+    if (!announced)
+        return rejectDocument("announcement", id, fault);
+    announced->receivedAtMs = wallMilliseconds();
+    const http_reply reply = decideInLoop(
+        id, [this, announced = *announced] { return m_core.announce(announced, monotonicNow(), &m_actions); });
+    if (reply.status == kStatusOk)
         m_nodeRegistry.allowEntry(announced->slots);
-    return formatReply(result, id);
+    return reply;
 }
 
 http_reply packet_agent_node::leave(const http_request &request)
 {
     const std::string id = platform::idFromPath(request.path, platform::kLeavePath);
-    return formatReply(decideInLoop([this, id] { return m_core.leave(id, monotonicNow(), &m_actions); }), id);
+    platform::document_fault fault;
+    const auto notice = platform::parseLeave(id, request.body, &fault);
+    if (!notice)
+        return rejectDocument("leave", id, fault);
+    return decideInLoop(id, [this, notice = *notice] { return m_core.leave(notice, monotonicNow(), &m_actions); });
 }
 
-http_reply packet_agent_node::formatReply(const std::optional<announcement_result> &result, const std::string &id)
+// Another writer's document changes nothing, so it does not reach the core.
+http_reply packet_agent_node::rejectDocument(const char *document, const std::string &id,
+                                             const platform::document_fault &fault)
 {
-    if (!result) {
-        log(log_class::refusal, absl::StrCat("announcement not confirmed, id=", id, " reason=overloaded"));
-        return {.status = kStatusUnavailable, .body = "overloaded\n"};
-    }
-    if (*result == announcement_result::accepted)
+    countMalformedDocument(document);
+    log(log_class::refusal, absl::StrCat(document, " names no upstream, id=", id,
+                                         " kind=", platform::toString(fault.kind), " reason=", fault.what));
+    return {.status = kStatusBadRequest, .body = absl::StrCat(platform::toString(fault.kind), ": ", fault.what, "\n")};
+}
+
+http_reply packet_agent_node::formatReply(announcement_result result, const std::string &id)
+{
+    if (result == announcement_result::accepted)
         return {.status = kStatusOk, .contentType = "application/json", .body = platform::kConfirmation};
-    log(log_class::refusal, absl::StrCat("announcement not taken, id=", id, " reason=", toString(*result)));
-    return {.status = kStatusConflict, .body = absl::StrCat(toString(*result), "\n")};
+    log(log_class::refusal, absl::StrCat("announcement not taken, id=", id, " reason=", toString(result)));
+    return {.status = kStatusConflict, .body = absl::StrCat(toString(result), "\n")};
 }
 
 } // namespace citroncrank
--- a/src/libpacketnode/packet_node.cpp
+++ b/src/libpacketnode/packet_node.cpp
@@ -116,6 +116,20 @@
     return latest;
 }
 
+store_access packet_node::storeAccess()
+{
+    return {m_settings.platform, m_storeEras, storeLog(),
+            [this](const char *document) { countMalformedDocument(document); }};
+}
+
+void packet_node::countMalformedDocument(const char *document)
+{
+    m_metrics
+        .counter("citroncrank_malformed_documents_total",
+                 "Documents of other writers that could not be read, and changed nothing.", {{"document", document}})
+        .increment();
+}
+
 store_log packet_node::storeLog()
 {
     return [this](const std::string &text) { m_log.write(std::size_t(log_class::lifecycle), text); };
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -117,7 +117,8 @@
     platform::document_fault fault;
     auto routes = platform::parseRoutes(text, &fault);
     if (!routes) {
-        log(absl::StrCat("configuration is invalid, reason=", fault.what));
+        log(absl::StrCat("configuration is invalid, kind=", platform::toString(fault.kind), " reason=", fault.what));
+        countMalformed("configuration");
         return;
     }
     m_receive(std::move(routes), text);
@@ -161,7 +162,7 @@
 void peer_routes_worker::fetch(const routes_source &offer)
 {
     const auto text = fetchRoutes(offer.http);
-    platform::document_fault fault{"no answer"};
+    platform::document_fault fault{.what = "no answer"};
     auto routes = text ? platform::parseRoutes(*text, &fault) : nullptr;
     if (!routes) {
         m_log(
--- a/src/libpacketnode/store_worker.cpp
+++ b/src/libpacketnode/store_worker.cpp
@@ -21,11 +21,17 @@
 store_worker::store_worker(std::string name, const store_access &access)
     : m_name(std::move(name))
     , m_log(access.log)
+    , m_countMalformed(access.countMalformed)
     , m_eras(access.eras)
     , m_store({access.address, kStoreCallDeadline})
     , m_cursor(std::make_unique<watch_cursor>())
     , m_random(std::random_device{}())
 {
+    m_store.setMalformedObserver([this](const platform::document_fault &fault) {
+        log(absl::StrCat("answer of the store cannot be read, kind=", platform::toString(fault.kind),
+                         " reason=", fault.what));
+        countMalformed("store_answer");
+    });
     m_eras->subscribe(this, [this] { onLaterEra(); });
 }
 
--- a/src/libsimulation/packet_simulation.cpp
+++ b/src/libsimulation/packet_simulation.cpp
@@ -153,6 +153,9 @@
             startBalancer(i);
     }
 
+    /// Time of day of all hosts.
+    std::uint64_t unixMs() const { return std::uint64_t(wholeMilliseconds(m_now.time_since_epoch())); }
+
     void startUpstream(std::size_t index)
     {
         upstream_host &host = m_hosts[index];
@@ -161,7 +164,7 @@
                                       .slots = kSlots,
                                       .processingTime = m_schedule.processingTime,
                                       .seed = m_random()});
-        host.startedAtMs = m_startCount;
+        host.startedAtMs = unixMs();
         host.announcements = 0;
         host.isDraining = false;
         host.drainConfirmedAt = std::nullopt;
@@ -362,7 +365,8 @@
                                                        .slots = kSlots,
                                                        .isDraining = host.isDraining,
                                                        .number = ++host.announcements,
-                                                       .startedAtMs = host.startedAtMs},
+                                                       .startedAtMs = host.startedAtMs,
+                                                       .receivedAtMs = unixMs()},
                                                       m_now, actions);
         if (host.isDraining && result == announcement_result::accepted && !host.drainConfirmedAt)
             host.drainConfirmedAt = m_now;
@@ -460,7 +464,7 @@
             return;
         }
         packet_actions actions;
-        m_agents[index]->leave("i", m_now, &actions);
+        m_agents[index]->leave({.id = "i", .startedAtMs = host.startedAtMs}, m_now, &actions);
         perform(agentAddress(index), &actions);
         startUpstream(index);
     }
