--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -3,6 +3,7 @@
 /// @file
 /// State and load of the agents as one balancer sees them, and the choice of agents for new flows.
 
+#include "citroncrank/agent_load.h"
 #include "citroncrank/agent_record.h"
 #include "citroncrank/time.h"
 
@@ -70,6 +71,10 @@
     /// what the reports leave open.
     std::vector<host_address> candidates(const flow_placement &placed, std::span<const host_address> excluded,
                                          std::size_t count, time_point now, std::mt19937_64 *random) const;
+    /// Processing time that the upstreams of a service are compared with, see referenceProcessingMs().
+    double referenceMs(std::string_view service, time_point now) const;
+    /// Load of the agent, compared with the others of its service.
+    load_estimate load(const agent_record &agent, time_point now) const;
     /// Agents that may own the flow and that candidates() may have chosen from, whatever their state was then.
     std::vector<host_address> likelyOwners(const flow_placement &placed) const;
 
--- a/src/include/citroncrank/agent_load.h
+++ b/src/include/citroncrank/agent_load.h
@@ -4,6 +4,7 @@
 /// Load of an agent as one balancer can estimate it from the agent's last report.
 
 #include "citroncrank/agent_record.h"
+#include "citroncrank/placement_cost.h"
 #include "citroncrank/time.h"
 
 #include <random>
@@ -16,15 +17,21 @@
     double requests = 0;  ///< Expected number.
     double deviation = 0; ///< Standard deviation: how far the number may have changed since the last report.
     double slots = 1;     ///< Requests that the upstream processes at full speed; less while it warms up.
+    double relative = 1;  ///< Processing time of a request as a multiple of that at other upstreams of the service.
 };
 
+/// Processing time that the agent reports; not measured if it reports none of the new kind, as older agents do.
+measured_processing measuredProcessing(const agent_record &agent);
+
 /// Estimates the load of the agent at the time `now`, including the flows sent to it since its last report.
-load_estimate estimateLoad(const agent_record &agent, time_point now);
+/// `referenceMs`: processing time at the upstreams of the service, 0 if unknown.
+load_estimate estimateLoad(const agent_record &agent, double referenceMs, time_point now);
 
-/// Expected fraction of the slots in use. May exceed 1.
+/// Expected completion of a new request, see completionCost(). The fraction of the slots in use if the upstream is as
+/// fast as others. May exceed 1.
 double expectedLoad(const load_estimate &estimate);
 
-/// One of the fractions of slots in use that are possible according to the estimate, drawn at random.
+/// One of the values of expectedLoad() that are possible according to the estimate, drawn at random.
 double drawLoad(const load_estimate &estimate, std::mt19937_64 *random);
 
 } // namespace citroncrank
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -7,6 +7,7 @@
 #include "citroncrank/caller_budget.h"
 #include "citroncrank/flow_snapshot.h"
 #include "citroncrank/packet_action.h"
+#include "citroncrank/processing_model.h"
 #include "citroncrank/request_head.h"
 #include "citroncrank/request_queue.h"
 #include "citroncrank/time.h"
@@ -181,11 +182,13 @@
         bool awaitsAnswerHead = false; ///< The head of the answer has not been seen yet.
         std::uint32_t answerStart = 0; ///< Sequence number at which the answer to the last request begins.
         std::string requestId;
-        std::vector<packet> held;    ///< Packets of the waiting request, in order of arrival.
-        duration requestAge{0};      ///< Time from the caller's first attempt of the request to its arrival.
-        time_point requestArrivedAt; ///< When the first packet of the request arrived.
-        time_point processingSince;  ///< When the request was delivered to the upstream.
-        time_point requestDeadline;  ///< The caller times out at this time.
+        std::vector<packet> held;            ///< Packets of the waiting request, in order of arrival.
+        duration requestAge{0};              ///< Time from the caller's first attempt of the request to its arrival.
+        time_point requestArrivedAt;         ///< When the first packet of the request arrived.
+        time_point processingSince;          ///< When the request was delivered to the upstream.
+        bool isMeasured = false;             ///< Its processing time counts: the upstream held the flow from the start.
+        std::optional<time_point> slotSince; ///< When the request got a slot; nullopt: it waits for one there.
+        time_point requestDeadline;          ///< The caller times out at this time.
         time_point lastSeen;
         time_point firstSeen;
     };
@@ -228,6 +231,12 @@
     std::size_t maxWithinTarget() const;
     void recordAnswer(const flow_key &key, agent_flow *flow, const packet &content, time_point now,
                       packet_actions *out);
+    void recordSlotTaken(const flow_key &key, agent_flow *flow, time_point now);
+    void recordSlotFreed(agent_flow *flow, time_point now);
+    void recordProcessingTime(const agent_flow &flow, time_point now);
+    double processingMs() const;
+    double answerTimeMs() const;
+    double expectedWaitMs(time_point now) const;
     void recordUpstreamSequence(agent_flow *flow, const packet_header &header);
     void handleReturnedPacket(packet content, time_point now, packet_actions *out);
     void releaseRequestsInProgress(time_point now);
@@ -287,8 +296,10 @@
     std::size_t m_requestsInProgress = 0;
     std::size_t m_expected = 0;
     double m_meanBusy = 0;
-    double m_meanProcessingMs; ///< Processing time of a request at the upstream.
-    double m_meanSlackMs;      ///< Time that a request may wait and still meet its latency target.
+    processing_model m_processing;
+    std::size_t m_measuredRequests = 0;     ///< Requests in progress whose processing time counts.
+    std::deque<flow_key> m_requestsForSlot; ///< Those that wait for a slot at the upstream, in order of delivery.
+    double m_meanSlackMs;                   ///< Time that a request may wait and still meet its latency target.
     time_point m_meanUpdatedAt;
     std::uint64_t m_reportNumber = 0;
     std::optional<time_point> m_nextReport;
--- a/src/libpacket/agent_directory.cpp
+++ b/src/libpacket/agent_directory.cpp
@@ -1,7 +1,5 @@
 #include "citroncrank/agent_directory.h"
 
-#include "citroncrank/agent_load.h"
-
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -54,6 +52,15 @@
     return agent.firstUnansweredAt && now - *agent.firstUnansweredAt >= kReplyTimeout;
 }
 
+// A sample has whole milliseconds. It replaces the reported value only if it differs by more than the rounding.
+std::uint32_t refine(std::uint32_t reportedMicroseconds, std::uint32_t sampledMs)
+{
+    constexpr std::uint32_t kMicroseconds = 1000;
+    const std::uint32_t reportedMs = (reportedMicroseconds + kMicroseconds / 2) / kMicroseconds;
+    const bool isRounded = std::max(reportedMs, 1U) == sampledMs || reportedMicroseconds / kMicroseconds == sampledMs;
+    return reportedMicroseconds == 0 || isRounded ? reportedMicroseconds : sampledMs * kMicroseconds;
+}
+
 // An agent is listed from its upstream's first announcement on; before that, its upstream holds no flow.
 bool canOwnFlows(const agent_record &agent)
 {
@@ -93,6 +100,7 @@
     agent_record &agent = found->second;
     agent.report.busy = load.busy;
     agent.report.processingMilliseconds = load.processingMilliseconds;
+    agent.report.processingMicroseconds = refine(agent.report.processingMicroseconds, load.processingMilliseconds);
     agent.loadKnownAt = now;
     agent.sentSinceLoad = 0;
 }
@@ -294,9 +302,11 @@
         auto operator<=>(const ranked &) const = default;
     };
     std::vector<ranked> order;
+    const double reference = referenceMs(placed.service, now);
     for (const agent_record *const agent : partOf(usable, placed, kCandidatesPerDomain)) {
         const double domainPenalty = agent->report.domain == placed.ownDomain ? 0 : kOtherDomainLoad;
-        order.push_back({drawLoad(estimateLoad(*agent, now), random) + domainPenalty, (*random)(), agent->address});
+        order.push_back(
+            {drawLoad(estimateLoad(*agent, reference, now), random) + domainPenalty, (*random)(), agent->address});
     }
     std::sort(order.begin(), order.end());
     std::vector<host_address> result;
@@ -305,6 +315,21 @@
     return result;
 }
 
+double agent_directory::referenceMs(std::string_view service, time_point now) const
+{
+    std::vector<measured_processing> measured;
+    for (const auto &[address, agent] : m_agents) {
+        if (agent.report.service == service && isFresh(agent, now))
+            measured.push_back(measuredProcessing(agent));
+    }
+    return referenceProcessingMs(measured);
+}
+
+load_estimate agent_directory::load(const agent_record &agent, time_point now) const
+{
+    return estimateLoad(agent, referenceMs(agent.report.service, now), now);
+}
+
 // Some agents were not usable when the flow was placed, so its owner may rank a little lower now.
 std::vector<host_address> agent_directory::likelyOwners(const flow_placement &placed) const
 {
--- a/src/libpacket/agent_load.cpp
+++ b/src/libpacket/agent_load.cpp
@@ -23,7 +23,7 @@
 // Requests end after their processing time, and others arrive, so the reported number approaches the mean. A backlog of
 // more requests than slots takes accordingly longer. The reported requests that remain have a binomial distribution and
 // those that arrived since a Poisson distribution; their variances add up.
-load_estimate estimateLoad(const agent_record &agent, time_point now)
+load_estimate estimateLoad(const agent_record &agent, double referenceMs, time_point now)
 {
     const agent_report &report = agent.report;
     if (!agent.lastHeardAt || report.slots == 0)
@@ -37,12 +37,18 @@
     const double arrived = mean * (1 - remaining);
     return {.requests = report.busy * remaining + arrived + agent.sentSinceLoad,
             .deviation = std::sqrt(report.busy * remaining * (1 - remaining) + arrived),
-            .slots = slots};
+            .slots = slots,
+            .relative = relativeProcessing(measuredProcessing(agent), referenceMs)};
+}
+
+measured_processing measuredProcessing(const agent_record &agent)
+{
+    return {.meanMs = agent.report.processingMicroseconds / 1000.0, .answers = double(agent.report.answers)};
 }
 
 double expectedLoad(const load_estimate &estimate)
 {
-    return estimate.requests / estimate.slots;
+    return completionCost(estimate.requests, estimate.slots, estimate.relative);
 }
 
 double drawLoad(const load_estimate &estimate, std::mt19937_64 *random)
@@ -50,7 +56,7 @@
     if (estimate.deviation == 0)
         return expectedLoad(estimate);
     std::normal_distribution<double> requests(estimate.requests, estimate.deviation);
-    return std::max(0.0, requests(*random)) / estimate.slots;
+    return completionCost(std::max(0.0, requests(*random)), estimate.slots, estimate.relative);
 }
 
 } // namespace citroncrank
--- a/src/libpacket/packet_agent.cpp
+++ b/src/libpacket/packet_agent.cpp
@@ -13,8 +13,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Initial means, until enough requests have been seen.
-constexpr double kInitialProcessingMs = 50;
+// Initial mean, until enough requests have been seen.
 constexpr double kInitialSlackMs = 100;
 constexpr duration kStaleBalancerTime = seconds(30);
 constexpr duration kSweepPeriod = seconds(1);
@@ -60,7 +59,7 @@
     , m_readHead(readHead)
     , m_startedAt(now)
     , m_assumedSlots(kAssumedSlots)
-    , m_meanProcessingMs(kInitialProcessingMs)
+    , m_processing(kDefaultProcessingMs)
     , m_meanSlackMs(kInitialSlackMs)
     , m_meanUpdatedAt(now)
 {}
--- a/src/libpacket/packet_agent_health.cpp
+++ b/src/libpacket/packet_agent_health.cpp
@@ -98,7 +98,7 @@
 void packet_agent::checkRequestTimeouts(time_point now, packet_actions *out)
 {
     const duration answerTimeout =
-        std::max(kMinAnswerTimeout, duration(std::int64_t(kAnswerTimeoutFactor * m_meanProcessingMs * 1000)));
+        std::max(kMinAnswerTimeout, duration(std::int64_t(kAnswerTimeoutFactor * answerTimeMs() * 1000)));
     while (!m_requestsSent.empty() && now - m_requestsSent.front().first >= answerTimeout) {
         const auto [since, key] = m_requestsSent.front();
         m_requestsSent.pop_front();
--- a/src/libpacket/packet_agent_opening.cpp
+++ b/src/libpacket/packet_agent_opening.cpp
@@ -67,8 +67,8 @@
 {
     if (!m_upstream || limits.timeoutMs == 0)
         return false;
-    const double wait = double(m_queue.size()) * m_meanProcessingMs / slots();
-    return wait + m_meanProcessingMs > limits.timeoutMs;
+    const double wait = double(m_queue.size()) * processingMs() / slots();
+    return wait + processingMs() > limits.timeoutMs;
 }
 
 agent_load_sample packet_agent::loadSample(time_point now) const
@@ -77,7 +77,7 @@
     return {.agent = m_settings.self,
             .busy = std::uint16_t(std::min(kMost, double(competingRequests(now)))),
             .slots = std::uint16_t(slots()),
-            .processingMilliseconds = std::uint16_t(std::clamp(m_meanProcessingMs, 1.0, kMost))};
+            .processingMilliseconds = std::uint16_t(std::clamp(m_processing.overall(now).meanMs, 1.0, kMost))};
 }
 
 // A flow that no agent had a free slot for would otherwise stay at the last agent asked, however many requests wait
--- a/src/libpacket/packet_agent_pvt.h
+++ b/src/libpacket/packet_agent_pvt.h
@@ -3,10 +3,13 @@
 /// @file
 /// Helpers shared by the sources of the packet agent.
 
+#include "citroncrank/node_message.h"
 #include "citroncrank/packet.h"
+#include "citroncrank/processing_model.h"
 #include "citroncrank/time.h"
 #include "citroncrank/upstream_health.h"
 
+#include <absl/hash/hash.h>
 #include <chrono>
 #include <cstdint>
 #include <string_view>
@@ -32,9 +35,22 @@
 /// Outcome that an answer with this status counts as.
 upstream_outcome classifyStatus(std::uint32_t status);
 
+/// Requests of routes with the same settings have similar processing times.
+inline request_kind requestKind(const request_limits &limits)
+{
+    return absl::HashOf(limits.priority, limits.latencyTargetMs, limits.timeoutMs);
+}
+
+/// Requests that the upstream may hold beyond its slots, so that a slot does not idle while an answer and the next
+/// request pass through the agent.
+constexpr std::size_t kReadyRequests = 1;
+
 /// Limits memory use, at about 300 bytes per flow.
 constexpr std::size_t kMaxAgentFlows = 20'000;
 
+/// Mean processing time assumed until the upstream's first answers.
+constexpr double kDefaultProcessingMs = 50;
+
 /// Slots assumed until the upstream's first announcement. No known deployment has fewer.
 constexpr std::uint32_t kAssumedSlots = 2;
 
--- a/src/libpacket/packet_agent_requests.cpp
+++ b/src/libpacket/packet_agent_requests.cpp
@@ -16,11 +16,8 @@
 constexpr duration kExpectedRequestTimeout = milliseconds(150);
 // Time constant of the mean number of requests in progress or waiting within their target.
 constexpr double kMeanTimeConstantSeconds = 1.0;
-// Weight of one request in the moving averages of processing time and slack.
+// Weight of one request in the moving average of the slack.
 constexpr double kMeanWeight = 0.05;
-// Requests that the upstream may hold beyond its slots, so that a slot does not idle while an answer and the next
-// request pass through the agent.
-constexpr std::size_t kReadyRequests = 1;
 // One-way delay of the answer to the caller, across failure domains.
 constexpr double kAnswerDelayMs = 12;
 // Requests may take longer than the mean. With this factor three of four meet their latency target.
@@ -66,7 +63,7 @@
 // Number of waiting requests that the upstream can start within the mean slack.
 std::size_t packet_agent::maxWithinTarget() const
 {
-    return std::size_t(slots() * m_meanSlackMs / std::max(1.0, m_meanProcessingMs));
+    return std::size_t(slots() * m_meanSlackMs / std::max(1.0, answerTimeMs()));
 }
 
 void packet_agent::deliver(const flow_key &key, agent_flow *flow, packet content, time_point now, packet_actions *out)
@@ -132,7 +129,7 @@
             .priority = flow.limits.priority,
             .arrival = now,
             .startDeadline = now - flow.requestAge
-                             + fromMilliseconds(target - kAnswerDelayMs - kProcessingTimeMargin * m_meanProcessingMs),
+                             + fromMilliseconds(target - kAnswerDelayMs - kProcessingTimeMargin * answerTimeMs()),
             .deadline = now + milliseconds(left)};
 }
 
@@ -175,6 +172,7 @@
     flow->processingSince = now;
     (flow->phase == flow_phase::probing ? m_probesSent : m_requestsSent).emplace_back(now, key);
     ++m_requestsInProgress;
+    recordSlotTaken(key, flow, now);
     logRequest(key, *flow, "request passed", out);
 }
 
@@ -213,7 +211,7 @@
 // The caller of an expired request would time out before the answer arrives, so the upstream need not process it.
 void packet_agent::dropExpired(time_point now, packet_actions *out)
 {
-    for (const flow_key &key : m_queue.takeExpired(now + fromMilliseconds(m_meanProcessingMs + kAnswerDelayMs)))
+    for (const flow_key &key : m_queue.takeExpired(now + fromMilliseconds(answerTimeMs() + kAnswerDelayMs)))
         dropRequest(key, &m_flows.at(key), out);
 }
 
@@ -243,6 +241,7 @@
     switch (std::exchange(flow->request, request_phase::none)) {
     case request_phase::in_progress:
         --m_requestsInProgress;
+        recordSlotFreed(flow, now);
         break;
     case request_phase::waiting:
         m_queue.remove(key);
@@ -277,12 +276,13 @@
     const packet_header &header = content.header;
     const bool hasNewData = header.dataBytes > 0 && sequenceDistance(flow->answerStart, sequenceEnd(header)) > 0;
     const bool isAnswer = hasNewData || header.finish || header.reset;
+    const std::uint32_t status = flow->awaitsAnswerHead && isAnswer ? parseHttpStatus(payload(content)) : 0;
     if (flow->request == request_phase::in_progress && isAnswer) {
-        // Only answers count in the mean processing time, since the upstream returns packets at once.
-        m_meanProcessingMs += kMeanWeight * (toMilliseconds(now - flow->processingSince) - m_meanProcessingMs);
+        // Only answers count in the processing time. An upstream that fails requests at once must not look fast.
+        if (!header.reset && (status == 0 || classifyStatus(status) == upstream_outcome::answered))
+            recordProcessingTime(*flow, now);
         releaseRequest(key, flow, now);
     }
-    const std::uint32_t status = flow->awaitsAnswerHead && isAnswer ? parseHttpStatus(payload(content)) : 0;
     if (status == 0)
         return;
     flow->awaitsAnswerHead = false;
--- a/src/libpacket/packet_agent_upstream.cpp
+++ b/src/libpacket/packet_agent_upstream.cpp
@@ -49,6 +49,7 @@
         releaseRequestsInProgress(now);
         endFlowsOfEarlierStart(now, out);
         m_health.reset();
+        m_processing.reset(now);
         // A single announcement of the earlier start may have been a delayed one, from before this agent's start.
         m_sawUpstreamStart = m_sawUpstreamStart || m_announcementsOfStart > 1 || isStartSeen(announcement, out);
     }
@@ -181,6 +182,7 @@
 agent_report packet_agent::report(time_point now)
 {
     updateMean(now);
+    const processing_estimate processing = m_processing.overall(now);
     const duration sinceAnnouncement = m_lastAnnouncementAt ? now - *m_lastAnnouncementAt : duration(0);
     const duration cold =
         m_upstream ? std::max(duration(0), m_upstream->coldRemaining - sinceAnnouncement) : duration(0);
@@ -195,9 +197,12 @@
             .meanBusyMilli = std::uint32_t(m_meanBusy * 1000),
             .coldMilliseconds = std::uint32_t(wholeMilliseconds(cold)),
             .periodMilliseconds = std::uint32_t(wholeMilliseconds(reportPeriod())),
-            .processingMilliseconds = std::uint32_t(std::lround(std::max(1.0, m_meanProcessingMs))),
+            .processingMilliseconds = std::uint32_t(std::lround(std::max(1.0, processing.meanMs))),
             .isFailing = m_health.isFailing(),
-            .isTrialDue = m_health.isTrialDue(now)};
+            .isTrialDue = m_health.isTrialDue(now),
+            .processingMicroseconds = std::uint32_t(std::lround(std::max(1.0, processing.meanMs * 1000))),
+            .answers = std::uint32_t(processing.answers),
+            .waitMilliseconds = std::uint32_t(std::lround(expectedWaitMs(now)))};
 }
 
 void packet_agent::sendReports(time_point now, packet_actions *out)
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -1,7 +1,5 @@
 #include "citroncrank/packet_balancer.h"
 
-#include "citroncrank/agent_load.h"
-
 #include "packet_balancer_pvt.h"
 
 #include <absl/strings/str_cat.h>
@@ -217,13 +215,13 @@
 {
     const agent_record *const agent = m_agents.find(chosen.agents.front());
     const bool isHeard = agent != nullptr && agent->lastHeardAt;
+    const load_estimate load = isHeard ? m_agents.load(*agent, now) : load_estimate{};
     log(log_class::placement,
         absl::StrCat("placed flow, flow=", toString(flowFromCaller(header)), " copy=", header.acknowledged,
                      " service=", chosen.service, " route=", route.name, " agent=", toString(chosen.agents.front()),
-                     " trial=", chosen.isTrial,
-                     " load_percent=", isHeard ? int(100 * expectedLoad(estimateLoad(*agent, now))) : 0,
-                     " report_age_ms=", isHeard ? wholeMilliseconds(now - *agent->lastHeardAt) : -1,
-                     " routes=", routesVersion()),
+                     " trial=", chosen.isTrial, " load_percent=", isHeard ? int(100 * expectedLoad(load)) : 0,
+                     " relative_percent=", int(100 * load.relative), " report_age_ms=",
+                     isHeard ? wholeMilliseconds(now - *agent->lastHeardAt) : -1, " routes=", routesVersion()),
         out);
 }
 
