--- a/src/libpacket/packet_agent_upstream.cpp
+++ b/src/libpacket/packet_agent_upstream.cpp
@@ -71,6 +71,7 @@
     if (ended) {
         releaseRequestsInProgress(now);
         m_health.reset();
+        m_processing.reset(now);
     }
     endFlowsOfEarlierStart(ended, now, out);
     m_sawUpstreamStart = m_sawUpstreamStart || ended || isStartSeen(*m_starts.current(), out);
@@ -220,6 +221,7 @@
 agent_report packet_agent::report(time_point now)
 {
     updateMean(now);
+    const processing_estimate processing = m_processing.overall(now);
     return {.service = m_settings.service,
             .domain = m_settings.domain,
             .incarnation = m_settings.incarnation,
@@ -231,10 +233,13 @@
             .meanBusyMilli = std::uint32_t(m_meanBusy * 1000),
             .coldMilliseconds = std::uint32_t(wholeMilliseconds(coldRemaining(now))),
             .periodMilliseconds = std::uint32_t(wholeMilliseconds(reportPeriod())),
-            .processingMilliseconds = std::uint32_t(std::lround(std::max(1.0, m_meanProcessingMs))),
+            .processingMilliseconds = std::uint32_t(std::lround(std::max(1.0, processing.meanMs))),
             .isFailing = m_health.isFailing(),
             .isTrialDue = m_health.isTrialDue(now),
-            .evacuations = m_evacuations.version()};
+            .evacuations = m_evacuations.version(),
+            .processingMicroseconds = std::uint32_t(std::lround(std::max(1.0, processing.meanMs * 1000))),
+            .answers = std::uint32_t(processing.answers),
+            .waitMilliseconds = std::uint32_t(std::lround(expectedWaitMs(now)))};
 }
 
 void packet_agent::sendReports(time_point now, packet_actions *out)
