--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -6,7 +6,9 @@
 
 #include "citroncrank/caller_budget.h"
 #include "citroncrank/flow_snapshot.h"
+#include "citroncrank/opening_admission.h"
 #include "citroncrank/packet_action.h"
+#include "citroncrank/refusal.h"
 #include "citroncrank/request_head.h"
 #include "citroncrank/request_queue.h"
 #include "citroncrank/time.h"
@@ -144,6 +146,10 @@
     std::size_t competingRequests(time_point now) const;
     /// Removes and returns the requests that were answered since the last call.
     std::vector<request_observation> takeObservations();
+    /// Removes and returns the waits that were estimated or measured since the last call.
+    std::vector<wait_observation> takeWaits();
+    /// Refused openings since the start of the agent.
+    const refusal_counts &refusals() const { return m_refusals; }
 
 private:
     enum class flow_phase : std::uint8_t {
@@ -202,7 +208,14 @@
     std::optional<rejection_reason> openingRejectionReason(const std::string &service) const;
     std::optional<forwarding_reason> forwardingReason(bool isTrial, time_point now) const;
     bool hasFreeSlot(time_point now) const;
-    bool isOverloaded(const request_limits &limits) const;
+    processing_estimate processingEstimate(const host_address &kind, time_point now) const;
+    processing_estimate overallProcessing(time_point now) const;
+    admission_estimate admissionEstimate(const flow_key &key, const request_limits &limits, time_point now) const;
+    void recordOffered(const flow_key &key, std::uint32_t priority, time_point now);
+    std::optional<refusal_cause> openingRefusalCause(const flow_key &key, const request_limits &limits, time_point now);
+    void refuseOpening(forwarded_packet arrived, const flow_key &key, refusal_cause cause, time_point now,
+                       packet_actions *out);
+    void countRefusal(rejection_reason reason);
     bool acknowledgementFits(const agent_flow &flow, const packet_header &header) const;
     void deliver(const flow_key &key, agent_flow *flow, packet content, time_point now, packet_actions *out);
     bool isRequestStart(agent_flow *flow, const packet &content);
@@ -283,6 +296,9 @@
     std::deque<std::pair<time_point, flow_key>> m_probesSent;   ///< Requests on flows that the upstream may not hold.
     caller_budgets m_callerBudgets;
     request_queue m_queue;
+    offered_load m_offeredLoad;
+    refusal_counts m_refusals{};
+    std::vector<wait_observation> m_waits;
     std::deque<flow_key> m_waitingProbes; ///< Requests on flows that the upstream may not hold, in order of arrival.
     std::size_t m_requestsInProgress = 0;
     std::size_t m_expected = 0;
--- a/src/include/citroncrank/packet_agent_node.h
+++ b/src/include/citroncrank/packet_agent_node.h
@@ -34,6 +34,7 @@
     void receiveSnapshot(const std::string &text);
     void tick(time_point now);
     void setDecisionCount(const char *decision, std::uint64_t count);
+    void observeWaits();
     http_reply announcement(const http_request &request);
     http_reply leave(const http_request &request);
     /// Runs `decide` in the loop's thread and waits for its result. Nullopt if the loop does not run it within 800 ms.
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -6,6 +6,8 @@
 #include "citroncrank/agent_directory.h"
 #include "citroncrank/owner_search.h"
 #include "citroncrank/packet_action.h"
+#include "citroncrank/refusal.h"
+#include "citroncrank/retry_budget.h"
 #include "citroncrank/route_set.h"
 #include "citroncrank/routes_watch_role.h"
 #include "citroncrank/time.h"
@@ -101,6 +103,8 @@
     std::size_t flowCount() const { return m_flows.size(); }
     const agent_directory &agents() const { return m_agents; }
     std::size_t balancerCount() const { return m_balancers.size(); }
+    /// Openings that this balancer has refused itself, since its start.
+    const refusal_counts &refusals() const { return m_refusals; }
 
 private:
     struct held_packet
@@ -114,6 +118,7 @@
         std::string service;
         bool isOwnerKnown = false;               ///< False while the owner is searched for.
         bool isOpening = false;                  ///< Only opening packets were seen.
+        bool hasAlternates = false;              ///< The last opening packet was sent with alternates.
         std::vector<host_address> rejectedBy;    ///< Agents that rejected the opening packet.
         std::unique_ptr<owner_search> search;    ///< Null unless the owner is searched for.
         std::vector<held_packet> heldForRestart; ///< Data packets held during a planned restart of the owner.
@@ -142,6 +147,12 @@
     void forward(const host_address &agent, forward_purpose purpose, const std::string &service, const flow_key &key,
                  std::string packetBytes, std::vector<host_address> alternates, packet_actions *out) const;
     void openFlow(packet arrived, const packet_route &route, time_point now, packet_actions *out);
+    bool admitOpening(const packet_header &header, const packet_route &route, placement *chosen, time_point now);
+    bool isBeyondTime(const agent_record &agent, const packet_route &route, time_point now) const;
+    bool isServiceBeyondTime(const std::string &service, const packet_route &route, time_point now) const;
+    void recordTimeRefusal(const host_address &agent, const balancer_flow &flow, const host_address &route,
+                           bool isLastAgent, time_point now);
+    void expireTimeRefusals(time_point now);
     void continueFlow(packet arrived, time_point now, packet_actions *out);
     bool isInPlannedRestart(const host_address &agent) const;
     void releaseHeldForRestart(const host_address &agent, time_point now, packet_actions *out);
@@ -211,6 +222,10 @@
     absl::btree_set<flow_key> m_searchedFlows; ///< Flows whose owner is searched for.
     double m_queryAllowance;                   ///< Queries beyond the likely owners that may be sent now.
     time_point m_allowanceUpdatedAt;
+    absl::btree_map<std::string, retry_budget> m_retryBudgets; ///< By service.
+    /// When an agent last refused an opening of a service address for lack of time.
+    absl::btree_map<std::pair<host_address, host_address>, time_point> m_timeRefusals;
+    refusal_counts m_refusals{};
     std::vector<held_packet> m_held;
     std::optional<routes_source> m_newerRoutes;
     routes_watch_role m_watchRole;
--- a/src/include/citroncrank/packet_node.h
+++ b/src/include/citroncrank/packet_node.h
@@ -10,6 +10,7 @@
 #include "citroncrank/metrics.h"
 #include "citroncrank/owner_message_batch.h"
 #include "citroncrank/packet_action.h"
+#include "citroncrank/refusal.h"
 #include "citroncrank/packet_node_settings.h"
 #include "citroncrank/settings_watch.h"
 #include "citroncrank/store_worker.h"
@@ -50,6 +51,8 @@
     virtual void flush();
 
     void log(log_class kind, const std::string &text);
+    /// Publishes the refused openings by cause.
+    void setRefusalCounts(const refusal_counts &counts);
     /// Thread-safe log function for the store workers.
     store_log storeLog();
     /// Latest era of the store that this node has heard of; also updates its metric.
--- a/src/include/citroncrank/request_queue.h
+++ b/src/include/citroncrank/request_queue.h
@@ -7,10 +7,14 @@
 #include "citroncrank/time.h"
 
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace citroncrank {
@@ -26,11 +30,15 @@
     auto operator<=>(const waiting_request &) const = default;
 };
 
-/// Serves requests that can still meet their latency target before those that cannot. Each priority gets a share of the
-/// scheduling rounds, and so do requests past their target shortly before their callers time out. Not thread safe.
+/// Serves requests that can still meet their latency target before those that cannot. Requests past their target get
+/// turns according to how many of them are about to be given up. In overload each priority keeps the share of turns
+/// that it has of the arrivals in calm times. The cost of a decision does not depend on the number of waiting requests,
+/// apart from the depth of the ordered indexes. Not thread safe.
 class request_queue
 {
 public:
+    /// Counts the arrival of a request, whether it has to wait or not. The shares of the priorities rest on it.
+    void recordArrival(std::uint32_t priority, time_point now);
     /// Adds a request. Replaces the waiting request of the same flow, if any.
     void add(const waiting_request &request);
     /// Returns false if the flow has no waiting request.
@@ -41,21 +49,64 @@
     /// start before one that arrives now would miss its latency target; if more are waiting, the newest is served
     /// first.
     std::optional<flow_key> takeNext(std::size_t maxWithinTarget, time_point now);
-    /// Removes and returns the requests whose callers have timed out.
+    /// Removes and returns the requests whose callers have timed out, in the order of their deadlines.
     std::vector<flow_key> takeExpired(time_point now);
     std::size_t size() const { return m_waiting.size(); }
     /// Number of waiting requests that can still meet their latency target.
     std::size_t countWithinTarget(time_point now) const;
 
 private:
-    std::optional<std::uint32_t> nextPriority(bool longestUnserved, time_point now) const;
-    const waiting_request *nextWithinTarget(std::size_t maxWithinTarget, bool longestUnserved, time_point now) const;
-    const waiting_request *nextNearDeadline(time_point now) const;
-    const waiting_request *nextPastTarget(time_point now) const;
-
-    /// Ordered, so that every process makes the same decisions for the same input.
-    absl::btree_map<flow_key, waiting_request> m_waiting;
-    absl::btree_map<std::uint32_t, std::uint64_t> m_lastServed; ///< Last round in which each priority was served.
+    enum class request_stage : std::uint8_t {
+        within_target,
+        past_target,
+        near_deadline, ///< Past its target, and its caller is about to time out.
+    };
+    struct entry
+    {
+        waiting_request request;
+        request_stage stage = request_stage::within_target;
+    };
+    /// The flow is the last element of each key, so that every process makes the same decisions for the same input.
+    using time_index = absl::btree_set<std::pair<time_point, flow_key>>;
+    using past_target_index = absl::btree_set<std::tuple<time_point, time_point, flow_key>>;
+    /// Requests of one priority.
+    struct priority_index
+    {
+        time_index byStartDeadline; ///< Within their target.
+        time_index byNewest;        ///< Within their target, by negated arrival.
+        time_index nearDeadline;    ///< By deadline.
+    };
+    /// Share of one priority.
+    struct priority_share
+    {
+        double arrivals = 0; ///< Decayed count.
+        time_point updatedAt;
+        double credit = 0; ///< Turns that it is behind its share.
+        std::uint64_t lastServed = 0; ///< Last round that served a request within its target.
+    };
+
+    void insertIntoStage(const waiting_request &request, request_stage stage);
+    void eraseFromStage(const waiting_request &request, request_stage stage);
+    void advanceStages(time_point now);
+    bool isWaiting(const priority_index &index, bool isNearDeadline) const;
+    std::optional<std::uint32_t> mostUrgent(bool isNearDeadline) const;
+    std::optional<std::uint32_t> longestUnserved() const;
+    std::optional<std::uint32_t> behindItsShare(bool isNearDeadline) const;
+    std::optional<flow_key> nextWithinTarget(bool isOverloaded) const;
+    std::optional<flow_key> nextNearDeadline(bool isOverloaded) const;
+    std::optional<flow_key> nextPastTarget() const;
+    bool isNearDeadlineTurn(bool isOverloaded);
+    void recordTurn(std::uint32_t priority, bool isWithinTarget);
+
+    absl::flat_hash_map<flow_key, entry> m_waiting;
+    absl::btree_map<std::uint32_t, priority_index> m_priorities; ///< Only those with requests in an index.
+    absl::btree_map<std::uint32_t, priority_share> m_shares;
+    time_index m_withinTarget;       ///< By start deadline.
+    past_target_index m_pastTarget;  ///< By deadline and arrival.
+    std::size_t m_nearDeadline = 0;  ///< Number of requests in that stage.
+    time_index m_byDeadline;         ///< All requests.
+    double m_nearDeadlineCredit = 0; ///< Turns that requests near their deadline are due.
+    bool m_isOverloaded = false;     ///< At the last turn.
     std::uint64_t m_rounds = 0;
 };
 
--- a/src/libpacket/packet_agent_opening.cpp
+++ b/src/libpacket/packet_agent_opening.cpp
@@ -62,15 +62,6 @@
     return competingRequests(now) < slots();
 }
 
-// Whether the caller of a request that arrives now would time out before its answer.
-bool packet_agent::isOverloaded(const request_limits &limits) const
-{
-    if (!m_upstream || limits.timeoutMs == 0)
-        return false;
-    const double wait = double(m_queue.size()) * m_meanProcessingMs / slots();
-    return wait + m_meanProcessingMs > limits.timeoutMs;
-}
-
 agent_load_sample packet_agent::loadSample(time_point now) const
 {
     constexpr double kMost = UINT16_MAX;
@@ -128,8 +119,10 @@
         arrived.packetBytes = std::move(content.bytes);
         if (!arrived.alternates.empty())
             forwardToAlternate(std::move(arrived), toString(*rejection), key, out);
-        else
+        else {
+            countRefusal(*rejection);
             rejectPacket(std::move(arrived), *rejection, out);
+        }
         return;
     }
     const auto reason = forwardingReason(arrived.isTrial, now);
@@ -142,9 +135,9 @@
         forwardToAlternate(std::move(arrived), toString(*reason), key, out);
         return;
     }
-    if (m_flows.size() >= kMaxAgentFlows || isOverloaded(arrived.limits)) {
+    if (const auto cause = openingRefusalCause(key, arrived.limits, now)) {
         arrived.packetBytes = std::move(content.bytes);
-        rejectPacket(std::move(arrived), rejection_reason::full, out);
+        refuseOpening(std::move(arrived), key, *cause, now, out);
         return;
     }
     ++m_counts.opened;
--- a/src/libpacket/packet_agent_pvt.h
+++ b/src/libpacket/packet_agent_pvt.h
@@ -32,6 +32,9 @@
 /// Outcome that an answer with this status counts as.
 upstream_outcome classifyStatus(std::uint32_t status);
 
+/// One-way delay of an answer to the caller, across failure domains.
+constexpr double kAnswerDelayMs = 12;
+
 /// Limits memory use, at about 300 bytes per flow.
 constexpr std::size_t kMaxAgentFlows = 20'000;
 
--- a/src/libpacket/packet_agent_requests.cpp
+++ b/src/libpacket/packet_agent_requests.cpp
@@ -21,8 +21,6 @@
 // Requests that the upstream may hold beyond its slots, so that a slot does not idle while an answer and the next
 // request pass through the agent.
 constexpr std::size_t kReadyRequests = 1;
-// One-way delay of the answer to the caller, across failure domains.
-constexpr double kAnswerDelayMs = 12;
 // Requests may take longer than the mean. With this factor three of four meet their latency target.
 constexpr double kProcessingTimeMargin = 1.3;
 // For callers that state no timeout.
@@ -147,6 +145,7 @@
     request_head head = m_readHead(payload(content));
     flow->requestAge = requestAge(key, *flow, head, now);
     const waiting_request request = waitingRequest(key, *flow, head, now);
+    recordOffered(key, request.priority, now);
     flow->isFirstRequestDue = false;
     flow->requestId = std::move(head.id);
     flow->requestDeadline = request.deadline;
@@ -173,6 +172,7 @@
     // The caller has acknowledged all earlier answers.
     flow->answerStart = flow->hasUpstreamNextSequence ? flow->upstreamNextSequence : flow->callerAcknowledged;
     flow->processingSince = now;
+    m_waits.push_back({wait_kind::actual, flow->limits.priority, now - flow->requestArrivedAt});
     (flow->phase == flow_phase::probing ? m_probesSent : m_requestsSent).emplace_back(now, key);
     ++m_requestsInProgress;
     logRequest(key, *flow, "request passed", out);
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -191,6 +191,10 @@
             rejectPacket(arrived, "no_agent", out);
         return;
     }
+    if (!admitOpening(arrived.header, route, &chosen, now)) {
+        rejectPacket(arrived, toString(refusal_cause::no_time), out);
+        return;
+    }
     const host_address agent = chosen.agents.front();
     logPlacement(arrived.header, route, chosen, now, out);
     m_agents.recordFlowSent(agent);
@@ -203,6 +207,7 @@
         flow.service = chosen.service;
         flow.isOwnerKnown = true;
         flow.isOpening = true;
+        flow.hasAlternates = chosen.agents.size() > 1;
         flow.lastSeen = now;
     }
     chosen.agents.erase(chosen.agents.begin());
@@ -367,33 +372,6 @@
         onOwnerNack(agent, {flow, false}, now, out);
 }
 
-// All agents of the placement have rejected the flow. The remaining agents are tried once, then the flow is reset.
-void packet_balancer::onOpeningRejected(const host_address &agent, rejection_reason reason, packet returned,
-                                        time_point now, packet_actions *out)
-{
-    const auto found = m_flows.find(flowFromCaller(returned.header));
-    if (found == m_flows.end() || !found->second.isOpening)
-        return; // Another agent has opened the flow.
-    balancer_flow &flow = found->second;
-    addUnique(agent, &flow.rejectedBy);
-    addUnique(flow.owner, &flow.rejectedBy);
-    const auto order = placementCandidates(found->first, flow.service, flow.rejectedBy, now);
-    if (order.empty()) {
-        m_flows.erase(found);
-        rejectPacket(returned, toString(reason), out);
-        return;
-    }
-    found->second.owner = order.front();
-    found->second.lastSeen = now;
-    m_agents.recordFlowSent(order.front());
-    log(log_class::placement,
-        absl::StrCat("moved opening flow, flow=", toString(flowFromCaller(returned.header)), " from=", toString(agent),
-                     " reason=", toString(reason), " agent=", toString(order.front())),
-        out);
-    forward(order.front(), forward_purpose::open, flow.service, flowFromCaller(returned.header),
-            std::move(returned.bytes), {order.begin() + 1, order.end()}, out);
-}
-
 void packet_balancer::applyRoutes(std::shared_ptr<const route_set> routes, time_point now, packet_actions *out)
 {
     if (m_routes && routes->version <= m_routes->version)
@@ -464,6 +442,7 @@
         expireFlows(now);
         m_agents.removeStaleNodes(kAgentExpiry, now);
         removeSilentBalancers(now);
+        expireTimeRefusals(now);
         m_nextSweep = now + kSweepPeriod;
     }
 }
--- /dev/null
+++ b/src/libpacket/packet_balancer_admission.cpp
@@ -0,0 +1,142 @@
+#include "citroncrank/opening_admission.h"
+#include "citroncrank/packet_balancer.h"
+
+#include "packet_balancer_pvt.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <chrono>
+
+namespace citroncrank {
+
+namespace {
+
+double milliseconds(duration value)
+{
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+double processingMs(const agent_report &report)
+{
+    return report.processingMicroseconds > 0 ? report.processingMicroseconds / 1000.0 : report.processingMilliseconds;
+}
+
+// Reasons for which a further agent of an overloaded service probably refuses the opening as well.
+bool isForLackOfCapacity(rejection_reason reason)
+{
+    return reason == rejection_reason::no_time || reason == rejection_reason::cold || reason == rejection_reason::full;
+}
+
+} // namespace
+
+// An agent that has just refused an opening of the route for lack of time admits the next one when its upstream has
+// answered a request.
+bool packet_balancer::isBeyondTime(const agent_record &agent, const packet_route &route, time_point now) const
+{
+    const double processing = processingMs(agent.report);
+    const reported_wait wait{.waitMs = double(agent.report.waitMilliseconds),
+                             .ageMs = milliseconds(now - agent.lastHeardAt.value_or(now)),
+                             .processingMs = processing};
+    if (isBeyondTimeout(wait, milliseconds(route.timeout)))
+        return true;
+    const auto refused = m_timeRefusals.find({agent.address, route.address});
+    return refused != m_timeRefusals.end() && agent.report.slots > 0
+           && milliseconds(now - refused->second) < processing / agent.report.slots;
+}
+
+// An agent that may be usable without a recent report may have room, so nothing is refused on its account.
+bool packet_balancer::isServiceBeyondTime(const std::string &service, const packet_route &route, time_point now) const
+{
+    bool isAnyReady = false;
+    for (const host_address &address : m_agents.agentsOfService(service)) {
+        const agent_record *const agent = m_agents.find(address);
+        const agent_availability availability = m_agents.availability(*agent, now);
+        if (availability == agent_availability::unconfirmed)
+            return false;
+        if (availability != agent_availability::ready)
+            continue;
+        isAnyReady = true;
+        if (!isBeyondTime(*agent, route, now))
+            return false;
+    }
+    return isAnyReady;
+}
+
+// A copy may belong to a flow that an earlier copy has opened, so only the first packet is refused. In overload the
+// alternates would probably have no free slot either, and each would cost a message; a refused opening may still move
+// within the budget.
+bool packet_balancer::admitOpening(const packet_header &header, const packet_route &route, placement *chosen,
+                                   time_point now)
+{
+    const bool isFirst = header.acknowledged == 0 && !m_flows.contains(flowFromCaller(header));
+    if (!isFirst)
+        return true;
+    retry_budget &budget = m_retryBudgets[chosen->service];
+    budget.recordOpening();
+    if (isServiceBeyondTime(chosen->service, route, now)) {
+        ++m_refusals[std::size_t(refusal_cause::no_time)];
+        return false;
+    }
+    if (budget.isOverloaded(now) && !chosen->isTrial)
+        chosen->agents.resize(1);
+    return true;
+}
+
+// One slow agent is no overload of its service: a second one, or the agents that the opening visited before, must have
+// had no room either.
+void packet_balancer::recordTimeRefusal(const host_address &agent, const balancer_flow &flow, const host_address &route,
+                                        bool isLastAgent, time_point now)
+{
+    m_timeRefusals[{agent, route}] = now;
+    if (flow.rejectedBy.size() > 1 || flow.hasAlternates || isLastAgent)
+        m_retryBudgets[flow.service].recordOverload(now);
+}
+
+// Refusals count for the time of one answer, which is far below this.
+void packet_balancer::expireTimeRefusals(time_point now)
+{
+    absl::erase_if(m_timeRefusals,
+                   [now](const auto &entry) { return now - entry.second > std::chrono::seconds(10); });
+}
+
+// All agents of the placement have rejected the flow. The remaining agents are tried once, then the flow is reset.
+void packet_balancer::onOpeningRejected(const host_address &agent, rejection_reason reason, packet returned,
+                                        time_point now, packet_actions *out)
+{
+    const auto found = m_flows.find(flowFromCaller(returned.header));
+    if (found == m_flows.end() || !found->second.isOpening)
+        return; // Another agent has opened the flow.
+    balancer_flow &flow = found->second;
+    addUnique(agent, &flow.rejectedBy);
+    addUnique(flow.owner, &flow.rejectedBy);
+    auto order = placementCandidates(found->first, flow.service, flow.rejectedBy, now);
+    if (reason == rejection_reason::no_time)
+        recordTimeRefusal(agent, flow, found->first.service, order.empty(), now);
+    if (order.empty()) {
+        m_flows.erase(found);
+        rejectPacket(returned, toString(reason), out);
+        return;
+    }
+    retry_budget &budget = m_retryBudgets[flow.service];
+    const bool isOverloaded = budget.isOverloaded(now);
+    if (isForLackOfCapacity(reason) && !budget.take(now)) {
+        ++m_refusals[std::size_t(refusal_cause::retry_budget)];
+        m_flows.erase(found);
+        rejectPacket(returned, toString(refusal_cause::retry_budget), out);
+        return;
+    }
+    if (isOverloaded)
+        order.resize(1);
+    flow.owner = order.front();
+    flow.hasAlternates = order.size() > 1;
+    flow.lastSeen = now;
+    m_agents.recordFlowSent(order.front());
+    log(log_class::placement,
+        absl::StrCat("moved opening flow, flow=", toString(flowFromCaller(returned.header)), " from=", toString(agent),
+                     " reason=", toString(reason), " agent=", toString(order.front())),
+        out);
+    forward(order.front(), forward_purpose::open, flow.service, flowFromCaller(returned.header),
+            std::move(returned.bytes), {order.begin() + 1, order.end()}, out);
+}
+
+} // namespace citroncrank
--- a/src/libpacketnode/packet_agent_node.cpp
+++ b/src/libpacketnode/packet_agent_node.cpp
@@ -221,6 +221,22 @@
     setDecisionCount("turned_away", counts.rejected);
     setDecisionCount("returned", counts.returned);
     setDecisionCount("reset", counts.resets);
+    setRefusalCounts(m_core.refusals());
+    observeWaits();
+}
+
+void packet_agent_node::observeWaits()
+{
+    for (const wait_observation &observed : m_core.takeWaits()) {
+        const bool isActual = observed.kind == wait_kind::actual;
+        m_metrics
+            .histogram("citroncrank_agent_wait_seconds",
+                       "Wait of requests for a slot: as estimated when the flow was opened, and as it was.",
+                       {{"service", m_fileSettings.service},
+                        {"priority", absl::StrCat(observed.priority)},
+                        {"kind", isActual ? "actual" : "estimated"}})
+            .observe(observed.wait);
+    }
 }
 
 void packet_agent_node::setDecisionCount(const char *decision, std::uint64_t count)
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -192,6 +192,7 @@
     perform(&m_actions);
     m_flows.set(double(m_core.flowCount()));
     m_routesVersion.set(double(m_core.routesVersion()));
+    setRefusalCounts(m_core.refusals());
     auto reasons = m_core.notReadyReasons(now);
     if (m_stopRequestedAt)
         reasons.emplace_back("stopping");
--- a/src/libpacketnode/packet_node.cpp
+++ b/src/libpacketnode/packet_node.cpp
@@ -121,6 +121,16 @@
     return [this](const std::string &text) { m_log.write(std::size_t(log_class::lifecycle), text); };
 }
 
+void packet_node::setRefusalCounts(const refusal_counts &counts)
+{
+    for (int i = 0; i < kRefusalCauseCount; ++i) {
+        m_metrics
+            .gauge("citroncrank_refused_openings", "Openings that this node has refused, by cause, since its start.",
+                   {{"cause", toString(refusal_cause(i))}})
+            .set(double(counts[std::size_t(i)]));
+    }
+}
+
 void packet_node::watchSignalsAndSettings(std::function<void()> onStop)
 {
     m_loop.catchSignals(std::move(onStop), [this] { handleReload(m_settingsFile.read(), "signal"); });
