--- a/src/include/citroncrank/opening_admission.h
+++ b/src/include/citroncrank/opening_admission.h
@@ -7,6 +7,7 @@
 #include "citroncrank/processing_model.h"
 #include "citroncrank/time.h"
 
+#include <absl/container/flat_hash_map.h>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -18,22 +19,32 @@
 {
 public:
     /// Records a request that has arrived, or that would have if its flow had not been refused.
-    void record(double processingMs, time_point now);
+    void record(std::uint32_t priority, double processingMs, time_point now);
     /// Slots that the arriving requests would occupy. Above the number of slots requests pile up.
-    double slotsNeeded(time_point now) const;
+    double slotsNeeded(time_point now) const { return m_all.slotsNeeded(now); }
+    /// The same for the requests of one priority.
+    double slotsNeeded(std::uint32_t priority, time_point now) const;
 
 private:
-    double m_workMs = 0; ///< Decayed sum.
-    time_point m_updatedAt;
+    struct decayed_work
+    {
+        double workMs = 0;
+        time_point updatedAt;
+        void record(double processingMs, time_point now);
+        double slotsNeeded(time_point now) const;
+    };
+
+    decayed_work m_all;
+    absl::flat_hash_map<std::uint32_t, decayed_work> m_priorities;
 };
 
 /// Requests at one upstream when an opening arrives.
 struct upstream_backlog
 {
     double slots = 1;
-    double competing = 0;   ///< In progress, expected, or waiting and within their latency target.
-    double pastTarget = 0;  ///< Waiting past their latency target.
-    double slotsNeeded = 0; ///< See offered_load.
+    double competing = 0;           ///< In progress, expected, or waiting and within their latency target.
+    double pastTarget = 0;          ///< Waiting past their latency target.
+    double slotsNeeded = 0;         ///< See offered_load.
     processing_estimate processing; ///< Of the requests of all kinds.
 };
 
@@ -43,6 +54,9 @@
     double targetMs = 0;  ///< Time left until the latency target, from now to the upstream's answer. 0: none.
     double timeoutMs = 0; ///< Time left until the caller times out, from now to the upstream's answer. 0: unknown.
     processing_estimate processing; ///< Of this kind of request.
+    double ownSlots = 0;            ///< Slots that requests of this priority keep in overload.
+    double ownSlotsNeeded = 0;      ///< See offered_load.
+    double ownWaiting = 0;          ///< Waiting requests of this priority within their target.
 };
 
 struct admission_estimate
@@ -53,7 +67,8 @@
 
 /// Estimates the wait of a new request. It is not admitted if the caller would very probably time out before the
 /// answer, or if it would probably miss its target and the upstream has no turns left for requests past their target.
-/// The spread of the processing times is included.
+/// A priority that needs no more than its share is not refused on account of others. The spread of the processing times
+/// is included.
 admission_estimate estimateAdmission(const upstream_backlog &backlog, const request_need &need);
 
 /// State of an agent that a balancer knows from a report.
--- a/src/include/citroncrank/request_queue.h
+++ b/src/include/citroncrank/request_queue.h
@@ -38,7 +38,10 @@
 {
 public:
     /// Counts the arrival of a request, whether it has to wait or not. The shares of the priorities rest on it.
-    void recordArrival(std::uint32_t priority, time_point now);
+    /// `isCapacityExceeded`: more requests arrive than the upstream can answer.
+    void recordArrival(std::uint32_t priority, bool isCapacityExceeded, time_point now);
+    /// Share of turns that the priority keeps in overload. 1 if no arrival has been recorded.
+    double share(std::uint32_t priority) const;
     /// Adds a request. Replaces the waiting request of the same flow, if any.
     void add(const waiting_request &request);
     /// Returns false if the flow has no waiting request.
@@ -54,6 +57,8 @@
     std::size_t size() const { return m_waiting.size(); }
     /// Number of waiting requests that can still meet their latency target.
     std::size_t countWithinTarget(time_point now) const;
+    /// Number of waiting requests of the priority that could still meet their latency target at the last turn.
+    std::size_t countOfPriority(std::uint32_t priority) const;
 
 private:
     enum class request_stage : std::uint8_t {
@@ -81,7 +86,7 @@
     {
         double arrivals = 0; ///< Decayed count.
         time_point updatedAt;
-        double credit = 0; ///< Turns that it is behind its share.
+        double credit = 0;            ///< Turns that it is behind its share.
         std::uint64_t lastServed = 0; ///< Last round that served a request within its target.
     };
 
@@ -92,8 +97,8 @@
     std::optional<std::uint32_t> mostUrgent(bool isNearDeadline) const;
     std::optional<std::uint32_t> longestUnserved() const;
     std::optional<std::uint32_t> behindItsShare(bool isNearDeadline) const;
-    std::optional<flow_key> nextWithinTarget(bool isOverloaded) const;
-    std::optional<flow_key> nextNearDeadline(bool isOverloaded) const;
+    std::optional<flow_key> nextWithinTarget(bool isNewestFirst, bool keepsShares) const;
+    std::optional<flow_key> nextNearDeadline(bool keepsShares) const;
     std::optional<flow_key> nextPastTarget() const;
     bool isNearDeadlineTurn(bool isOverloaded);
     void recordTurn(std::uint32_t priority, bool isWithinTarget);
@@ -101,12 +106,12 @@
     absl::flat_hash_map<flow_key, entry> m_waiting;
     absl::btree_map<std::uint32_t, priority_index> m_priorities; ///< Only those with requests in an index.
     absl::btree_map<std::uint32_t, priority_share> m_shares;
-    time_index m_withinTarget;       ///< By start deadline.
-    past_target_index m_pastTarget;  ///< By deadline and arrival.
-    std::size_t m_nearDeadline = 0;  ///< Number of requests in that stage.
-    time_index m_byDeadline;         ///< All requests.
-    double m_nearDeadlineCredit = 0; ///< Turns that requests near their deadline are due.
-    bool m_isOverloaded = false;     ///< At the last turn.
+    time_index m_withinTarget;         ///< By start deadline.
+    past_target_index m_pastTarget;    ///< By deadline and arrival.
+    std::size_t m_nearDeadline = 0;    ///< Number of requests in that stage.
+    time_index m_byDeadline;           ///< All requests.
+    double m_nearDeadlineCredit = 0;   ///< Turns that requests near their deadline are due.
+    bool m_isCapacityExceeded = false; ///< At the last arrival.
     std::uint64_t m_rounds = 0;
 };
 
--- a/src/libloadpolicy/opening_admission.cpp
+++ b/src/libloadpolicy/opening_admission.cpp
@@ -15,7 +15,13 @@
 // requests would be answered; it counts as in time for its target if five of six would.
 constexpr double kTimeoutQuantile = 2.33;
 constexpr double kTargetQuantile = 0.97;
+// A priority counts as within its share unless nearly all priorities with that share need less. In an overload by all
+// priorities none does.
+constexpr double kShareQuantile = 2;
 constexpr double kMillisecondsPerSecond = 1000;
+constexpr double kMaxAheadPerSlot = 1;
+// Bounds memory. Routes use few priorities.
+constexpr std::size_t kMaxPriorities = 64;
 
 double retainedShare(time_point from, time_point to)
 {
@@ -29,15 +35,28 @@
 
 } // namespace
 
-void offered_load::record(double processingMs, time_point now)
+void offered_load::decayed_work::record(double processingMs, time_point now)
 {
-    m_workMs = m_workMs * retainedShare(m_updatedAt, now) + processingMs;
-    m_updatedAt = now;
+    workMs = workMs * retainedShare(updatedAt, now) + processingMs;
+    updatedAt = now;
 }
 
-double offered_load::slotsNeeded(time_point now) const
+double offered_load::decayed_work::slotsNeeded(time_point now) const
 {
-    return m_workMs * retainedShare(m_updatedAt, now) / (kDecaySeconds * kMillisecondsPerSecond);
+    return workMs * retainedShare(updatedAt, now) / (kDecaySeconds * kMillisecondsPerSecond);
+}
+
+void offered_load::record(std::uint32_t priority, double processingMs, time_point now)
+{
+    m_all.record(processingMs, now);
+    if (m_priorities.size() < kMaxPriorities || m_priorities.contains(priority))
+        m_priorities[priority].record(processingMs, now);
+}
+
+double offered_load::slotsNeeded(std::uint32_t priority, time_point now) const
+{
+    const auto found = m_priorities.find(priority);
+    return found == m_priorities.end() ? 0 : found->second.slotsNeeded(now);
 }
 
 // Requests within their target go first. While arriving requests leave turns over, a new request waits for those within
@@ -62,10 +81,19 @@
     if (ahead == 0 || need.targetMs <= 0 || need.timeoutMs <= 0)
         return {true, waitMs};
     const double spareSlots = slots - backlog.slotsNeeded;
-    if (spareSlots <= 0)
-        return {answerBy(ahead + backlog.pastTarget, kTargetQuantile) <= need.targetMs, waitMs};
-    const double lateAnswerMs =
-        waitMs + (backlog.pastTarget + 1) * others.meanMs / spareSlots + need.processing.meanMs;
+    if (spareSlots <= 0) {
+        if (ahead <= kMaxAheadPerSlot * slots || answerBy(ahead + backlog.pastTarget, kTargetQuantile) <= need.targetMs)
+            return {true, waitMs};
+        const double ownWaitMs = (need.ownWaiting + 1) * others.meanMs / std::max(1e-3, need.ownSlots);
+        // Standard deviation of a decayed mean of Poisson arrivals.
+        const double noise =
+            std::sqrt(need.ownSlotsNeeded * others.meanMs / (2 * kDecaySeconds * kMillisecondsPerSecond));
+        const bool isWithinShare = need.ownSlotsNeeded - kShareQuantile * noise <= need.ownSlots
+                                   && need.ownSlotsNeeded + noise <= need.ownSlots * backlog.slotsNeeded / slots;
+        return {isWithinShare && std::min(waitMs, ownWaitMs) + need.processing.meanMs <= need.targetMs, waitMs};
+    }
+    // In overload the newest go first, so the waiting requests within their target may miss it as well.
+    const double lateAnswerMs = (ahead + backlog.pastTarget + 1) * others.meanMs / spareSlots + need.processing.meanMs;
     return {answerBy(ahead, kTargetQuantile) <= need.targetMs || lateAnswerMs <= timeoutMs, waitMs};
 }
 
--- a/src/libpacket/packet_admission_load_test.cpp
+++ b/src/libpacket/packet_admission_load_test.cpp
@@ -40,13 +40,19 @@
 /// What changes between `from` and `until`.
 struct disturbance
 {
-    duration from = seconds(3);
-    duration until = seconds(8);
+    duration from = seconds(30);
+    duration until = seconds(35);
     std::array<double, kPriorities> factor{1, 1, 1}; ///< Of the usual load.
     double slowShare = 0;                            ///< Share of the upstreams that become slower.
     double slowdown = 1;
     std::size_t returning = 0; ///< Callers that open flows at the same time, at `from`.
-    bool isDown = false;       ///< No request is answered and none admitted.
+    bool isDown = false;       ///< The service does not run, and no caller sends. Measured are the two seconds after.
+
+    bool isMeasured(time_point arrival) const
+    {
+        const duration at = arrival - time_point{};
+        return isDown ? at >= until && at < until + seconds(2) : at >= from && at < until;
+    }
 };
 
 /// Mechanisms of the decision code. The tests show that the bounds fail without them.
@@ -73,15 +79,20 @@
     std::size_t dropped = 0; ///< Admitted, and held until the caller gave up.
     std::array<std::size_t, kPriorities> arrivedDuring{};
     std::array<std::size_t, kPriorities> inTimeDuring{}; ///< Of those that arrived during the disturbance.
-    std::vector<double> waitsAfterMs; ///< Of requests that arrived over a second after the disturbance.
-    std::vector<double> refusalAgesMs;
-    std::vector<std::size_t> admittedPerSecond;
-    std::vector<std::size_t> answeredPerSecond;
+    std::vector<double> waitsAfterMs;  ///< Of requests that arrived over a second after the disturbance.
+    std::vector<double> waitsBeforeMs; ///< Of requests that were begun before it.
+    std::vector<double> refusalAgesMs; ///< Zero for a refused opening, the whole wait for an admitted request.
+    std::size_t mostUnanswered = 0;    ///< Most requests that were admitted and not answered yet.
     std::size_t inTime = 0;
     std::size_t refusedBefore = 0; ///< Before the disturbance.
 
-    std::size_t inTimeDuringAll() const { return inTimeDuring[0] + inTimeDuring[1] + inTimeDuring[2]; }
+    std::size_t inTimeMeasured() const { return inTimeDuring[0] + inTimeDuring[1] + inTimeDuring[2]; }
     double refusalAgePercentile(double share) const { return percentile(refusalAgesMs, share); }
+    double shareInTime(std::size_t priority) const
+    {
+        return double(inTimeDuring[priority]) / double(arrivedDuring[priority]);
+    }
+    double waitBeforePercentile(double share) const { return percentile(waitsBeforeMs, share); }
     double waitAfterPercentile(double share) const { return percentile(waitsAfterMs, share); }
 
     static double percentile(std::vector<double> values, double share)
@@ -108,7 +119,7 @@
     for (time_point now{}; now < time_point{} + length; now += kStep) {
         const duration at = now - time_point{};
         const bool isDisturbed = at >= change.from && at < change.until;
-        for (std::uint32_t priority = 0; priority < kPriorities; ++priority) {
+        for (std::uint32_t priority = 0; priority < kPriorities && !(isDisturbed && change.isDown); ++priority) {
             const double factor = isDisturbed ? change.factor[priority] : 1;
             std::poisson_distribution<int> count(perMs * described.usual[priority] * factor);
             for (int i = count(random); i > 0; --i)
@@ -131,23 +142,31 @@
         , m_model(described.processingMs)
     {}
 
-    double competing(time_point now) const { return double(m_working.size() + m_queue.countWithinTarget(now)); }
+    double expectedDelayMs(time_point now) const
+    {
+        return double(m_working.size() + m_queue.countWithinTarget(now) + 1) * m_model.overall(now).meanMs;
+    }
 
     /// Returns whether the request is admitted.
     bool arrive(const flow_key &flow, const request &arrived, const mechanisms &used, time_point now)
     {
-        if (used.keepsShares)
-            m_queue.recordArrival(arrived.priority, now);
         const processing_estimate processing = m_model.overall(now);
-        m_offered.record(processing.meanMs, now);
+        m_offered.record(arrived.priority, processing.meanMs, now);
+        if (used.keepsShares)
+            m_queue.recordArrival(arrived.priority, m_offered.slotsNeeded(now) > double(m_fleet->slots), now);
         const std::size_t within = m_queue.countWithinTarget(now);
-        const admission_estimate estimate =
-            estimateAdmission({.slots = double(m_fleet->slots),
-                               .competing = double(m_working.size() + within),
-                               .pastTarget = double(m_queue.size() - within),
-                               .slotsNeeded = m_offered.slotsNeeded(now),
-                               .processing = processing},
-                              {.targetMs = m_fleet->targetMs, .timeoutMs = m_fleet->timeoutMs, .processing = processing});
+        const admission_estimate estimate = estimateAdmission(
+            {.slots = double(m_fleet->slots),
+             .competing = double(m_working.size() + within),
+             .pastTarget = double(m_queue.size() - within),
+             .slotsNeeded = m_offered.slotsNeeded(now),
+             .processing = processing},
+            {.targetMs = m_fleet->targetMs,
+             .timeoutMs = m_fleet->timeoutMs,
+             .processing = processing,
+             .ownSlots = used.keepsShares ? double(m_fleet->slots) * m_queue.share(arrived.priority) : 0,
+             .ownSlotsNeeded = m_offered.slotsNeeded(arrived.priority, now),
+             .ownWaiting = double(m_queue.countOfPriority(arrived.priority))});
         // Without the mechanism only a queue beyond the timeout is refused, as before.
         const double waitMs = double(m_queue.size() + 1) * processing.meanMs / double(m_fleet->slots);
         if (used.refusesEarly ? !estimate.isAdmitted : waitMs > m_fleet->timeoutMs)
@@ -219,15 +238,11 @@
     std::mt19937_64 random(seed + 1);
     std::vector<replayed_agent> agents(described.upstreams, replayed_agent(described));
     replay_result result;
-    result.admittedPerSecond.resize(std::size_t(length / seconds(1)) + 1);
-    result.answeredPerSecond = result.admittedPerSecond;
-    const auto isDuring = [&](const request &one) {
-        return one.arrival - time_point{} >= change.from && one.arrival - time_point{} < change.until;
-    };
+    const auto isDuring = [&](const request &one) { return change.isMeasured(one.arrival); };
     std::size_t next = 0;
+    std::size_t unanswered = 0;
     std::uint32_t flowNumber = 0;
     for (time_point now{}; now < time_point{} + length; now += kStep) {
-        const auto second = std::size_t((now - time_point{}) / seconds(1));
         const bool isDisturbed = now - time_point{} >= change.from && now - time_point{} < change.until;
         for (; next < arrivals.size() && arrivals[next].arrival <= now; ++next) {
             const request &arrived = arrivals[next];
@@ -237,14 +252,12 @@
             replayed_agent *best = &agents[random() % agents.size()];
             for (int i = 0; i < 2; ++i) {
                 replayed_agent *const other = &agents[random() % agents.size()];
-                if (other->competing(now) < best->competing(now))
+                if (other->expectedDelayMs(now) < best->expectedDelayMs(now))
                     best = other;
             }
-            const bool isAdmitted = !(change.isDown && isDisturbed)
-                                    && best->arrive({{++flowNumber, 1}, {2, 443}}, arrived, used, now);
-            if (isAdmitted) {
-                ++result.admittedPerSecond[second];
-            } else if (!(change.isDown && isDisturbed)) {
+            if (best->arrive({{++flowNumber, 1}, {2, 443}}, arrived, used, now)) {
+                ++unanswered;
+            } else {
                 ++result.refused;
                 result.refusedBefore += now - time_point{} < change.from ? 1 : 0;
                 result.refusalAgesMs.push_back(0);
@@ -255,21 +268,26 @@
             agents[i].work(
                 isSlow ? 1 / change.slowdown : 1, change.isDown && isDisturbed, now,
                 [&](const request &begun, time_point at) {
+                    const double waitMs = double((at - begun.arrival).count()) / 1000;
                     if (begun.arrival - time_point{} >= change.until + seconds(1))
-                        result.waitsAfterMs.push_back(double((at - begun.arrival).count()) / 1000);
+                        result.waitsAfterMs.push_back(waitMs);
+                    if (at - time_point{} < change.from)
+                        result.waitsBeforeMs.push_back(waitMs);
                 },
                 [&](const request &answered, time_point at) {
-                    ++result.answeredPerSecond[second];
+                    --unanswered;
                     const bool isInTime = at <= answered.target;
                     ++(isInTime ? result.inTime : result.late);
                     if (isInTime && isDuring(answered))
                         ++result.inTimeDuring[answered.priority];
                 },
                 [&](const request &given) {
+                    --unanswered;
                     ++result.dropped;
                     result.refusalAgesMs.push_back(double((given.timeout - given.arrival).count()) / 1000);
                 });
         }
+        result.mostUnanswered = std::max(result.mostUnanswered, unanswered);
     }
     return result;
 }
@@ -303,8 +321,7 @@
             const bool isSlow =
                 isDisturbed && double(i / described.slots) < change.slowShare * double(described.upstreams);
             freeAt[i] = now + duration(std::int64_t(begun.work * (isSlow ? change.slowdown : 1) * 1000));
-            const duration at = begun.arrival - time_point{};
-            inTime += freeAt[i] <= begun.target && at >= change.from && at < change.until ? 1 : 0;
+            inTime += freeAt[i] <= begun.target && change.isMeasured(begun.arrival) ? 1 : 0;
         }
     }
     return inTime;
@@ -317,35 +334,135 @@
 
 void print(const char *load, const replay_result &result, std::size_t ideal)
 {
-    std::printf("%s: in time %zu of ideal %zu (%.3f), late %zu, refused %zu, dropped %zu, refusal age p95 %.0f ms, most "
-                "%.0f ms, wait p99 after %.0f ms, by priority %.2f %.2f %.2f\n",
-                load, result.inTimeDuringAll(), ideal, double(result.inTimeDuringAll()) / double(ideal), result.late,
-                result.refused, result.dropped, result.refusalAgePercentile(0.95), result.refusalAgePercentile(1),
-                result.waitAfterPercentile(0.99), double(result.inTimeDuring[0]) / double(result.arrivedDuring[0]),
-                double(result.inTimeDuring[1]) / double(result.arrivedDuring[1]),
-                double(result.inTimeDuring[2]) / double(result.arrivedDuring[2]));
+    std::printf("%s: in time %zu of ideal %zu (%.3f), late %zu, refused %zu, admitted and dropped %zu, refusal age p95 "
+                "%.0f ms, wait p99 before %.0f ms, after %.0f ms, most unanswered %zu, in time by priority %.2f %.2f "
+                "%.2f\n",
+                load, result.inTimeMeasured(), ideal, double(result.inTimeMeasured()) / double(ideal), result.late,
+                result.refused, result.dropped, result.refusalAgePercentile(0.95), result.waitBeforePercentile(0.99),
+                result.waitAfterPercentile(0.99), result.mostUnanswered, result.shareInTime(0), result.shareInTime(1),
+                result.shareInTime(2));
 }
 
-constexpr std::uint64_t kSeed = 1;
+constexpr std::array<std::uint64_t, 3> kSeeds{1, 2, 3};
 
 } // namespace
 
-TEST(PacketAdmissionLoad, Explore)
+// Guards against a burst in which requests that cannot be answered are admitted and held until their callers give up,
+// and against one whose backlog delays the requests after it.
+TEST(PacketAdmissionLoad, ABurstOf2Point4TimesTheCapacity)
 {
-    const auto both = [](const char *name, const fleet &f, const disturbance &d) {
-        const std::size_t ideal = idealInTime(f, d, kSeed);
-        std::printf("== %s\n", name);
-        print("with", replay(f, d, {}, kSeed), ideal);
-        print("no early refusal", replay(f, d, {.refusesEarly = false}, kSeed), ideal);
-        print("no shares", replay(f, d, {.keepsShares = false}, kSeed), ideal);
-    };
-    both("burst 2.4", {}, {.factor = {3.2, 3.2, 3.2}});
-    both("flood 0", {}, {.factor = {8, 1, 1}});
-    both("flood 1", {}, {.factor = {1, 8, 1}});
-    both("flood 2", {}, {.factor = {1, 1, 14}});
-    both("half slow", {}, {.slowShare = 0.5, .slowdown = 5});
-    both("power", {}, {.from = seconds(3), .until = seconds(5), .returning = 1500, .isDown = true});
-    both("third cut", {.usual = {0.45, 0.45, 0.225}}, {.from = seconds(1), .until = seconds(15)});
-    both("calm", {}, {});
-    both("calm 2 slots", {.upstreams = 12, .slots = 2, .usual = {0.35, 0.35, 0.17}}, {});
+    const disturbance burst{.factor = {3.2, 3.2, 3.2}};
+    for (const std::uint64_t seed : kSeeds) {
+        const std::size_t ideal = idealInTime({}, burst, seed);
+        const replay_result result = replay({}, burst, {}, seed);
+        print("burst", result, ideal);
+        EXPECT_GE(double(result.inTimeMeasured()), 0.95 * double(ideal));
+        EXPECT_LE(result.refusalAgePercentile(0.95), 50);
+        EXPECT_LT(double(result.dropped), 0.01 * double(result.arrived)) << "admitted, but not answered";
+        EXPECT_LT(result.waitAfterPercentile(0.99), 2 * result.waitBeforePercentile(0.99));
+        EXPECT_EQ(result.refusedBefore, 0U);
+        const replay_result without = replay({}, burst, {.refusesEarly = false}, seed);
+        print("burst, without", without, ideal);
+        EXPECT_LT(double(without.inTimeMeasured()), 0.95 * double(ideal));
+        EXPECT_GT(without.refusalAgePercentile(0.95), 50);
+    }
+}
+
+// Guards against a flood of one priority that takes the slots of the others, whichever it is.
+TEST(PacketAdmissionLoad, AFloodOfOnePriorityLeavesTheOthersTheirShare)
+{
+    constexpr double kLeastShareInTime = 0.85;
+    const std::array<std::array<double, kPriorities>, kPriorities> floods{{{8, 1, 1}, {1, 8, 1}, {1, 1, 14}}};
+    for (std::size_t flooded = 0; flooded < kPriorities; ++flooded) {
+        const disturbance flood{.factor = floods[flooded]};
+        for (const std::uint64_t seed : kSeeds) {
+            const std::size_t ideal = idealInTime({}, flood, seed);
+            const replay_result result = replay({}, flood, {}, seed);
+            const replay_result without = replay({}, flood, {.keepsShares = false}, seed);
+            print("flood", result, ideal);
+            print("flood, without", without, ideal);
+            EXPECT_GE(double(result.inTimeMeasured()), 0.9 * double(ideal));
+            EXPECT_LE(result.refusalAgePercentile(0.95), 50);
+            for (std::size_t other = 0; other < kPriorities; ++other) {
+                if (other == flooded)
+                    continue;
+                EXPECT_GE(result.shareInTime(other), kLeastShareInTime) << flooded << " floods " << other;
+                EXPECT_LT(without.shareInTime(other), kLeastShareInTime);
+            }
+        }
+    }
+}
+
+// Guards against requests that are held at upstreams which have turned slow.
+TEST(PacketAdmissionLoad, HalfOfTheUpstreamsTurnSlow)
+{
+    const disturbance slow{.slowShare = 0.5, .slowdown = 5};
+    for (const std::uint64_t seed : kSeeds) {
+        const std::size_t ideal = idealInTime({}, slow, seed);
+        const replay_result result = replay({}, slow, {}, seed);
+        const replay_result without = replay({}, slow, {.refusesEarly = false}, seed);
+        print("half slow", result, ideal);
+        print("half slow, without", without, ideal);
+        EXPECT_GE(double(result.inTimeMeasured()), 0.85 * double(ideal));
+        EXPECT_LE(result.refusalAgePercentile(0.95), 50);
+        EXPECT_LT(double(result.dropped), 0.01 * double(result.arrived));
+        EXPECT_GT(without.refusalAgePercentile(0.95), 50);
+    }
+}
+
+// Guards against a recovery in which all returning callers are admitted at once and most of them time out: openings are
+// admitted at the rate of answers once the upstreams have work for about a second.
+TEST(PacketAdmissionLoad, AllCallersReturnAfterALossOfPower)
+{
+    const fleet usual;
+    const disturbance outage{.from = seconds(30), .until = seconds(32), .returning = 1500, .isDown = true};
+    const double answersPerSecond = 1000 * double(usual.upstreams * usual.slots) / usual.processingMs;
+    for (const std::uint64_t seed : kSeeds) {
+        const std::size_t ideal = idealInTime(usual, outage, seed);
+        const replay_result result = replay(usual, outage, {}, seed);
+        const replay_result without = replay(usual, outage, {.refusesEarly = false}, seed);
+        print("power", result, ideal);
+        print("power, without", without, ideal);
+        EXPECT_GE(double(result.inTimeMeasured()), 0.85 * double(ideal));
+        EXPECT_LE(result.refusalAgePercentile(0.95), 50);
+        EXPECT_LT(double(result.dropped), 0.01 * double(result.arrived));
+        EXPECT_LT(double(result.mostUnanswered), answersPerSecond);
+        EXPECT_GT(double(without.mostUnanswered), answersPerSecond);
+        EXPECT_GT(without.refusalAgePercentile(0.95), 50);
+    }
+}
+
+// Guards against a lasting lack of capacity in which each request waits until shortly before its caller's timeout.
+TEST(PacketAdmissionLoad, TheCapacityIsCutByAThird)
+{
+    const fleet reduced{.usual = {0.45, 0.45, 0.225}};
+    const disturbance always{.from = seconds(1), .until = seconds(15)};
+    for (const std::uint64_t seed : kSeeds) {
+        const std::size_t ideal = idealInTime(reduced, always, seed);
+        const replay_result result = replay(reduced, always, {}, seed);
+        const replay_result without = replay(reduced, always, {.refusesEarly = false}, seed);
+        print("third cut", result, ideal);
+        print("third cut, without", without, ideal);
+        EXPECT_GE(double(result.inTimeMeasured()), 0.9 * double(ideal));
+        EXPECT_LE(result.refusalAgePercentile(0.95), 50);
+        EXPECT_LT(double(result.dropped), 0.01 * double(result.arrived));
+        EXPECT_LT(double(without.inTimeMeasured()), 0.9 * double(ideal));
+        EXPECT_GT(without.refusalAgePercentile(0.95), 50);
+    }
+}
+
+// Guards against refusals, and against another order, where nothing is overloaded.
+TEST(PacketAdmissionLoad, NothingChangesAtUsualLoad)
+{
+    for (const std::size_t slots : {2U, 3U, 5U}) {
+        const fleet usual{.slots = slots};
+        for (const std::uint64_t seed : kSeeds) {
+            const replay_result result = replay(usual, {}, {}, seed);
+            const replay_result without = replay(usual, {}, {.refusesEarly = false, .keepsShares = false}, seed);
+            EXPECT_EQ(result.refused, 0U);
+            EXPECT_EQ(result.dropped, 0U);
+            EXPECT_EQ(result.inTimeMeasured(), without.inTimeMeasured());
+            EXPECT_EQ(result.waitsBeforeMs, without.waitsBeforeMs);
+        }
+    }
 }
--- a/src/libpacket/packet_agent_admission.cpp
+++ b/src/libpacket/packet_agent_admission.cpp
@@ -47,13 +47,16 @@
                               .processing = overallProcessing(now)},
                              {.targetMs = left(limits.latencyTargetMs),
                               .timeoutMs = left(limits.timeoutMs),
-                              .processing = processingEstimate(key.service, now)});
+                              .processing = processingEstimate(key.service, now),
+                              .ownSlots = slots() * m_queue.share(limits.priority),
+                              .ownSlotsNeeded = m_offeredLoad.slotsNeeded(limits.priority, now),
+                              .ownWaiting = double(m_queue.countOfPriority(limits.priority))});
 }
 
 void packet_agent::recordOffered(const flow_key &key, std::uint32_t priority, time_point now)
 {
-    m_queue.recordArrival(priority, now);
-    m_offeredLoad.record(processingEstimate(key.service, now).meanMs, now);
+    m_offeredLoad.record(priority, processingEstimate(key.service, now).meanMs, now);
+    m_queue.recordArrival(priority, m_offeredLoad.slotsNeeded(now) > slots(), now);
 }
 
 // Before the upstream's first announcement its slots are not known for sure, so nothing is refused for lack of time.
--- a/src/libpacket/packet_balancer_admission.cpp
+++ b/src/libpacket/packet_balancer_admission.cpp
@@ -95,8 +95,7 @@
 // Refusals count for the time of one answer, which is far below this.
 void packet_balancer::expireTimeRefusals(time_point now)
 {
-    absl::erase_if(m_timeRefusals,
-                   [now](const auto &entry) { return now - entry.second > std::chrono::seconds(10); });
+    absl::erase_if(m_timeRefusals, [now](const auto &entry) { return now - entry.second > std::chrono::seconds(10); });
 }
 
 // All agents of the placement have rejected the flow. The remaining agents are tried once, then the flow is reset.
--- a/src/libpacket/request_queue.cpp
+++ b/src/libpacket/request_queue.cpp
@@ -36,15 +36,33 @@
 
 } // namespace
 
-void request_queue::recordArrival(std::uint32_t priority, time_point now)
+void request_queue::recordArrival(std::uint32_t priority, bool isCapacityExceeded, time_point now)
 {
+    m_isCapacityExceeded = isCapacityExceeded;
     priority_share &share = m_shares[priority];
     const double elapsed = std::chrono::duration<double>(now - share.updatedAt).count();
     share.arrivals = share.arrivals * std::exp(-std::max(0.0, elapsed) / kShareTimeConstantSeconds)
-                     + (m_isOverloaded ? kOverloadedArrivalWeight : 1);
+                     + (isCapacityExceeded ? kOverloadedArrivalWeight : 1);
     share.updatedAt = now;
 }
 
+double request_queue::share(std::uint32_t priority) const
+{
+    double own = 0;
+    double all = 0;
+    for (const auto &[other, share] : m_shares) {
+        all += share.arrivals;
+        own += other == priority ? share.arrivals : 0;
+    }
+    return all > 0 ? own / all : 1;
+}
+
+std::size_t request_queue::countOfPriority(std::uint32_t priority) const
+{
+    const auto found = m_priorities.find(priority);
+    return found == m_priorities.end() ? 0 : found->second.byStartDeadline.size();
+}
+
 void request_queue::add(const waiting_request &request)
 {
     remove(request.flow);
@@ -62,8 +80,6 @@
     m_byDeadline.erase({request.deadline, flow});
     eraseFromStage(request, found->second.stage);
     m_waiting.erase(found);
-    if (m_waiting.empty())
-        m_isOverloaded = false;
     return true;
 }
 
@@ -187,20 +203,20 @@
 // If not all requests can meet their latency target, serving the oldest first makes all of them miss it by a little,
 // while serving the newest first lets most of them meet it. Waiting requests past their target indicate such an
 // overload.
-std::optional<flow_key> request_queue::nextWithinTarget(bool isOverloaded) const
+std::optional<flow_key> request_queue::nextWithinTarget(bool isNewestFirst, bool keepsShares) const
 {
-    auto priority = isOverloaded ? behindItsShare(false) : std::nullopt;
+    auto priority = keepsShares ? behindItsShare(false) : std::nullopt;
     if (!priority)
         priority = m_rounds % kUnservedPriorityPeriod == kUnservedPriorityRound ? longestUnserved() : mostUrgent(false);
     if (!priority)
         return std::nullopt;
     const priority_index &index = m_priorities.at(*priority);
-    return isOverloaded ? index.byNewest.begin()->second : index.byStartDeadline.begin()->second;
+    return isNewestFirst ? index.byNewest.begin()->second : index.byStartDeadline.begin()->second;
 }
 
-std::optional<flow_key> request_queue::nextNearDeadline(bool isOverloaded) const
+std::optional<flow_key> request_queue::nextNearDeadline(bool keepsShares) const
 {
-    auto priority = isOverloaded ? behindItsShare(true) : std::nullopt;
+    auto priority = keepsShares ? behindItsShare(true) : std::nullopt;
     if (!priority)
         priority = mostUrgent(true);
     return priority ? std::optional(m_priorities.at(*priority).nearDeadline.begin()->second) : std::nullopt;
@@ -251,9 +267,10 @@
 {
     ++m_rounds;
     advanceStages(now);
-    m_isOverloaded = m_withinTarget.size() > maxWithinTarget || m_withinTarget.size() < m_waiting.size();
-    const auto withinTarget = nextWithinTarget(m_isOverloaded);
-    auto next = isNearDeadlineTurn(m_isOverloaded) || !withinTarget ? nextNearDeadline(m_isOverloaded) : std::nullopt;
+    const bool isOverloaded = m_withinTarget.size() > maxWithinTarget || m_withinTarget.size() < m_waiting.size();
+    const bool keepsShares = isOverloaded || m_isCapacityExceeded;
+    const auto withinTarget = nextWithinTarget(isOverloaded, keepsShares);
+    auto next = isNearDeadlineTurn(isOverloaded) || !withinTarget ? nextNearDeadline(keepsShares) : std::nullopt;
     if (!next)
         next = withinTarget ? withinTarget : nextPastTarget();
     if (!next)
