--- a/src/libloadpolicy/opening_admission.cpp
+++ b/src/libloadpolicy/opening_admission.cpp
@@ -88,7 +88,7 @@
         // Standard deviation of a decayed mean of Poisson arrivals.
         const double noise =
             std::sqrt(need.ownSlotsNeeded * others.meanMs / (2 * kDecaySeconds * kMillisecondsPerSecond));
-        const bool isWithinShare = need.ownSlotsNeeded - kShareQuantile * noise <= need.ownSlots
+        const bool isWithinShare = need.ownSlots > 0 && need.ownSlotsNeeded - kShareQuantile * noise <= need.ownSlots
                                    && need.ownSlotsNeeded + noise <= need.ownSlots * backlog.slotsNeeded / slots;
         return {isWithinShare && std::min(waitMs, ownWaitMs) + need.processing.meanMs <= need.targetMs, waitMs};
     }
