--- a/src/libpacket/packet_agent_pvt.h
+++ b/src/libpacket/packet_agent_pvt.h
@@ -44,6 +44,8 @@
 /// Requests that the upstream may hold beyond its slots, so that a slot does not idle while an answer and the next
 /// request pass through the agent.
 constexpr std::size_t kReadyRequests = 1;
+/// One-way delay of an answer to the caller, across failure domains.
+constexpr double kAnswerDelayMs = 12;
 
 /// Limits memory use, at about 300 bytes per flow.
 constexpr std::size_t kMaxAgentFlows = 20'000;
--- a/src/libpacket/packet_agent_requests.cpp
+++ b/src/libpacket/packet_agent_requests.cpp
@@ -18,8 +18,6 @@
 constexpr double kMeanTimeConstantSeconds = 1.0;
 // Weight of one request in the moving average of the slack.
 constexpr double kMeanWeight = 0.05;
-// One-way delay of the answer to the caller, across failure domains.
-constexpr double kAnswerDelayMs = 12;
 // Requests may take longer than the mean. With this factor three of four meet their latency target.
 constexpr double kProcessingTimeMargin = 1.3;
 // For callers that state no timeout.
@@ -144,6 +142,7 @@
     request_head head = m_readHead(payload(content));
     flow->requestAge = requestAge(key, *flow, head, now);
     const waiting_request request = waitingRequest(key, *flow, head, now);
+    recordOffered(flow->limits, now);
     flow->isFirstRequestDue = false;
     flow->requestId = std::move(head.id);
     flow->requestDeadline = request.deadline;
@@ -170,6 +169,7 @@
     // The caller has acknowledged all earlier answers.
     flow->answerStart = flow->hasUpstreamNextSequence ? flow->upstreamNextSequence : flow->callerAcknowledged;
     flow->processingSince = now;
+    m_waits.push_back({wait_kind::actual, flow->limits.priority, now - flow->requestArrivedAt});
     (flow->phase == flow_phase::probing ? m_probesSent : m_requestsSent).emplace_back(now, key);
     ++m_requestsInProgress;
     recordSlotTaken(key, flow, now);
