agent: a key that a caller uses again is a new flow in an evacuated domain

Cause: an opening packet for a known open flow was delivered as a copy, also if its caller used the key of an earlier flow again, so that the upstream of an evacuated domain could accept a new flow. Change: the agent compares the sequence number with the one of the packet that opened the flow. Result: AKeyThatIsUsedAgainIsANewFlow; packet_agent_evacuation_test (12), packet_agent_test (27) pass.

--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -184,9 +184,10 @@
         bool hasUpstreamInitialSequence = false;
         bool hasUpstreamNextSequence = false;
         bool hasCallerNextSequence = false;
-        std::uint32_t upstreamInitialSequence = 0; ///< Of the upstream's opening answer, once seen.
-        std::uint32_t upstreamNextSequence = 0;    ///< Follows the upstream's last byte.
-        std::uint32_t callerNextSequence = 0;      ///< Follows the caller's last byte.
+        std::optional<std::uint32_t> callerInitialSequence; ///< Of the opening packet, if this agent delivered it.
+        std::uint32_t upstreamInitialSequence = 0;          ///< Of the upstream's opening answer, once seen.
+        std::uint32_t upstreamNextSequence = 0;             ///< Follows the upstream's last byte.
+        std::uint32_t callerNextSequence = 0;               ///< Follows the caller's last byte.
         std::uint32_t callerAcknowledged = 0;
         bool isConfirmed = false; ///< The caller uses the flow here, not at another upstream that answered its opening.
         bool isRestored = false;  ///< Known only from a snapshot; the upstream has sent no packet of it since.
@@ -223,6 +224,7 @@
     void checkEvacuations(time_point now, packet_actions *out);
     bool deliverCopy(const flow_key &key, agent_flow *flow, const packet &content, time_point now, packet_actions *out);
     void withdrawOpening(const flow_key &key, time_point now);
+    bool isRefusedAgain(const agent_flow &flow, const packet_header &opening) const;
     bool isWithdrawn(const flow_key &key, const packet_header &header) const;
     bool isColdOpeningAllowed(const request_limits &limits, time_point now);
     void recordOpening(const flow_key &key, time_point now);
--- a/src/libpacket/packet_agent_evacuation.cpp
+++ b/src/libpacket/packet_agent_evacuation.cpp
@@ -43,6 +43,19 @@
     m_areEvacuationsMissed = isMissed;
 }
 
+// In an evacuated domain, whether an opening packet of a known flow is refused like one of a new flow: unless the flow is
+// open and the packet is a copy of the one that opened it. The caller may use the key of an earlier flow again.
+bool packet_agent::isRefusedAgain(const agent_flow &flow, const packet_header &opening) const
+{
+    if (!isEvacuated())
+        return false;
+    if (flow.phase != flow_phase::open)
+        return true;
+    if (flow.callerInitialSequence)
+        return *flow.callerInitialSequence != opening.sequence;
+    return flow.callerFinished && flow.upstreamFinished;
+}
+
 // The upstream may have accepted the first packet, and its answer may be on the way. The caller is told that the flow
 // did not open here, so the answer must not reach it.
 void packet_agent::withdrawOpening(const flow_key &key, time_point now)
--- a/src/libpacket/packet_agent_evacuation_test.cpp
+++ b/src/libpacket/packet_agent_evacuation_test.cpp
@@ -169,6 +169,20 @@
     EXPECT_EQ(core.counts().openedEvacuated, 0U);
 }
 
+// Guards against a new flow that is taken for a copy, since its caller uses the key of an earlier flow again.
+TEST_F(PacketAgentEvacuation, AKeyThatIsUsedAgainIsANewFlow)
+{
+    open();
+    hear({1, 5}, {kOwnDomain});
+    packet_header header = openingPacket().header;
+    header.sequence += 70'000;
+    forward(makePacket(header), forward_purpose::open);
+    EXPECT_EQ(delivered(), 0U);
+    EXPECT_EQ(rejections(), std::vector{rejection_reason::evacuated});
+    fromUpstream(upstreamPacket(kUpstreamInitialSequence + 1, "late"));
+    EXPECT_TRUE(actionsOf<send_to_caller>(actions).empty()) << "the caller has given up the earlier flow";
+}
+
 // Guards against the hellos of an older balancer, which name no set, being taken for an empty set.
 TEST_F(PacketAgentEvacuation, AHelloWithoutASetChangesNothing)
 {
--- a/src/libpacket/packet_agent_opening.cpp
+++ b/src/libpacket/packet_agent_opening.cpp
@@ -117,7 +117,7 @@
     const auto known = m_flows.find(key);
     const bool isDuplicate = known != m_flows.end()
                              && (known->second.phase == flow_phase::opening || known->second.phase == flow_phase::open);
-    if (isDuplicate && !(isEvacuated() && known->second.phase == flow_phase::opening)) {
+    if (isDuplicate && !isRefusedAgain(known->second, content.header)) {
         known->second.origin = arrived.origin;
         if (deliverCopy(key, &known->second, content, now, out))
             deliver(key, &known->second, std::move(content), now, out);
@@ -167,6 +167,7 @@
     agent_flow &flow = m_flows[key];
     flow = agent_flow{};
     flow.phase = flow_phase::opening;
+    flow.callerInitialSequence = content.header.sequence;
     flow.firstSeen = now;
     flow.origin = arrived.origin;
     flow.alternates = std::move(arrived.alternates);
