--- a/src/libpacket/packet_admission_load_test.cpp
+++ b/src/libpacket/packet_admission_load_test.cpp
@@ -317,8 +317,8 @@
                 waiting.pop_back();
             else
                 waiting.pop_front();
-            const bool isSlow =
-                isDisturbed && double(i / described.slots) < change.slowShare * double(described.upstreams);
+            const std::size_t upstream = i / described.slots;
+            const bool isSlow = isDisturbed && double(upstream) < change.slowShare * double(described.upstreams);
             freeAt[i] = now + duration(std::int64_t(begun.work * (isSlow ? change.slowdown : 1) * 1000));
             inTime += freeAt[i] <= begun.target && change.isMeasured(begun.arrival) ? 1 : 0;
         }
