--- a/src/include/citroncrank/packet_node.h
+++ b/src/include/citroncrank/packet_node.h
@@ -10,8 +10,8 @@
 #include "citroncrank/metrics.h"
 #include "citroncrank/owner_message_batch.h"
 #include "citroncrank/packet_action.h"
-#include "citroncrank/refusal.h"
 #include "citroncrank/packet_node_settings.h"
+#include "citroncrank/refusal.h"
 #include "citroncrank/settings_watch.h"
 #include "citroncrank/store_worker.h"
 
