--- a/src/libpacket/upstream_starts_test.cpp
+++ b/src/libpacket/upstream_starts_test.cpp
@@ -154,7 +154,7 @@
         const std::uint64_t skew = hasClockOfItsOwn ? 20'000 : 0;
         const start_decision living =
             starts.observe({{"b", kBorn}, number, kBorn + (number - 1) * 770 + skew}, true, now);
-        RC_ASSERT(!living.ended || living.ended->start.id != "b");
+        RC_ASSERT((!living.ended || living.ended->start.id != "b")); // The macro evaluates both sides without them.
         const int late = *rc::gen::inRange(0, 4);
         for (int k = 0; k < late; ++k) {
             const auto bornBefore = *rc::gen::inRange<std::int64_t>(-20'000, 20'000);
--- a/src/libpacketnode/node_entry_test.cpp
+++ b/src/libpacketnode/node_entry_test.cpp
@@ -80,5 +80,5 @@
         return;
     }
     RC_ASSERT(!node->domain.empty());
-    RC_ASSERT(!node->isAgent || !node->service.empty());
+    RC_ASSERT((!node->isAgent || !node->service.empty()));
 }
