--- a/src/libpacket/node_message.cpp
+++ b/src/libpacket/node_message.cpp
@@ -1,39 +1,18 @@
 #include "citroncrank/node_message.h"
 
-#include "generated/node_message_generated.h"
+#include "node_message_pvt.h"
 
 #include <absl/strings/str_cat.h>
-#include <algorithm>
-#include <type_traits>
-#include <utility>
 
 namespace citroncrank {
 
 namespace {
 
-namespace wire = packet_wire;
-using builder = flatbuffers::FlatBufferBuilder;
-
-// Holds a forwarded packet of the largest size without growing.
-constexpr std::size_t kBuilderBytes = 1536;
-
-wire::Address toWire(const host_address &address)
-{
-    return {address.ip, address.port};
-}
-
 host_address fromWire(const wire::Address *address)
 {
     return address == nullptr ? host_address{} : host_address{address->ip(), address->port()};
 }
 
-flatbuffers::Offset<flatbuffers::Vector<const wire::Address *>> toWire(builder *out,
-                                                                       const std::vector<host_address> &addresses)
-{
-    return out->CreateVectorOfStructs<wire::Address>(
-        addresses.size(), [&](std::size_t index, wire::Address *target) { *target = toWire(addresses[index]); });
-}
-
 std::vector<host_address> fromWire(const flatbuffers::Vector<const wire::Address *> *addresses)
 {
     std::vector<host_address> result;
@@ -45,16 +24,6 @@
     return result;
 }
 
-flatbuffers::Offset<flatbuffers::Vector<const wire::Load *>> toWire(builder *out,
-                                                                    const std::vector<agent_load_sample> &samples)
-{
-    return out->CreateVectorOfStructs<wire::Load>(
-        std::min(kMaxLoadSamples, samples.size()), [&](std::size_t index, wire::Load *target) {
-            const agent_load_sample &sample = samples[index];
-            *target = {toWire(sample.agent), sample.busy, sample.slots, sample.processingMilliseconds};
-        });
-}
-
 std::vector<agent_load_sample> fromWire(const flatbuffers::Vector<const wire::Load *> *samples)
 {
     std::vector<agent_load_sample> result;
@@ -67,18 +36,6 @@
     return result;
 }
 
-// Values of the field "unsure". Older readers take any but the first as uncertain.
-constexpr std::uint8_t kDenied = 0;
-constexpr std::uint8_t kUncertain = 1;
-constexpr std::uint8_t kExpected = 2;
-
-std::uint8_t encodeCertainty(const owner_nack &nack)
-{
-    if (!nack.isUncertain)
-        return kDenied;
-    return nack.isExpected ? kExpected : kUncertain;
-}
-
 owner_nack decodeNack(const wire::Flow &flow, std::uint8_t certainty)
 {
     return {.flow = {fromWire(&flow.caller()), fromWire(&flow.service())},
@@ -86,27 +43,6 @@
             .isExpected = certainty == kExpected};
 }
 
-// Values of the field "detail". Older readers drop a message with a reason that they do not know, so a newer reason is
-// sent as the closest older one, with a detail.
-constexpr std::uint8_t kNoDetail = 0;
-constexpr std::uint8_t kEvacuated = 1;
-constexpr std::uint8_t kCold = 2;
-constexpr std::uint8_t kNoTime = 3;
-
-std::pair<rejection_reason, std::uint8_t> encodeReason(rejection_reason reason)
-{
-    switch (reason) {
-    case rejection_reason::evacuated:
-        return {rejection_reason::draining, kEvacuated};
-    case rejection_reason::cold:
-        return {rejection_reason::full, kCold};
-    case rejection_reason::no_time:
-        return {rejection_reason::full, kNoTime};
-    default:
-        return {reason, kNoDetail};
-    }
-}
-
 rejection_reason decodeReason(std::uint8_t reason, std::uint8_t detail)
 {
     switch (detail) {
@@ -121,19 +57,6 @@
     }
 }
 
-flatbuffers::Offset<wire::Evacuations> toWire(builder *out, const std::optional<evacuation_set> &evacuations)
-{
-    if (!evacuations)
-        return {};
-    const auto domains = out->CreateVectorOfStrings(evacuations->domains);
-    return wire::CreateEvacuations(*out, evacuations->version.era, evacuations->version.revision, domains);
-}
-
-flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> toWire(builder *out, const std::string &bytes)
-{
-    return out->CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
-}
-
 std::string fromWire(const flatbuffers::Vector<std::uint8_t> *bytes)
 {
     return bytes == nullptr ? std::string() : std::string(reinterpret_cast<const char *>(bytes->data()), bytes->size());
@@ -156,139 +79,6 @@
     return result;
 }
 
-flatbuffers::Offset<void> encodeBody(builder *out, const forwarded_packet &message)
-{
-    const auto service = out->CreateString(message.service);
-    const auto alternates = toWire(out, message.alternates);
-    const auto bytes = toWire(out, message.packetBytes);
-    const auto origin = toWire(message.origin);
-    const auto visited = toWire(out, message.visited);
-    return wire::CreateForward(*out, std::uint8_t(message.purpose), service, &origin, alternates, bytes,
-                               message.limits.priority, message.limits.latencyTargetMs, message.limits.timeoutMs,
-                               message.isTrial, message.isSettled, visited, message.limits.coldRateMilli)
-        .Union();
-}
-
-flatbuffers::Offset<void> encodeBody(builder *out, const owner_notice &message)
-{
-    const wire::Flow flow(toWire(message.flow.caller), toWire(message.flow.service));
-    return wire::CreateOwner(*out, &flow, toWire(out, message.loads)).Union();
-}
-
-flatbuffers::Offset<void> encodeBody(builder *out, const rejection_notice &message)
-{
-    const auto bytes = toWire(out, message.packetBytes);
-    const auto [reason, detail] = encodeReason(message.reason);
-    return wire::CreateNotTaken(*out, std::uint8_t(reason), std::uint8_t(message.purpose), bytes, detail).Union();
-}
-
-flatbuffers::Offset<wire::Report> encodeReport(builder *out, const agent_report &report)
-{
-    const auto service = out->CreateString(report.service);
-    const auto domain = out->CreateString(report.domain);
-    return wire::CreateReport(*out, service, domain, report.incarnation, report.number, std::uint8_t(report.state),
-                              report.slots, report.busy, report.flows, report.meanBusyMilli, report.coldMilliseconds,
-                              report.periodMilliseconds, report.isFailing, report.isTrialDue,
-                              report.processingMilliseconds, report.evacuations.era, report.evacuations.revision,
-                              report.processingMicroseconds, report.answers, report.waitMilliseconds);
-}
-
-flatbuffers::Offset<void> encodeBody(builder *out, const agent_report &message)
-{
-    return encodeReport(out, message).Union();
-}
-
-flatbuffers::Offset<void> encodeBody(builder *out, const balancer_hello &message)
-{
-    const auto balancers = toWire(out, message.balancers);
-    const auto unlisted = toWire(out, message.unlistedAgents);
-    const auto http = toWire(message.http);
-    const auto domain = out->CreateString(message.domain);
-    const auto evacuations = toWire(out, message.evacuations);
-    return wire::CreateBalancerHello(*out, domain, message.incarnation, message.routesVersion, &http, balancers,
-                                     message.agents, message.isEntryMissing, message.storeEra, unlisted,
-                                     message.areRoutesConfirmed, message.confirmationAgeMilliseconds, evacuations,
-                                     message.areEvacuationsConfirmed, message.evacuationsAgeMilliseconds)
-        .Union();
-}
-
-flatbuffers::Offset<void> encodeBody(builder *out, const agent_hello &message)
-{
-    return wire::CreateAgentHello(*out, encodeReport(out, message.report)).Union();
-}
-
-flatbuffers::Offset<void> encodeBody(builder *out, const flow_owner_list &message)
-{
-    const auto entries = out->CreateVectorOfStructs<wire::OwnedFlow>(
-        message.entries.size(), [&](std::size_t index, wire::OwnedFlow *target) {
-            const flow_owner_entry &entry = message.entries[index];
-            *target = {wire::Flow(toWire(entry.flow.caller), toWire(entry.flow.service)), toWire(entry.owner)};
-        });
-    return wire::CreateOwnerList(*out, entries).Union();
-}
-
-flatbuffers::Offset<void> encodeBody(builder *out, const owner_query &message)
-{
-    const auto service = out->CreateString(message.service);
-    const wire::Flow flow(toWire(message.flow.caller), toWire(message.flow.service));
-    return wire::CreateQuestion(*out, &flow, service, message.hasAcknowledged, message.acknowledged).Union();
-}
-
-flatbuffers::Offset<void> encodeBody(builder *out, const owner_nack &message)
-{
-    const wire::Flow flow(toWire(message.flow.caller), toWire(message.flow.service));
-    return wire::CreateDenial(*out, &flow, encodeCertainty(message)).Union();
-}
-
-flatbuffers::Offset<void> encodeBody(builder *out, const owner_query_list &message)
-{
-    const auto service = out->CreateString(message.queries.empty() ? "" : message.queries.front().service);
-    const auto entries = out->CreateVectorOfStructs<wire::AskedFlow>(
-        message.queries.size(), [&](std::size_t index, wire::AskedFlow *target) {
-            const owner_query &query = message.queries[index];
-            *target = {wire::Flow(toWire(query.flow.caller), toWire(query.flow.service)), query.acknowledged,
-                       query.hasAcknowledged};
-        });
-    return wire::CreateQuestionList(*out, service, entries).Union();
-}
-
-flatbuffers::Offset<void> encodeBody(builder *out, const owner_nack_list &message)
-{
-    const auto entries = out->CreateVectorOfStructs<wire::DeniedFlow>(
-        message.nacks.size(), [&](std::size_t index, wire::DeniedFlow *target) {
-            const owner_nack &nack = message.nacks[index];
-            *target = {wire::Flow(toWire(nack.flow.caller), toWire(nack.flow.service)), encodeCertainty(nack)};
-        });
-    return wire::CreateDenialList(*out, entries).Union();
-}
-
-template<typename message_type>
-constexpr wire::Body bodyType()
-{
-    if constexpr (std::is_same_v<message_type, forwarded_packet>)
-        return wire::Body::Forward;
-    else if constexpr (std::is_same_v<message_type, owner_notice>)
-        return wire::Body::Owner;
-    else if constexpr (std::is_same_v<message_type, rejection_notice>)
-        return wire::Body::NotTaken;
-    else if constexpr (std::is_same_v<message_type, agent_report>)
-        return wire::Body::Report;
-    else if constexpr (std::is_same_v<message_type, balancer_hello>)
-        return wire::Body::BalancerHello;
-    else if constexpr (std::is_same_v<message_type, flow_owner_list>)
-        return wire::Body::OwnerList;
-    else if constexpr (std::is_same_v<message_type, owner_query>)
-        return wire::Body::Question;
-    else if constexpr (std::is_same_v<message_type, owner_nack>)
-        return wire::Body::Denial;
-    else if constexpr (std::is_same_v<message_type, owner_query_list>)
-        return wire::Body::QuestionList;
-    else if constexpr (std::is_same_v<message_type, owner_nack_list>)
-        return wire::Body::DenialList;
-    else
-        return wire::Body::AgentHello;
-}
-
 std::optional<node_message> decodeBody(const wire::Forward &source)
 {
     if (source.purpose() > std::uint8_t(forward_purpose::probe) || source.packet() == nullptr)
@@ -478,19 +268,6 @@
     return absl::StrCat(toString(flow.caller), ">", toString(flow.service));
 }
 
-std::string encodeNodeMessage(const node_message &message)
-{
-    builder out(kBuilderBytes);
-    std::visit(
-        [&out](const auto &body) {
-            const auto offset = encodeBody(&out, body);
-            const auto type = bodyType<std::decay_t<decltype(body)>>();
-            wire::FinishMessageBuffer(out, wire::CreateMessage(out, type, offset));
-        },
-        message);
-    return {reinterpret_cast<const char *>(out.GetBufferPointer()), out.GetSize()};
-}
-
 std::optional<node_message> decodeNodeMessage(std::string_view datagram)
 {
     const auto *data = reinterpret_cast<const std::uint8_t *>(datagram.data());
