packet path: pace of new upstreams, own failure domain first while requests are in time

Cause: a cold upstream counted as half its slots for as long as it announced, whatever its answers showed. A flow left the failure domain as soon as a remote agent was less loaded by 0.15 of its slots, although a local one had a free slot.

Change: startPace() compares the answers since a start with those of warm upstreams of the service; without answers a new upstream is taken for as loaded as the others. The fixed factor 2 stays only for agents of earlier versions, which report no processing time. Another failure domain is chosen by the wait: the load there must be lower by a quarter of the time that a route's target leaves beyond three times the mean, between 0.15 and 2 processing times; without a target it is 0.15 as before. The last candidate is one of another failure domain, for the case that the local ones are full. Placement lines show relative_percent and pace_percent; metrics show the agent's processing time and wait.

--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -25,6 +25,7 @@
     std::string_view service;
     std::string_view ownDomain; ///< Failure domain of the balancer.
     flow_key flow;
+    duration latencyTarget{0}; ///< Of the flow's route; 0: none.
 };
 
 /// Agents by address. Not thread safe.
@@ -68,11 +69,13 @@
 
     /// Agents for a new flow, least loaded first, at most `count`. They are a part of the agents that share the best
     /// availability found, without those in `excluded`; the flow's key decides which part. Their loads are drawn from
-    /// what the reports leave open.
+    /// what the reports leave open. Agents of the own failure domain come first as long as a request is expected to be
+    /// answered in time there; the last candidate is one of another failure domain, if there is one, for the case that
+    /// they have no free slot.
     std::vector<host_address> candidates(const flow_placement &placed, std::span<const host_address> excluded,
                                          std::size_t count, time_point now, std::mt19937_64 *random) const;
-    /// Processing time that the upstreams of a service are compared with, see referenceProcessingMs().
-    double referenceMs(std::string_view service, time_point now) const;
+    /// What the upstreams of a service are compared with.
+    service_reference reference(std::string_view service, time_point now) const;
     /// Load of the agent, compared with the others of its service.
     load_estimate load(const agent_record &agent, time_point now) const;
     /// Agents that may own the flow and that candidates() may have chosen from, whatever their state was then.
--- a/src/include/citroncrank/agent_load.h
+++ b/src/include/citroncrank/agent_load.h
@@ -5,6 +5,7 @@
 
 #include "citroncrank/agent_record.h"
 #include "citroncrank/placement_cost.h"
+#include "citroncrank/start_pace.h"
 #include "citroncrank/time.h"
 
 #include <random>
@@ -16,16 +17,16 @@
 {
     double requests = 0;  ///< Expected number.
     double deviation = 0; ///< Standard deviation: how far the number may have changed since the last report.
-    double slots = 1;     ///< Requests that the upstream processes at full speed; less while it warms up.
+    double slots = 1;     ///< Requests that the upstream processes at full speed; less after its start.
+    double pace = 1;      ///< Part of the upstream's slots that `slots` is, see startPace().
     double relative = 1;  ///< Processing time of a request as a multiple of that at other upstreams of the service.
 };
 
-/// Processing time that the agent reports; not measured if it reports none of the new kind, as older agents do.
+/// Processing time and load that the agent reports; not measured if its version reports no `processingMicroseconds`.
 measured_processing measuredProcessing(const agent_record &agent);
 
 /// Estimates the load of the agent at the time `now`, including the flows sent to it since its last report.
-/// `referenceMs`: processing time at the upstreams of the service, 0 if unknown.
-load_estimate estimateLoad(const agent_record &agent, double referenceMs, time_point now);
+load_estimate estimateLoad(const agent_record &agent, const service_reference &reference, time_point now);
 
 /// Expected completion of a new request, see completionCost(). The fraction of the slots in use if the upstream is as
 /// fast as others. May exceed 1.
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -136,6 +136,10 @@
     void advance(time_point now, packet_actions *out);
 
     agent_report report(time_point now);
+    /// Learned processing time of all kinds of requests.
+    processing_estimate processing(time_point now) const { return m_processing.overall(now); }
+    /// Expected wait of a new request for a slot.
+    double expectedWaitMs(time_point now) const;
     agent_state state() const { return m_state; }
     const packet_agent_counts &counts() const { return m_counts; }
     std::size_t flowCount() const { return m_flows.size(); }
@@ -236,7 +240,6 @@
     void recordProcessingTime(const agent_flow &flow, time_point now);
     double processingMs() const;
     double answerTimeMs() const;
-    double expectedWaitMs(time_point now) const;
     void recordUpstreamSequence(agent_flow *flow, const packet_header &header);
     void handleReturnedPacket(packet content, time_point now, packet_actions *out);
     void releaseRequestsInProgress(time_point now);
--- a/src/include/citroncrank/placement_cost.h
+++ b/src/include/citroncrank/placement_cost.h
@@ -12,16 +12,28 @@
 struct measured_processing
 {
     double meanMs = 0;  ///< 0: not measured.
-    double answers = 0; ///< Answers that the mean rests on.
+    double answers = 0; ///< Recent answers that the mean rests on.
+    double load = 0;    ///< Mean number of requests at the upstream, as a fraction of its slots.
 };
 
-/// Processing time that the upstreams of a service are compared with: the median of the measured ones. 0 if fewer than
-/// two are measured. Reorders `measured`.
-double referenceProcessingMs(std::span<measured_processing> measured);
+/// What the upstreams of a service are compared with: medians.
+struct service_reference
+{
+    double processingMs = 0; ///< Of the upstreams with enough answers. 0: fewer than two have them.
+    double answers = 0;      ///< Of the measured upstreams.
+    double load = 0;         ///< Of the upstreams with enough answers.
+};
+/// Reorders `measured`.
+service_reference compareUpstreams(std::span<measured_processing> measured);
 
 /// Processing time of an upstream as a multiple of the reference. 1 unless the difference exceeds what chance explains.
 double relativeProcessing(const measured_processing &measured, double referenceMs);
 
+/// Load by which the cost at an upstream of another failure domain must be lower, so that a request goes there: the
+/// wait, in processing times, after which a request of the own failure domain may still be in time. `latencyTargetMs`: 0
+/// if there is none.
+double otherDomainPenalty(double latencyTargetMs, double processingMs);
+
 /// Expected completion of a new request, relative to an upstream without requests and of the reference's speed, in
 /// processing times. Equals the fraction of the slots in use if `relative` is 1.
 double completionCost(double competingRequests, double slots, double relative);
--- a/src/libloadpolicy/placement_cost.cpp
+++ b/src/libloadpolicy/placement_cost.cpp
@@ -16,22 +16,50 @@
 // hundred equal upstreams exceeds the lower limit at a time, and then by little.
 constexpr double kChanceDeviations = 2.5;
 constexpr double kCertainDeviations = 4;
+// Fraction of the slots, used while no target is known. A round trip between failure domains takes about 9 ms, as much
+// as waiting for a sixth of a typical request.
+constexpr double kMinDomainPenalty = 0.15;
+// A request that finds its slots and as many places in the queue taken has waited for a whole processing time.
+constexpr double kMaxDomainPenalty = 2;
+// Multiple of the mean within which nearly all requests are processed.
+constexpr double kSlowRequestRatio = 3;
+// Part of the time to spare that a request may wait in its own failure domain. The balancer's knowledge of the wait is
+// old, and further requests of the flow need time to spare as well.
+constexpr double kWaitShare = 0.25;
+
+double medianOf(std::span<measured_processing> measured, double measured_processing::*field)
+{
+    if (measured.empty())
+        return 0;
+    const auto middle = measured.begin() + std::ptrdiff_t((measured.size() - 1) / 2);
+    std::nth_element(measured.begin(), middle, measured.end(),
+                     [field](const measured_processing &left, const measured_processing &right) {
+                         return left.*field < right.*field;
+                     });
+    return (*middle).*field;
+}
 
 } // namespace
 
-double referenceProcessingMs(std::span<measured_processing> measured)
+service_reference compareUpstreams(std::span<measured_processing> measured)
 {
-    const auto end = std::partition(measured.begin(), measured.end(), [](const measured_processing &one) {
-        return one.meanMs > 0 && one.answers >= kMinAnswers;
-    });
-    const auto count = end - measured.begin();
-    if (count < 2)
-        return 0;
-    const auto middle = measured.begin() + (count - 1) / 2;
-    std::nth_element(
-        measured.begin(), middle, end,
-        [](const measured_processing &left, const measured_processing &right) { return left.meanMs < right.meanMs; });
-    return middle->meanMs;
+    const auto known =
+        std::partition(measured.begin(), measured.end(), [](const measured_processing &one) { return one.meanMs > 0; });
+    const auto warm = std::partition(measured.begin(), known,
+                                     [](const measured_processing &one) { return one.answers >= kMinAnswers; });
+    const std::span<measured_processing> warmOnes(measured.begin(), warm);
+    return {.processingMs = warmOnes.size() < 2 ? 0 : medianOf(warmOnes, &measured_processing::meanMs),
+            .answers = medianOf({measured.begin(), known}, &measured_processing::answers),
+            .load = medianOf(warmOnes, &measured_processing::load)};
+}
+
+// With exponentially distributed times, 95 % of the requests take at most three times the mean.
+double otherDomainPenalty(double latencyTargetMs, double processingMs)
+{
+    if (latencyTargetMs <= 0 || processingMs <= 0)
+        return kMinDomainPenalty;
+    const double spareMs = latencyTargetMs - kSlowRequestRatio * processingMs;
+    return std::clamp(kWaitShare * spareMs / processingMs, kMinDomainPenalty, kMaxDomainPenalty);
 }
 
 // The mean of n answers has the relative standard deviation 1/sqrt(n), as for exponentially distributed times.
--- a/src/libloadpolicy/placement_cost_test.cpp
+++ b/src/libloadpolicy/placement_cost_test.cpp
@@ -8,9 +8,9 @@
 TEST(PlacementCost, MedianOfTheMeasured)
 {
     std::vector<measured_processing> measured{{0, 0}, {90, 100}, {20, 100}, {1, 2}, {21, 100}};
-    EXPECT_DOUBLE_EQ(referenceProcessingMs(measured), 21);
+    EXPECT_DOUBLE_EQ(compareUpstreams(measured).processingMs, 21);
     std::vector<measured_processing> single{{20, 100}, {0, 0}};
-    EXPECT_DOUBLE_EQ(referenceProcessingMs(single), 0);
+    EXPECT_DOUBLE_EQ(compareUpstreams(single).processingMs, 0);
 }
 
 // Guards against another order than by slots in use while no difference is measured.
@@ -33,3 +33,15 @@
     EXPECT_LT(slight, 1.2) << "counts in part";
     EXPECT_DOUBLE_EQ(completionCost(0, 2, 2), completionCost(1, 2, 1)) << "as one more request";
 }
+
+// Guards against flows that leave the failure domain while a request would be in time there, and against a wait there
+// that takes all the time to spare.
+TEST(PlacementCost, TimeToSpareKeepsRequestsInTheDomain)
+{
+    const double none = otherDomainPenalty(0, 55);
+    EXPECT_EQ(otherDomainPenalty(300, 0), none) << "not measured";
+    EXPECT_EQ(otherDomainPenalty(100, 55), none) << "no time to spare";
+    EXPECT_GT(otherDomainPenalty(300, 55), none);
+    EXPECT_LT(55 * otherDomainPenalty(300, 55), 300 - 3 * 55);
+    EXPECT_LE(otherDomainPenalty(100'000, 1), 2);
+}
--- a/src/libloadpolicy/processing_model.cpp
+++ b/src/libloadpolicy/processing_model.cpp
@@ -14,7 +14,7 @@
 constexpr double kLearnedSeconds = 20;
 // Time constant at which the number of answers falls while no request is in progress. An upstream that gets no requests
 // because it was slow must soon be tried again.
-constexpr double kIdleSeconds = 3;
+constexpr double kIdleSeconds = 1.5;
 // A change of speed shows as a run of answers that differ from the mean in one direction (CUSUM test). Each adds its
 // difference from the mean, as a multiple of the mean and less an allowance for chance, to the score of the run. With
 // these limits a fifth of the speed shows after 4 answers, half of it after 30, and steady work seems to change about
--- a/src/libpacket/agent_directory.cpp
+++ b/src/libpacket/agent_directory.cpp
@@ -1,6 +1,7 @@
 #include "citroncrank/agent_directory.h"
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 #include <utility>
 
@@ -14,9 +15,6 @@
 constexpr duration kReportSlack = std::chrono::milliseconds(100);
 // Used until an agent reports its own period.
 constexpr std::uint32_t kDefaultReportPeriodMs = 200;
-// Fraction of the slots. A round trip between failure domains takes about 9 ms, as much as waiting for a sixth of a
-// typical request.
-constexpr double kOtherDomainLoad = 0.15;
 // Agents of the own failure domain, and as many of the others, that a flow may be placed at.
 constexpr std::size_t kCandidatesPerDomain = 6;
 // Further agents that may own a flow, since agents leave and become usable between its opening and a search.
@@ -299,35 +297,44 @@
         double load = 0;
         std::uint64_t tieBreak = 0;
         host_address address;
+        bool isOtherDomain = false;
         auto operator<=>(const ranked &) const = default;
     };
     std::vector<ranked> order;
-    const double reference = referenceMs(placed.service, now);
+    const service_reference compared = reference(placed.service, now);
+    const double otherDomain = otherDomainPenalty(
+        std::chrono::duration<double, std::milli>(placed.latencyTarget).count(), compared.processingMs);
     for (const agent_record *const agent : partOf(usable, placed, kCandidatesPerDomain)) {
-        const double domainPenalty = agent->report.domain == placed.ownDomain ? 0 : kOtherDomainLoad;
-        order.push_back(
-            {drawLoad(estimateLoad(*agent, reference, now), random) + domainPenalty, (*random)(), agent->address});
+        const double penalty = agent->report.domain == placed.ownDomain ? 0 : otherDomain;
+        order.push_back({drawLoad(estimateLoad(*agent, compared, now), random) + penalty, (*random)(), agent->address,
+                         penalty > 0});
     }
     std::sort(order.begin(), order.end());
+    if (placed.latencyTarget > duration(0) && count > 1 && order.size() > count
+        && std::none_of(order.begin(), order.begin() + std::ptrdiff_t(count), std::mem_fn(&ranked::isOtherDomain))) {
+        const auto other = std::find_if(order.begin(), order.end(), std::mem_fn(&ranked::isOtherDomain));
+        if (other != order.end())
+            std::swap(order[count - 1], *other);
+    }
     std::vector<host_address> result;
     for (std::size_t i = 0; i < std::min(count, order.size()); ++i)
         result.push_back(order[i].address);
     return result;
 }
 
-double agent_directory::referenceMs(std::string_view service, time_point now) const
+service_reference agent_directory::reference(std::string_view service, time_point now) const
 {
     std::vector<measured_processing> measured;
     for (const auto &[address, agent] : m_agents) {
         if (agent.report.service == service && isFresh(agent, now))
             measured.push_back(measuredProcessing(agent));
     }
-    return referenceProcessingMs(measured);
+    return compareUpstreams(measured);
 }
 
 load_estimate agent_directory::load(const agent_record &agent, time_point now) const
 {
-    return estimateLoad(agent, referenceMs(agent.report.service, now), now);
+    return estimateLoad(agent, reference(agent.report.service, now), now);
 }
 
 // Some agents were not usable when the flow was placed, so its owner may rank a little lower now.
--- a/src/libpacket/agent_load.cpp
+++ b/src/libpacket/agent_load.cpp
@@ -10,8 +10,8 @@
 
 // Used until an agent has measured the processing time of its upstream.
 constexpr double kDefaultProcessingMs = 50;
-// During its warm-up an upstream needs up to twice as long for a request.
-constexpr double kColdSlowdown = 2;
+// For agents of earlier versions, which do not report what their upstreams' answers show during the warm-up.
+constexpr double kUnmeasuredColdSlowdown = 2;
 
 double milliseconds(duration value)
 {
@@ -23,27 +23,37 @@
 // Requests end after their processing time, and others arrive, so the reported number approaches the mean. A backlog of
 // more requests than slots takes accordingly longer. The reported requests that remain have a binomial distribution and
 // those that arrived since a Poisson distribution; their variances add up.
-load_estimate estimateLoad(const agent_record &agent, double referenceMs, time_point now)
+load_estimate estimateLoad(const agent_record &agent, const service_reference &reference, time_point now)
 {
     const agent_report &report = agent.report;
     if (!agent.lastHeardAt || report.slots == 0)
         return {.requests = double(agent.sentSinceLoad)};
-    const double slots = report.coldMilliseconds > 0 ? report.slots / kColdSlowdown : report.slots;
+    const measured_processing measured = measuredProcessing(agent);
+    const bool isUnmeasuredCold = report.coldMilliseconds > 0 && measured.meanMs == 0;
+    const start_pace pace =
+        isUnmeasuredCold ? start_pace{.share = 1 / kUnmeasuredColdSlowdown} : startPace(measured, reference);
+    const double slots = report.slots * pace.share;
     const double processingMs =
         report.processingMilliseconds == 0 ? kDefaultProcessingMs : report.processingMilliseconds;
     const double mean = report.meanBusyMilli / 1000.0;
     const double elapsedMs = milliseconds(now - agent.loadKnownAt.value_or(*agent.lastHeardAt));
     const double remaining = std::exp(-elapsedMs / (processingMs * std::max(1.0, report.busy / slots)));
     const double arrived = mean * (1 - remaining);
-    return {.requests = report.busy * remaining + arrived + agent.sentSinceLoad,
-            .deviation = std::sqrt(report.busy * remaining * (1 - remaining) + arrived),
+    const double requests = report.busy * remaining + arrived + agent.sentSinceLoad;
+    const double variance = report.busy * remaining * (1 - remaining) + arrived;
+    const double least = pace.assumedLoad * slots;
+    return {.requests = std::max(requests, least),
+            .deviation = std::sqrt(std::max(variance, least)),
             .slots = slots,
-            .relative = relativeProcessing(measuredProcessing(agent), referenceMs)};
+            .pace = pace.share,
+            .relative = std::max(pace.relative, relativeProcessing(measured, reference.processingMs))};
 }
 
 measured_processing measuredProcessing(const agent_record &agent)
 {
-    return {.meanMs = agent.report.processingMicroseconds / 1000.0, .answers = double(agent.report.answers)};
+    return {.meanMs = agent.report.processingMicroseconds / 1000.0,
+            .answers = double(agent.report.answers),
+            .load = agent.report.meanBusyMilli / 1000.0 / std::max<double>(1, agent.report.slots)};
 }
 
 double expectedLoad(const load_estimate &estimate)
--- a/src/libpacket/agent_load_test.cpp
+++ b/src/libpacket/agent_load_test.cpp
@@ -90,8 +90,8 @@
 TEST(AgentLoad, BacklogsLastLonger)
 {
     const time_point now = time_point{} + milliseconds(120);
-    EXPECT_GT(estimateLoad(makeAgent(20, 1000), 0, now).requests, 15);
-    EXPECT_LT(estimateLoad(makeAgent(2, 500), 0, now).requests, 1);
+    EXPECT_GT(estimateLoad(makeAgent(20, 1000), {}, now).requests, 15);
+    EXPECT_LT(estimateLoad(makeAgent(2, 500), {}, now).requests, 1);
 }
 
 // Guards against a load that is known only from the last report although messages in between carried it, and against
@@ -105,7 +105,7 @@
     agents.applyReport(kAgentA, makeReport(1), time_point{});
     agents.recordFlowSent(kAgentA);
     agents.applyLoad({kAgentA, 7, 2, 60}, later);
-    EXPECT_EQ(estimateLoad(*agents.find(kAgentA), 0, later).requests, 7);
+    EXPECT_EQ(estimateLoad(*agents.find(kAgentA), {}, later).requests, 7);
     EXPECT_FALSE(agents.isFresh(*agents.find(kAgentA), later));
 }
 
@@ -125,7 +125,7 @@
 TEST(AgentLoad, UncertaintyGrowsWithTheAgeOfTheReport)
 {
     const agent_record agent = makeAgent(1, 1000);
-    EXPECT_EQ(estimateLoad(agent, 0, time_point{}).deviation, 0);
-    EXPECT_GT(estimateLoad(agent, 0, time_point{} + milliseconds(60)).deviation, 0.5);
-    EXPECT_GT(estimateLoad(agent, 0, time_point{} + milliseconds(600)).deviation, 0.9);
+    EXPECT_EQ(estimateLoad(agent, {}, time_point{}).deviation, 0);
+    EXPECT_GT(estimateLoad(agent, {}, time_point{} + milliseconds(60)).deviation, 0.5);
+    EXPECT_GT(estimateLoad(agent, {}, time_point{} + milliseconds(600)).deviation, 0.9);
 }
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -143,7 +143,9 @@
 std::vector<host_address> packet_balancer::placementCandidates(const flow_key &key, const std::string &service,
                                                                std::span<const host_address> excluded, time_point now)
 {
-    return m_agents.candidates({service, m_settings.domain, key}, excluded, kMaxAlternates + 1, now, &m_random);
+    const packet_route *const route = m_routes ? m_routes->find(key.service) : nullptr;
+    const duration target = route == nullptr ? duration(0) : route->latencyTarget;
+    return m_agents.candidates({service, m_settings.domain, key, target}, excluded, kMaxAlternates + 1, now, &m_random);
 }
 
 // A trial flow also gets alternates that are not failing, for the case that the failing upstream does not accept it.
@@ -220,8 +222,9 @@
         absl::StrCat("placed flow, flow=", toString(flowFromCaller(header)), " copy=", header.acknowledged,
                      " service=", chosen.service, " route=", route.name, " agent=", toString(chosen.agents.front()),
                      " trial=", chosen.isTrial, " load_percent=", isHeard ? int(100 * expectedLoad(load)) : 0,
-                     " relative_percent=", int(100 * load.relative), " report_age_ms=",
-                     isHeard ? wholeMilliseconds(now - *agent->lastHeardAt) : -1, " routes=", routesVersion()),
+                     " relative_percent=", int(100 * load.relative), " pace_percent=", int(100 * load.pace),
+                     " report_age_ms=", isHeard ? wholeMilliseconds(now - *agent->lastHeardAt) : -1,
+                     " routes=", routesVersion()),
         out);
 }
 
--- a/src/libpacket/placement_replay_test.cpp
+++ b/src/libpacket/placement_replay_test.cpp
@@ -123,3 +123,107 @@
     EXPECT_LT(placedPerSecond(result, 7, 9), 0.02 * placedPerSecond(result, 2, 5));
     EXPECT_GT(result.bySecond[13], 0.7 * placedPerSecond(result, 2, 5));
 }
+
+namespace {
+
+constexpr double kRestartMs = 8000;
+
+/// Upstream 0, or each of them, starts at kRestartMs, and is `coldFactor` times slower at first.
+replay_settings started(std::size_t balancers, bool isEach, double requestsPerFlow, double coldFactor)
+{
+    constexpr double kColdMs = 2000;
+    replay_settings settings{.balancers = balancers,
+                             .requestsPerFlow = requestsPerFlow,
+                             .utilization = 0.5,
+                             .endMs = 13'000,
+                             .measuredFromMs = kRestartMs};
+    settings.startMs = [=](std::size_t upstream) { return isEach || upstream == 0 ? kRestartMs : 0.0; };
+    settings.coldFactor = [=](std::size_t upstream, double ms) {
+        return isEach || upstream == 0 ? 1 + (coldFactor - 1) * std::max(0.0, 1 - ms / kColdMs) : 1.0;
+    };
+    if (isEach)
+        settings.surge = [](std::size_t, double ms) { return ms < kRestartMs ? 0.0 : 1.0; };
+    return settings;
+}
+
+struct start_figures
+{
+    double first = 0;         ///< Requests placed at upstream 0 in the first second.
+    double fourth = 0;        ///< Mean of the fourth and fifth second.
+    double most = 0;          ///< Most requests that were at upstream 0 at a time.
+    double mostElsewhere = 0; ///< Of the other upstreams.
+    double late = 0;
+};
+
+start_figures meanStart(replay_settings settings)
+{
+    constexpr std::uint64_t kRuns = 6;
+    start_figures mean;
+    for (settings.seed = 1; settings.seed <= kRuns; ++settings.seed) {
+        const auto result = placement_replay(settings).run();
+        mean.first += result.bySecond[8] / kRuns;
+        mean.fourth += placedPerSecond(result, 11, 12) / kRuns;
+        mean.most = std::max(mean.most, double(result.most[0]));
+        mean.mostElsewhere =
+            std::max(mean.mostElsewhere, double(*std::max_element(result.most.begin() + 1, result.most.end())));
+        mean.late += lateShare(result) / kRuns;
+    }
+    return mean;
+}
+
+} // namespace
+
+// Guards against a new upstream that is flooded while it is slow, or idle although it is as fast as the others.
+TEST_P(PlacementReplay, NewUpstreamsGetWorkByTheirAnswers)
+{
+    for (const double requestsPerFlow : {1.0, 8.0}) {
+        const start_figures fast = meanStart(started(GetParam(), false, requestsPerFlow, 1));
+        const start_figures cold = meanStart(started(GetParam(), false, requestsPerFlow, 2.5));
+        RecordProperty("first_fast_" + std::to_string(int(requestsPerFlow)), std::to_string(fast.first));
+        RecordProperty("first_cold_" + std::to_string(int(requestsPerFlow)), std::to_string(cold.first));
+        RecordProperty("fourth_fast_" + std::to_string(int(requestsPerFlow)), std::to_string(fast.fourth));
+        RecordProperty("fourth_cold_" + std::to_string(int(requestsPerFlow)), std::to_string(cold.fourth));
+        EXPECT_LT(cold.first, fast.first);
+        EXPECT_GT(cold.fourth, 0.8 * fast.fourth) << "warm by then";
+        EXPECT_LE(cold.most, 1.5 * cold.mostElsewhere);
+        if (requestsPerFlow == 1) {
+            EXPECT_GT(fast.first, 0.9 * fast.fourth);
+        }
+    }
+}
+
+// Guards against timid growth when all upstreams start at once: none has room for the work of the others then.
+TEST_P(PlacementReplay, AllUpstreamsStartAtOnce)
+{
+    replay_settings settings = started(GetParam(), true, 1, 2.5);
+    const start_figures measured = meanStart(settings);
+    settings.areTimesReported = false;
+    const start_figures untold = meanStart(settings);
+    EXPECT_GT(measured.first, 0.9 * untold.first);
+    EXPECT_LT(measured.late, 1.1 * untold.late + 1e-3);
+}
+
+// Guards against flows that cross failure domains while a request is in time in the own one, and against requests that
+// are late there while others have free slots.
+TEST_P(PlacementReplay, OwnDomainFirstWhileInTime)
+{
+    replay_settings settings{.balancers = std::max<std::size_t>(3, GetParam()), .upstreams = 18, .domains = 3};
+    for (const double utilization : {0.3, 0.5, 0.8}) {
+        settings.utilization = utilization;
+        settings.surge = [](std::size_t domain, double ms) {
+            return int(ms / 5000) % 2 == 0 ? 1.0 : domain == 0 ? 1.8 : 0.6;
+        };
+        settings.isTargetKnown = true;
+        const auto known = placement_replay(settings).run();
+        settings.isTargetKnown = false;
+        const auto unknown = placement_replay(settings).run();
+        EXPECT_LT(known.crossedDomains / known.answered, 0.7 * unknown.crossedDomains / unknown.answered)
+            << utilization;
+        EXPECT_LT(known.lateWhileIdle / known.answered, 0.01) << utilization;
+        EXPECT_LT(known.meanMs, 1.01 * unknown.meanMs) << utilization;
+        EXPECT_LT(lateShare(known), lateShare(unknown) + 1e-3) << utilization;
+        if (utilization < 0.4) {
+            EXPECT_LT(known.crossedDomains / known.answered, 0.05);
+        }
+    }
+}
--- a/src/libpacket/placement_replay_test.h
+++ b/src/libpacket/placement_replay_test.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Replays a load through the balancers' and agents' decisions, without network. Each request is a flow of its own.
+/// Replays a load through the balancers' and agents' decisions, without network.
 
 #include "citroncrank/agent_directory.h"
 #include "citroncrank/processing_model.h"
@@ -29,12 +29,16 @@
     std::size_t domains = 1; ///< Balancers and upstreams are spread over them in turn.
     double domainDelayMs = 4.4;
     double localDelayMs = 0.5;
-    double workMs = 30; ///< Mean, exponentially distributed.
+    double workMs = 30;         ///< Mean, exponentially distributed.
+    double requestsPerFlow = 1; ///< Mean. The later ones go to the upstream of the first.
+    double pauseMs = 300;       ///< Mean time between an answer and the next request of the flow.
     double latencyTargetMs = 250;
     double utilization = 0.7; ///< Of the slots at speed 1.
     double endMs = 20'000;
     double measuredFromMs = 5'000;
     bool areTimesReported = true;
+    bool isTargetKnown = true;   ///< Balancers know the latency target.
+    std::uint32_t coldForMs = 0; ///< Reported as the warm-up time, beginning at the start of an upstream.
     /// Speed of an upstream at a time. 0: it answers nothing.
     std::function<double(std::size_t upstream, double ms)> speed = [](std::size_t, double) { return 1.0; };
     /// Factor of the arrival rate at the balancers of a domain.
@@ -80,6 +84,7 @@
     explicit placement_replay(replay_settings settings)
         : m_settings(std::move(settings))
         , m_random(m_settings.seed)
+        , m_flowRandom(m_settings.seed)
         , m_upstreams(m_settings.upstreams)
     {
         m_result.workMs.resize(m_settings.upstreams);
@@ -155,7 +160,10 @@
         return balancer % m_settings.domains == upstream % m_settings.domains ? m_settings.localDelayMs
                                                                               : m_settings.domainDelayMs;
     }
-    double draw(double mean) { return std::exponential_distribution<double>(1 / mean)(m_random); }
+    static double draw(double mean, std::mt19937_64 *random)
+    {
+        return std::exponential_distribution<double>(1 / mean)(*random);
+    }
     bool isMeasured(double ms) const { return ms >= m_settings.measuredFromMs; }
     std::size_t competing(const upstream &one) const { return one.inProgress + one.waiting.size(); }
 
@@ -187,10 +195,10 @@
         const double surge = m_settings.surge(origin % m_settings.domains, m_nowMs);
         constexpr double kMostSurge = 4;
         const double slots = double(m_settings.upstreams) * m_settings.slots;
-        const double rate = slots * m_settings.utilization / m_settings.workMs;
+        const double rate = slots * m_settings.utilization / m_settings.workMs / m_settings.requestsPerFlow;
         if (std::uniform_real_distribution<double>(0, kMostSurge)(m_random) < surge)
-            place(origin, draw(m_settings.workMs));
-        at(m_nowMs + draw(1 / (rate * kMostSurge)), [this] { arrive(); });
+            place(origin, draw(m_settings.workMs, &m_random));
+        at(m_nowMs + draw(1 / (rate * kMostSurge), &m_random), [this] { arrive(); });
     }
 
     void place(std::size_t origin, double work)
@@ -204,7 +212,9 @@
         balancer &self = *m_balancers[origin];
         const flow_key flow{{std::uint32_t(m_number), std::uint16_t(m_number >> 32U)}, kServiceAddress};
         const std::string own = domain(origin);
-        std::vector<host_address> order = self.agents.candidates({kService, own, flow}, {}, 3, now(), &self.random);
+        const duration target{std::int64_t(m_settings.isTargetKnown ? m_settings.latencyTargetMs * 1000 : 0)};
+        std::vector<host_address> order =
+            self.agents.candidates({kService, own, flow, target}, {}, 3, now(), &self.random);
         if (order.empty())
             return;
         self.agents.recordFlowSent(order.front());
@@ -349,6 +359,22 @@
             startCentral();
         else
             startWaiting(i);
+        if (std::uniform_real_distribution<double>(0, 1)(m_flowRandom) < 1 - 1 / m_settings.requestsPerFlow)
+            at(m_nowMs + draw(m_settings.pauseMs, &m_flowRandom), [this, i, ended] { continueFlow(i, ended.origin); });
+    }
+
+    void continueFlow(std::size_t i, std::size_t origin)
+    {
+        request next{.arrivedMs = m_nowMs,
+                     .work = draw(m_settings.workMs, &m_flowRandom),
+                     .idleBefore = m_idleMs,
+                     .origin = origin};
+        if (!m_isCentral) {
+            accept(i, std::move(next));
+            return;
+        }
+        m_central.push_back(std::move(next));
+        startCentral();
     }
 
     void updateMean(upstream *one) const
@@ -374,6 +400,8 @@
                              .meanBusyMilli = std::uint32_t(one.meanBusy * 1000),
                              .periodMilliseconds = std::uint32_t(periodMs),
                              .processingMilliseconds = std::uint32_t(std::lround(std::max(1.0, estimate.meanMs)))};
+        const double coldMs = m_settings.startMs(i) > 0 ? m_settings.startMs(i) + m_settings.coldForMs - m_nowMs : 0;
+        current.coldMilliseconds = std::uint32_t(std::max(0.0, coldMs));
         if (m_settings.areTimesReported) {
             current.processingMicroseconds = std::uint32_t(estimate.meanMs * 1000);
             current.answers = std::uint32_t(estimate.answers);
@@ -395,7 +423,8 @@
     }
 
     replay_settings m_settings;
-    std::mt19937_64 m_random;
+    std::mt19937_64 m_random; ///< For arrivals, which are the same whatever is decided.
+    std::mt19937_64 m_flowRandom;
     std::vector<upstream> m_upstreams;
     std::vector<std::unique_ptr<balancer>> m_balancers;
     std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
--- a/src/libpacketnode/packet_agent_node.cpp
+++ b/src/libpacketnode/packet_agent_node.cpp
@@ -215,6 +215,14 @@
     storeEra();
     m_busy.set(double(m_core.busy()));
     m_flows.set(double(m_core.flowCount()));
+    constexpr double kMillisecond = 1e-3;
+    const processing_estimate processing = m_core.processing(monotonicNow());
+    m_metrics.gauge("citroncrank_agent_processing_seconds", "Learned processing time of a request at the upstream.")
+        .set(processing.meanMs * kMillisecond);
+    m_metrics.gauge("citroncrank_agent_processing_answers", "Recent answers that the processing time rests on.")
+        .set(processing.answers);
+    m_metrics.gauge("citroncrank_agent_expected_wait_seconds", "Expected wait of a new request for a slot.")
+        .set(m_core.expectedWaitMs(monotonicNow()) * kMillisecond);
     const packet_agent_counts &counts = m_core.counts();
     setDecisionCount("opened", counts.opened);
     setDecisionCount("passed_on", counts.forwardedToAlternate);
