--- a/src/libpacketnode/node_registry_worker.cpp
+++ b/src/libpacketnode/node_registry_worker.cpp
@@ -234,12 +234,10 @@
     if (!result)
         return pause;
     for (const object_change &change : result->changes) {
-        if (!change.value)
-            m_entries.erase(change.key);
-        else if (isReadable(change.key, change.value))
+        if (change.value && isReadable(change.key, change.value))
             m_entries[change.key] = {change.key, change.version, change.value->size(), change.value};
-        else if (change.key == m_key)
-            m_entries.erase(change.key); // It is listed and written again.
+        else if (!change.value || change.key == m_key)
+            m_entries.erase(change.key); // This node lists and writes its own entry again.
     }
     if (!m_entries.contains(m_key))
         m_isOwnEntryWritten = false;
--- a/src/libpacketnode/packet_agent_node.cpp
+++ b/src/libpacketnode/packet_agent_node.cpp
@@ -268,7 +268,7 @@
     if (!announced)
         return rejectDocument("announcement", id, fault);
     announced->receivedAtMs = wallMilliseconds();
-    const http_reply reply = decideInLoop(
+    http_reply reply = decideInLoop(
         id, [this, announced = *announced] { return m_core.announce(announced, monotonicNow(), &m_actions); });
     if (reply.status == kStatusOk)
         m_nodeRegistry.allowEntry(announced->slots);
--- a/src/libpacketnode/packet_agent_stop_test.cpp
+++ b/src/libpacketnode/packet_agent_stop_test.cpp
@@ -60,8 +60,10 @@
     ASSERT_TRUE(node.listen(&reason)) << reason.message();
 
     std::atomic<bool> isEnding = false;
+    constexpr int kConnections = 8;
     std::vector<std::thread> upstreams;
-    for (int i = 0; i < 8; ++i) {
+    upstreams.reserve(kConnections);
+    for (int i = 0; i < kConnections; ++i) {
         upstreams.emplace_back([&isEnding] {
             http_connection connection({*parseHostAddress(kAnnouncements), seconds(5)});
             while (!isEnding) {
