packet path: findings of the review of the merged parts

Cause: read by someone who wrote none of the parts. A rejected copy of an opening could reset a flow that an earlier copy had opened; a free slot could be refused on a processing time that nothing corrected; refusals lost their alternates and marked the service as overloaded; openings that an upstream returned were passed on without their limits; counters of requests in progress leaked when a key was used again while it was probed; wide owner searches built the list of agents for nothing. Change: copies are never refused for lack of capacity, a free slot is always used, alternates are kept, limits travel with returned openings, requests of earlier flows are released, comparisons of a service are kept for one decision.

--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -33,6 +33,8 @@
 class agent_directory
 {
 public:
+    /// Property of an agent.
+    using agent_test = absl::FunctionRef<bool(const agent_record &)>;
     /// Whether an agent has denied that it owns a flow.
     using denial_test = absl::FunctionRef<bool(const host_address &)>;
 
@@ -85,6 +87,9 @@
     /// they have no free slot.
     std::vector<host_address> candidates(const flow_placement &placed, std::span<const host_address> excluded,
                                          std::size_t count, time_point now, std::mt19937_64 *random) const;
+    /// Whether the service has ready agents and all of them pass the test. False if an agent is unconfirmed, since it may
+    /// be usable.
+    bool areAllReady(std::string_view service, agent_test test, time_point now) const;
     /// What the upstreams of a service are compared with.
     service_reference reference(std::string_view service, time_point now) const;
     /// Load of the agent, compared with the others of its service.
@@ -133,6 +138,16 @@
     std::size_t m_unansweredAgents = 0;
     std::vector<std::string> m_evacuatedDomains;
     std::uint64_t m_version = 1;
+    /// Last result of reference(). An opening asks for it several times.
+    struct compared_service
+    {
+        std::string service;
+        time_point at;
+        std::uint64_t reports = 0;
+        service_reference reference;
+    };
+    mutable compared_service m_compared;
+    std::uint64_t m_reports = 1; ///< Counts changes of reported values.
 };
 
 } // namespace citroncrank
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -172,6 +172,7 @@
     bool queryAgentsOfStep(balancer_flow *flow, const flow_key &key, time_point now, packet_actions *out);
     bool isStepDone(const owner_search &search, time_point now) const;
     void advanceSearch(balancer_flow *flow, const flow_key &key, time_point now, packet_actions *out);
+    bool hasQueryAllowance(time_point now);
     bool takeQueryAllowance(time_point now);
     void sendOwnerQuery(const host_address &agent, const balancer_flow &flow, const flow_key &key, time_point now,
                         packet_actions *out);
@@ -187,6 +188,7 @@
     void learnOwner(const host_address &agent, const flow_key &flow, time_point now, packet_actions *out);
     void onRejection(const host_address &agent, const rejection_notice &notice, time_point now, packet_actions *out);
     void onUnknownFlowReturned(const host_address &agent, packet returned, time_point now, packet_actions *out);
+    static bool mayReset(const packet_header &rejected, rejection_reason reason);
     void onOpeningRejected(const host_address &agent, rejection_reason reason, packet returned, time_point now,
                            packet_actions *out);
     void onCarriedPacketRejected(const host_address &agent, packet returned, time_point now, packet_actions *out);
--- a/src/include/citroncrank/request_queue.h
+++ b/src/include/citroncrank/request_queue.h
@@ -48,6 +48,9 @@
     bool remove(const flow_key &flow);
     bool contains(const flow_key &flow) const { return m_waiting.contains(flow); }
 
+    /// Moves requests past their target to the later stages. Call periodically, so that countWithinTarget() stays cheap
+    /// while no request is taken.
+    void advance(time_point now) { advanceStages(now); }
     /// Removes and returns the request to serve next. `maxWithinTarget` is the number of requests that the upstream can
     /// start before one that arrives now would miss its latency target; if more are waiting, the newest is served
     /// first.
--- a/src/libloadpolicy/opening_admission.cpp
+++ b/src/libloadpolicy/opening_admission.cpp
@@ -75,10 +75,12 @@
     const double ahead = std::max(0.0, backlog.competing + 1 - slots);
     const double waitMs = ahead * others.meanMs / slots;
     const double timeoutMs = orUnlimited(need.timeoutMs);
+    // A free slot would be idle otherwise, and without answers a processing time that is too long is never corrected.
+    if (ahead == 0)
+        return {true, waitMs};
     if (answerBy(ahead, -kTimeoutQuantile) > timeoutMs)
         return {false, waitMs};
-    // A free slot would be idle otherwise.
-    if (ahead == 0 || need.targetMs <= 0 || need.timeoutMs <= 0)
+    if (need.targetMs <= 0 || need.timeoutMs <= 0)
         return {true, waitMs};
     const double spareSlots = slots - backlog.slotsNeeded;
     if (spareSlots <= 0) {
--- a/src/libpacket/agent_directory.cpp
+++ b/src/libpacket/agent_directory.cpp
@@ -83,6 +83,7 @@
     };
     if (agent.address != address || ownershipOf(agent.report) != ownershipOf(report))
         ++m_version;
+    ++m_reports;
     agent.address = address;
     agent.report = report;
     agent.lastHeardAt = now;
@@ -99,6 +100,7 @@
     const auto found = m_agents.find(load.agent);
     if (found == m_agents.end() || !found->second.lastHeardAt)
         return;
+    ++m_reports;
     agent_record &agent = found->second;
     agent.report.busy = load.busy;
     agent.report.processingMilliseconds = load.processingMilliseconds;
--- a/src/libpacket/agent_directory_placement.cpp
+++ b/src/libpacket/agent_directory_placement.cpp
@@ -94,14 +94,35 @@
     return result;
 }
 
+bool agent_directory::areAllReady(std::string_view service, agent_test test, time_point now) const
+{
+    bool isAnyReady = false;
+    for (const auto &[address, agent] : m_agents) {
+        if (agent.report.service != service)
+            continue;
+        const agent_availability rank = availability(agent, now);
+        if (rank == agent_availability::unconfirmed)
+            return false;
+        if (rank != agent_availability::ready)
+            continue;
+        isAnyReady = true;
+        if (!test(agent))
+            return false;
+    }
+    return isAnyReady;
+}
+
 service_reference agent_directory::reference(std::string_view service, time_point now) const
 {
+    if (m_compared.service == service && m_compared.at == now && m_compared.reports == m_reports)
+        return m_compared.reference;
     std::vector<measured_processing> measured;
     for (const auto &[address, agent] : m_agents) {
         if (agent.report.service == service && isFresh(agent, now))
             measured.push_back(measuredProcessing(agent));
     }
-    return compareUpstreams(measured);
+    m_compared = {std::string(service), now, m_reports, compareUpstreams(measured)};
+    return m_compared.reference;
 }
 
 load_estimate agent_directory::load(const agent_record &agent, time_point now) const
--- a/src/libpacket/packet_agent.cpp
+++ b/src/libpacket/packet_agent.cpp
@@ -320,6 +320,7 @@
                               .service = flow.service,
                               .origin = flow.origin,
                               .alternates = std::move(flow.alternates),
+                              .limits = flow.limits,
                               .packetBytes = std::move(content.bytes)};
     log(log_class::refusal,
         absl::StrCat("upstream returned packet, flow=", toString(key), " open=", content.header.open,
@@ -350,6 +351,7 @@
 
 void packet_agent::advance(time_point now, packet_actions *out)
 {
+    m_queue.advance(now);
     dropExpired(now, out);
     checkTimeouts(now, out);
     dispatch(now, out);
--- a/src/libpacket/packet_agent_admission.cpp
+++ b/src/libpacket/packet_agent_admission.cpp
@@ -7,6 +7,26 @@
 
 namespace citroncrank {
 
+namespace {
+
+rejection_reason rejectionReason(refusal_cause cause)
+{
+    switch (cause) {
+    case refusal_cause::no_time:
+        return rejection_reason::no_time;
+    case refusal_cause::cold:
+        return rejection_reason::cold;
+    case refusal_cause::evacuated:
+        return rejection_reason::evacuated;
+    case refusal_cause::no_room:
+    case refusal_cause::retry_budget:
+        break;
+    }
+    return rejection_reason::full;
+}
+
+} // namespace
+
 const char *toString(refusal_cause cause)
 {
     switch (cause) {
@@ -71,8 +91,7 @@
                      " waiting=", m_queue.size(), " slots=", slots(), " processing_ms=", int(processingMs())),
         out);
     ++m_refusals[std::size_t(cause)];
-    rejectPacket(std::move(arrived),
-                 cause == refusal_cause::no_time ? rejection_reason::no_time : rejection_reason::full, out);
+    rejectPacket(std::move(arrived), rejectionReason(cause), out);
 }
 
 void packet_agent::countRefusal(rejection_reason reason)
--- a/src/libpacket/packet_agent_opening.cpp
+++ b/src/libpacket/packet_agent_opening.cpp
@@ -143,6 +143,10 @@
     }
     if (const auto cause = openingRefusalCause(arrived.limits, now)) {
         arrived.packetBytes = std::move(content.bytes);
+        if (!arrived.alternates.empty()) {
+            forwardToAlternate(std::move(arrived), toString(*cause), key, out);
+            return;
+        }
         refuseOpening(std::move(arrived), key, *cause, now, out);
         return;
     }
@@ -152,12 +156,13 @@
         if (!arrived.alternates.empty())
             forwardToAlternate(std::move(arrived), toString(rejection_reason::cold), key, out);
         else
-            rejectPacket(std::move(arrived), rejection_reason::cold, out);
+            refuseOpening(std::move(arrived), key, refusal_cause::cold, now, out);
         return;
     }
     recordOpening(key, now);
     ++m_counts.opened;
     agent_flow &flow = m_flows[key];
+    releaseRequest(key, &flow, now); // Of an earlier flow with the same key.
     flow = agent_flow{};
     flow.phase = flow_phase::opening;
     flow.callerInitialSequence = content.header.sequence;
--- a/src/libpacket/packet_agent_requests.cpp
+++ b/src/libpacket/packet_agent_requests.cpp
@@ -184,6 +184,10 @@
         if (found == m_flows.end())
             return;
         agent_flow &flow = found->second;
+        // The upstream may have shown meanwhile that it holds a probed flow, whose next request then waits in the queue.
+        if (flow.request != request_phase::waiting)
+            continue;
+        m_queue.remove(*key);
         startProcessing(*key, &flow, now, out);
         for (packet &waiting : flow.held)
             out->emplace_back(deliver_to_upstream{std::move(waiting.bytes)});
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -211,7 +211,8 @@
         flow.isOwnerKnown = true;
         flow.search = nullptr; // A search for an earlier flow with the same key must not end this one.
         flow.searchedAt = std::nullopt;
-        flow.isOpening = true;
+        // A late copy does not make an open flow an opening one, which may be reset.
+        flow.isOpening = isNew || flow.isOpening || arrived.header.acknowledged == 0;
         flow.hasAlternates = chosen.agents.size() > 1;
         flow.lastSeen = now;
     }
--- a/src/libpacket/packet_balancer_admission.cpp
+++ b/src/libpacket/packet_balancer_admission.cpp
@@ -47,19 +47,8 @@
 // An agent that may be usable without a recent report may have room, so nothing is refused on its account.
 bool packet_balancer::isServiceBeyondTime(const std::string &service, const packet_route &route, time_point now) const
 {
-    bool isAnyReady = false;
-    for (const host_address &address : m_agents.agentsOfService(service)) {
-        const agent_record *const agent = m_agents.find(address);
-        const agent_availability availability = m_agents.availability(*agent, now);
-        if (availability == agent_availability::unconfirmed)
-            return false;
-        if (availability != agent_availability::ready)
-            continue;
-        isAnyReady = true;
-        if (!isBeyondTime(*agent, route, now))
-            return false;
-    }
-    return isAnyReady;
+    return m_agents.areAllReady(
+        service, [&](const agent_record &agent) { return isBeyondTime(agent, route, now); }, now);
 }
 
 // A copy may belong to a flow that an earlier copy has opened, so only the first packet is refused. In overload the
@@ -98,6 +87,13 @@
     absl::erase_if(m_timeRefusals, [now](const auto &entry) { return now - entry.second > std::chrono::seconds(10); });
 }
 
+// Whether a caller may be told that its flow did not open. An earlier packet of the opening may have reached an upstream,
+// so a rejected copy shows it only if the agent also withholds the answer to that earlier packet.
+bool packet_balancer::mayReset(const packet_header &rejected, rejection_reason reason)
+{
+    return rejected.acknowledged == 0 || reason == rejection_reason::evacuated;
+}
+
 // All agents of the placement have rejected the flow. The remaining agents are tried once, then the flow is reset.
 void packet_balancer::onOpeningRejected(const host_address &agent, rejection_reason reason, packet returned,
                                         time_point now, packet_actions *out)
@@ -112,6 +108,8 @@
     if (reason == rejection_reason::no_time)
         recordTimeRefusal(agent, flow, found->first.service, order.empty(), now);
     if (order.empty()) {
+        if (!mayReset(returned.header, reason))
+            return;
         m_flows.erase(found);
         rejectPacket(returned, toString(reason), out);
         return;
@@ -119,6 +117,8 @@
     retry_budget &budget = m_retryBudgets[flow.service];
     const bool isOverloaded = budget.isOverloaded(now);
     if (isForLackOfCapacity(reason) && !budget.take(now)) {
+        if (!mayReset(returned.header, reason))
+            return;
         ++m_refusals[std::size_t(refusal_cause::retry_budget)];
         m_flows.erase(found);
         rejectPacket(returned, toString(refusal_cause::retry_budget), out);
--- a/src/libpacket/packet_balancer_owners.cpp
+++ b/src/libpacket/packet_balancer_owners.cpp
@@ -91,12 +91,17 @@
     return m_agents.ownerCandidates({});
 }
 
-bool packet_balancer::takeQueryAllowance(time_point now)
+bool packet_balancer::hasQueryAllowance(time_point now)
 {
     const double elapsed = std::chrono::duration<double>(now - m_allowanceUpdatedAt).count();
     m_queryAllowance = std::min(kWideQueriesPerSecond, m_queryAllowance + elapsed * kWideQueriesPerSecond);
     m_allowanceUpdatedAt = now;
-    if (m_queryAllowance < 1)
+    return m_queryAllowance >= 1;
+}
+
+bool packet_balancer::takeQueryAllowance(time_point now)
+{
+    if (!hasQueryAllowance(now))
         return false;
     --m_queryAllowance;
     return true;
@@ -109,6 +114,9 @@
     if (search.isStepQueried(m_agents.version()))
         return true;
     const bool isLimited = search.step() != search_step::likely;
+    // The list of agents grows with the fleet, so it is not built for nothing.
+    if (isLimited && !hasQueryAllowance(now))
+        return false;
     std::size_t queryCount = 0;
     bool areAllQueried = true;
     for (const host_address &agent : agentsOfStep(*flow, key)) {
