--- a/src/include/citroncrank/balancer_evacuations.h
+++ b/src/include/citroncrank/balancer_evacuations.h
@@ -30,14 +30,14 @@
     /// Whether this balancer watches the evacuations in the store itself.
     bool isWatcher(time_point now) const { return m_isEnabled && m_role.isWatcher(m_generation, now); }
     /// Whether to send an agent that applies `version` the current set. At most once per second for an agent.
-    bool takeTurn(const host_address &agent, const evacuation_version &version, time_point now);
+    bool takeDueUpdate(const host_address &agent, const evacuation_version &version, time_point now);
 
 private:
     bool m_isEnabled;
     evacuation_state m_state;
     routes_watch_role m_role;
     std::uint64_t m_generation = 0; ///< Counts the changes of failure domains and eras here. 0: no set is known.
-    absl::flat_hash_map<host_address, time_point> m_toldAt;
+    absl::flat_hash_map<host_address, time_point> m_sentAt; ///< Time of the last set sent to each agent.
 };
 
 } // namespace citroncrank
--- a/src/include/citroncrank/flow_snapshot.h
+++ b/src/include/citroncrank/flow_snapshot.h
@@ -57,7 +57,7 @@
 {
     bool isAbsent = false; ///< Nothing listened at its address when the agent started, and it has not announced itself.
     std::optional<std::uint64_t> startedAtMs; ///< Start time in its announcements.
-    bool isProven = false;                    ///< This start is the living one, and not one that announced itself late.
+    bool isProven = false;                    ///< The start is proven to be the living one, see upstream_starts.
     auto operator<=>(const upstream_evidence &) const = default;
 };
 
--- a/src/include/citroncrank/loop_call_gate.h
+++ b/src/include/citroncrank/loop_call_gate.h
@@ -6,6 +6,7 @@
 #include "citroncrank/time.h"
 
 #include <condition_variable>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -32,7 +33,8 @@
         : m_post(std::move(post))
     {}
 
-    /// Runs `work` in the loop's thread and waits until it has returned.
+    /// Runs `work` in the loop's thread and waits until it has returned, for `timeout` at most. After a timeout the loop may
+    /// still run `work`, so it must own what it uses.
     loop_call_failure call(std::function<void()> work, duration timeout);
     /// Fails all calls from now on. Call it in the loop's thread, or after the loop has ended.
     void close();
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -157,8 +157,8 @@
                  std::string packetBytes, std::vector<host_address> alternates, packet_actions *out) const;
     void openFlow(packet arrived, const packet_route &route, time_point now, packet_actions *out);
     bool admitOpening(const packet_header &header, const packet_route &route, placement *chosen, time_point now);
-    bool isBeyondTime(const agent_record &agent, const packet_route &route, time_point now) const;
-    bool isServiceBeyondTime(const std::string &service, const packet_route &route, time_point now) const;
+    bool wouldMissTimeout(const agent_record &agent, const packet_route &route, time_point now) const;
+    bool wouldAllMissTimeout(const std::string &service, const packet_route &route, time_point now) const;
     void recordTimeRefusal(const host_address &agent, const balancer_flow &flow, const host_address &route,
                            bool isLastAgent, time_point now);
     void expireTimeRefusals(time_point now);
@@ -212,7 +212,7 @@
     void onEvacuationsHeard(const host_address &from, const balancer_hello &hello, time_point now, packet_actions *out);
     void applyEvacuations(const evacuation_set &heard, const std::string &source, time_point now, packet_actions *out);
     void updateAgentEvacuations(const host_address &agent, time_point now, packet_actions *out);
-    bool isTeller(const host_address &agent) const;
+    bool isUpdaterOf(const host_address &agent) const;
     bool areEvacuationsAwaited(duration waited) const;
     void requestMissingEntries(time_point now, packet_actions *out);
     void expireFlows(time_point now);
--- a/src/include/citroncrank/placement_cost.h
+++ b/src/include/citroncrank/placement_cost.h
@@ -29,8 +29,8 @@
 /// Processing time of an upstream as a multiple of the reference. 1 unless the difference exceeds what chance explains.
 double relativeProcessing(const measured_processing &measured, double referenceMs);
 
-/// Load by which the cost at an upstream of another failure domain must be lower, so that a request goes there: the
-/// wait, in processing times, after which a request of the own failure domain may still be in time. `latencyTargetMs`: 0
+/// Added to the cost of an upstream in another failure domain, so that a request goes there only if the wait in its own
+/// one is longer by this. In processing times; grows with the time that the latency target leaves. `latencyTargetMs`: 0
 /// if there is none.
 double otherDomainPenalty(double latencyTargetMs, double processingMs);
 
--- a/src/include/citroncrank/settings.h
+++ b/src/include/citroncrank/settings.h
@@ -37,8 +37,8 @@
     bool required = false;
     /// In the file's notation; list items are separated by commas. An optional key without a default may be absent.
     std::optional<std::string> defaultValue = std::nullopt;
-    /// Inclusive bounds: of the value of an integer or number, of the thousandths of a decimal, the microseconds of a duration, the port of an address,
-    /// the length in bytes of a text or secret, the number of items of a list.
+    /// Inclusive bounds: of the value of an integer or number, the thousandths of a decimal, the microseconds of a duration,
+    /// the port of an address, the length in bytes of a text or secret, the number of items of a list.
     std::optional<std::int64_t> minimum = std::nullopt;
     std::optional<std::int64_t> maximum = std::nullopt;
     std::string unit = {}; ///< Unit of an integer, for messages and the reference page.
--- a/src/libloadpolicy/placement_cost.cpp
+++ b/src/libloadpolicy/placement_cost.cpp
@@ -16,8 +16,8 @@
 // hundred equal upstreams exceeds the lower limit at a time, and then by little.
 constexpr double kChanceDeviations = 2.5;
 constexpr double kCertainDeviations = 4;
-// Fraction of the slots, used while no target is known. A round trip between failure domains takes about 9 ms, as much
-// as waiting for a sixth of a typical request.
+// Fraction of the slots. Used while no target is known, and the least penalty otherwise. A round trip between failure
+// domains takes about 9 ms, as much as waiting for a sixth of a typical request.
 constexpr double kMinDomainPenalty = 0.15;
 // A request that finds its slots and as many places in the queue taken has waited for a whole processing time.
 constexpr double kMaxDomainPenalty = 2;
--- a/src/libloadpolicy/retry_budget.cpp
+++ b/src/libloadpolicy/retry_budget.cpp
@@ -11,7 +11,8 @@
 constexpr std::uint32_t kTenthsPerRetry = 10;
 // Retries saved in calm times. More would add to the first wave of an overload.
 constexpr std::uint32_t kMaxTenths = 10 * kTenthsPerRetry;
-// Longer than the time between two refusals in a lasting overload, shorter than its end should go unnoticed.
+// Longer than the time between two refusals in a lasting overload, and short enough that the end of an overload is
+// detected soon.
 constexpr duration kOverloadTime = std::chrono::seconds(1);
 
 } // namespace
--- a/src/libpacket/agent_load.cpp
+++ b/src/libpacket/agent_load.cpp
@@ -10,7 +10,8 @@
 
 // Used until an agent has measured the processing time of its upstream.
 constexpr double kDefaultProcessingMs = 50;
-// For agents of earlier versions, which do not report what their upstreams' answers show during the warm-up.
+// Factor by which requests are taken to last longer during the warm-up of an upstream whose agent is of an earlier
+// version, and so does not report measured processing times.
 constexpr double kUnmeasuredColdSlowdown = 2;
 
 double milliseconds(duration value)
--- a/src/libpacket/balancer_evacuations.cpp
+++ b/src/libpacket/balancer_evacuations.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-// A hello may be lost. An agent of an older version, which reports none, gets this many as well.
+// Repeats a hello that may have been lost. An agent of an older version reports no version of the evacuations, so it gets
+// a hello at each pause.
 constexpr duration kRepetitionPause = std::chrono::seconds(1);
 
 } // namespace
@@ -38,14 +39,14 @@
     m_role.recordConfirmation(from, isCurrent ? m_generation : 0, when, now);
 }
 
-bool balancer_evacuations::takeTurn(const host_address &agent, const evacuation_version &version, time_point now)
+bool balancer_evacuations::takeDueUpdate(const host_address &agent, const evacuation_version &version, time_point now)
 {
     if (!m_state.current() || version >= m_state.version())
         return false;
-    const auto [told, isNew] = m_toldAt.try_emplace(agent, now);
-    if (!isNew && now - told->second < kRepetitionPause)
+    const auto [sent, isNew] = m_sentAt.try_emplace(agent, now);
+    if (!isNew && now - sent->second < kRepetitionPause)
         return false;
-    told->second = now;
+    sent->second = now;
     return true;
 }
 
--- a/src/libpacket/balancer_evacuations_test.cpp
+++ b/src/libpacket/balancer_evacuations_test.cpp
@@ -136,10 +136,10 @@
     const host_address agent{0x0A000101, 7000};
     int told = 0;
     for (int i = 0; i < 50; ++i, now += milliseconds(200))
-        told += balancer.takeTurn(agent, {}, now) ? 1 : 0;
+        told += balancer.takeDueUpdate(agent, {}, now) ? 1 : 0;
     EXPECT_EQ(told, 10);
-    EXPECT_FALSE(balancer.takeTurn(agent, set.version, now + seconds(2))) << "it applies this version";
-    EXPECT_FALSE(balancer.takeTurn(agent, {1, 11}, now + seconds(2))) << "it knows a later one";
+    EXPECT_FALSE(balancer.takeDueUpdate(agent, set.version, now + seconds(2))) << "it applies this version";
+    EXPECT_FALSE(balancer.takeDueUpdate(agent, {1, 11}, now + seconds(2))) << "it knows a later one";
 }
 
 // Guards against evacuations that take effect in a deployment which has none.
--- a/src/libpacket/packet_balancer_admission.cpp
+++ b/src/libpacket/packet_balancer_admission.cpp
@@ -29,9 +29,9 @@
 
 } // namespace
 
-// An agent that has just refused an opening of the route for lack of time admits the next one when its upstream has
-// answered a request.
-bool packet_balancer::isBeyondTime(const agent_record &agent, const packet_route &route, time_point now) const
+// Whether the caller would time out before the agent answers. An agent that has just refused an opening of the route for
+// lack of time admits the next one when its upstream has answered a request.
+bool packet_balancer::wouldMissTimeout(const agent_record &agent, const packet_route &route, time_point now) const
 {
     const double processing = processingMs(agent.report);
     const reported_wait wait{.waitMs = double(agent.report.waitMilliseconds),
@@ -44,8 +44,9 @@
            && milliseconds(now - refused->second) < processing / agent.report.slots;
 }
 
-// An agent that may be usable without a recent report may have room, so nothing is refused on its account.
-bool packet_balancer::isServiceBeyondTime(const std::string &service, const packet_route &route, time_point now) const
+// Whether the caller would time out at each ready agent of the service. An unconfirmed agent may have room although it
+// has no recent report, so nothing is refused while there is one.
+bool packet_balancer::wouldAllMissTimeout(const std::string &service, const packet_route &route, time_point now) const
 {
     bool isAnyReady = false;
     for (const host_address &address : m_agents.agentsOfService(service)) {
@@ -56,7 +57,7 @@
         if (availability != agent_availability::ready)
             continue;
         isAnyReady = true;
-        if (!isBeyondTime(*agent, route, now))
+        if (!wouldMissTimeout(*agent, route, now))
             return false;
     }
     return isAnyReady;
@@ -73,7 +74,7 @@
         return true;
     retry_budget &budget = m_retryBudgets[chosen->service];
     budget.recordOpening();
-    if (isServiceBeyondTime(chosen->service, route, now)) {
+    if (wouldAllMissTimeout(chosen->service, route, now)) {
         ++m_refusals[std::size_t(refusal_cause::no_time)];
         return false;
     }
--- a/src/libpacket/packet_balancer_evacuations.cpp
+++ b/src/libpacket/packet_balancer_evacuations.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-// Balancers that bring an agent up to date, so that a change costs an agent of a large fleet only a few datagrams. One
-// that is lost is repeated, and the periodic hellos of all balancers follow.
-constexpr std::size_t kTellers = 8;
-constexpr std::uint64_t kTellerSalt = 0x65766163;
+// Balancers that send an agent changes of the evacuations. A change then costs an agent of a large fleet only a few
+// datagrams. Lost ones are repeated, and the periodic hellos of all balancers follow.
+constexpr std::size_t kUpdatersPerAgent = 8;
+constexpr std::uint64_t kUpdaterSalt = 0x65766163;
 // Longest time that a balancer which has just started waits to learn what is evacuated.
 constexpr duration kMaxEvacuationsWait = std::chrono::seconds(1);
 
@@ -74,28 +74,29 @@
     replayHeld(now, out);
 }
 
-// A hello overtakes the opening packet that follows it only if the network reorders them.
+// Called before an opening packet is sent to the agent as well, so that the hello arrives first unless the network
+// reorders them.
 void packet_balancer::updateAgentEvacuations(const host_address &agent, time_point now, packet_actions *out)
 {
     const agent_record *const record = m_agents.find(agent);
-    if (record == nullptr || record->report.evacuations >= m_evacuations.state().version() || !isTeller(agent))
+    if (record == nullptr || record->report.evacuations >= m_evacuations.state().version() || !isUpdaterOf(agent))
         return;
-    if (m_evacuations.takeTurn(agent, record->report.evacuations, now))
+    if (m_evacuations.takeDueUpdate(agent, record->report.evacuations, now))
         out->emplace_back(send_to_node{agent, helloWithoutLists()});
 }
 
 // A fixed random order of the balancers for each agent, the same at all balancers that know the same ones.
-bool packet_balancer::isTeller(const host_address &agent) const
+bool packet_balancer::isUpdaterOf(const host_address &agent) const
 {
-    if (m_balancers.size() < kTellers)
+    if (m_balancers.size() < kUpdatersPerAgent)
         return true;
     const auto rank = [&](const host_address &balancer) {
-        return hashPair(packAddress(balancer), packAddress(agent), kTellerSalt);
+        return hashPair(packAddress(balancer), packAddress(agent), kUpdaterSalt);
     };
     const std::uint64_t ownRank = rank(m_settings.self);
     const auto before = std::count_if(m_balancers.begin(), m_balancers.end(),
                                       [&](const auto &entry) { return rank(entry.first) < ownRank; });
-    return std::size_t(before) < kTellers;
+    return std::size_t(before) < kUpdatersPerAgent;
 }
 
 bool packet_balancer::areEvacuationsAwaited(duration waited) const
--- a/src/libpacket/packet_balancer_evacuations_test.cpp
+++ b/src/libpacket/packet_balancer_evacuations_test.cpp
@@ -312,7 +312,7 @@
     EXPECT_FALSE(core.watchesEvacuations(now));
 }
 
-// Guards against a large fleet in which every balancer greets every agent after a change.
+// Guards against a large fleet in which every balancer sends a hello to every agent after a change.
 TEST_F(PacketBalancerEvacuations, AFewBalancersTellEachAgent)
 {
     serve();
--- a/src/libpacket/packet_balancer_owners.cpp
+++ b/src/libpacket/packet_balancer_owners.cpp
@@ -271,8 +271,8 @@
     searchOwner(std::move(returned), &found->second, agent, now, out);
 }
 
-// While more agents have not denied than are unresponsive, isDeniedByAll() fails. Its work grows with the fleet, so it is
-// not done for each reply.
+// While more agents have not denied than are unresponsive, isDeniedByAll() is false. Its work grows with the fleet, so it
+// is not done for each reply.
 bool packet_balancer::mayBeDeniedByAll(const owner_search &search) const
 {
     return search.remainingCount() <= m_unresponsiveAgents;
--- a/src/libpacket/placement_replay_test.cpp
+++ b/src/libpacket/placement_replay_test.cpp
@@ -192,7 +192,8 @@
     }
 }
 
-// Guards against timid growth when all upstreams start at once: none has room for the work of the others then.
+// Guards against a reduced share of the slots when all upstreams start at once: none has room for the work of the others
+// then.
 TEST_P(PlacementReplay, AllUpstreamsStartAtOnce)
 {
     replay_settings settings = started(GetParam(), true, 1, 2.5);
--- a/src/libpacketnode/evacuations_worker.cpp
+++ b/src/libpacketnode/evacuations_worker.cpp
@@ -47,7 +47,7 @@
         m_wasIdle = true;
         return kIdleWait;
     }
-    // A watch would answer late if nothing has changed.
+    // A watch without a change is answered only after its wait, so an idle worker that watches again lists first.
     return std::exchange(m_wasIdle, false) ? listAll() : watchChanges();
 }
 
--- a/src/soak/fault_plan.cpp
+++ b/src/soak/fault_plan.cpp
@@ -92,7 +92,7 @@
         plan->push_back({kFirstFault + below(lastMs), restore_store{below(kMaxCopyAgeMs)}});
 }
 
-// Drawn apart likewise.
+// Drawn apart from the other faults, so that a seed has the same plan with and without evacuations.
 void addEvacuations(const fault_plan_settings &settings, std::uint64_t seed, std::vector<planned_fault> *plan)
 {
     constexpr std::uint64_t kSalt = 0x65766163;
