--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -76,7 +76,7 @@
     Mechanism("openings are refused", PACKET + "packet_agent_admission.cpp",
               "if (!m_upstream || estimate.isAdmitted)", "if (!m_upstream || estimate.isAdmitted || !estimate.isAdmitted)"),
     Mechanism("own domain is probed first", PACKET + "packet_balancer_owners.cpp",
-              "if (!hasOwnDomain || isOwnDomain(agent))", "if (!hasOwnDomain || isOwnDomain(agent) || hasOwnDomain)"),
+              "if (!isOwnDomainFirst || isOwnDomain(agent))", "if (!isOwnDomainFirst || isOwnDomain(agent) || isOwnDomainFirst)"),
     Mechanism("owners are handed over", PACKET + "packet_balancer_nodes.cpp",
               "        if (!flow.isOwnerKnown || flow.finished)\n            continue;",
               "        if (!flow.isOwnerKnown || flow.finished || flow.isOwnerKnown)\n            continue;"),
--- a/src/libpacket/packet_agent_evacuation.cpp
+++ b/src/libpacket/packet_agent_evacuation.cpp
@@ -19,7 +19,8 @@
 void packet_agent::applyEvacuations(const host_address &from, const balancer_hello &hello, time_point now,
                                     packet_actions *out)
 {
-    if (!hello.evacuations)
+    const bool isEnabled = m_settings.evacuationTime > duration(0);
+    if (!isEnabled || !hello.evacuations)
         return;
     const bool wasEvacuated = isEvacuated();
     const evacuation_change change = m_evacuations.apply(*hello.evacuations, now);
--- a/src/libpacket/request_queue.cpp
+++ b/src/libpacket/request_queue.cpp
@@ -34,16 +34,24 @@
     return time_point{} - arrival.time_since_epoch();
 }
 
+// Bounds memory. Routes use few priorities.
+constexpr std::size_t kMaxPriorities = 64;
+
 } // namespace
 
 void request_queue::recordArrival(std::uint32_t priority, bool isCapacityExceeded, time_point now)
 {
     m_isCapacityExceeded = isCapacityExceeded;
-    priority_share &share = m_shares[priority];
-    const double elapsed = std::chrono::duration<double>(now - share.updatedAt).count();
-    share.arrivals = share.arrivals * std::exp(-std::max(0.0, elapsed) / kShareTimeConstantSeconds)
-                     + (isCapacityExceeded ? kOverloadedArrivalWeight : 1);
-    share.updatedAt = now;
+    if (m_shares.size() >= kMaxPriorities && !m_shares.contains(priority))
+        return;
+    // All shares decay, so that a priority whose requests have ceased loses its own.
+    m_shares.try_emplace(priority, priority_share{.updatedAt = now});
+    for (auto &[other, share] : m_shares) {
+        const double elapsed = std::chrono::duration<double>(now - share.updatedAt).count();
+        share.arrivals *= std::exp(-std::max(0.0, elapsed) / kShareTimeConstantSeconds);
+        share.updatedAt = now;
+    }
+    m_shares[priority].arrivals += isCapacityExceeded ? kOverloadedArrivalWeight : 1;
 }
 
 double request_queue::share(std::uint32_t priority) const
