--- a/src/libloadpolicy/opening_admission_test.cpp
+++ b/src/libloadpolicy/opening_admission_test.cpp
@@ -108,3 +108,15 @@
     EXPECT_FALSE(isBeyondTimeout({.waitMs = 2000, .ageMs = 0, .processingMs = 0}, 1500));
     EXPECT_FALSE(isBeyondTimeout({.waitMs = 2000, .ageMs = 0, .processingMs = 50}, 0));
 }
+
+// Guards against an upstream that gets no request any more, because its last answers took longer than the timeout.
+TEST(OpeningAdmission, AFreeSlotIsUsedWhateverTheProcessingTime)
+{
+    const processing_estimate slow{.meanMs = 2000, .deviationMs = 10, .answers = 50};
+    EXPECT_TRUE(estimateAdmission({.slots = 2, .competing = 1, .processing = slow},
+                                  {.targetMs = 300, .timeoutMs = 1500, .processing = slow})
+                    .isAdmitted);
+    EXPECT_FALSE(estimateAdmission({.slots = 2, .competing = 2, .processing = slow},
+                                   {.targetMs = 300, .timeoutMs = 1500, .processing = slow})
+                     .isAdmitted);
+}
--- a/src/libpacket/packet_agent_admission_test.cpp
+++ b/src/libpacket/packet_agent_admission_test.cpp
@@ -109,3 +109,22 @@
     EXPECT_EQ(count(wait_kind::actual), 3) << "two slots and one request ready at the upstream";
     EXPECT_TRUE(core.takeWaits().empty());
 }
+
+// Guards against a refusal by an agent without room while the alternates that came with the opening are not asked.
+TEST_F(PacketAgentAdmission, AlternatesAreAskedBeforeARefusal)
+{
+    flood(400);
+    actions.clear();
+    packet_header header = openingPacket().header;
+    header.source.port = 7;
+    core.message(kBalancer,
+                 forwarded_packet{.purpose = forward_purpose::open,
+                                  .service = kService,
+                                  .origin = kBalancer,
+                                  .alternates = {kAgentB},
+                                  .limits = kLimits,
+                                  .packetBytes = makePacket(header).bytes},
+                 now, &actions);
+    EXPECT_TRUE(rejections().empty());
+    EXPECT_EQ(messagesOf<forwarded_packet>(actions).size(), 1U);
+}
--- a/src/libpacket/packet_agent_evacuation_test.cpp
+++ b/src/libpacket/packet_agent_evacuation_test.cpp
@@ -80,6 +80,7 @@
                 .upstream = kUpstream,
                 .announcementPeriod = milliseconds(770),
                 .flowLifetime = seconds(60),
+                .evacuationTime = seconds(5),
                 .coldLimit = cold_opening_limit{.excessMilli = 1250, .slackMilli = 2000}};
     }
 
@@ -253,3 +254,32 @@
     now += milliseconds(1200);
     EXPECT_TRUE(openFrom(2));
 }
+
+// Guards against evacuations in force at a host whose settings do not ask for them.
+TEST_F(PacketAgentEvacuation, WithoutTheSettingEvacuationsAreIgnored)
+{
+    packet_agent plain({.self = kAgentA, .service = kService, .domain = kOwnDomain, .upstream = kUpstream},
+                       decodeTestHeader, readTestHead, now);
+    plain.message(kBalancer, balancer_hello{.evacuations = evacuation_set{{1, 5}, {kOwnDomain}}}, now, &actions);
+    EXPECT_EQ(plain.report(now).evacuations, evacuation_version{});
+}
+
+// Guards against an unlimited opening at a cold upstream because another one returned the packet.
+TEST_F(PacketAgentEvacuation, AReturnedOpeningKeepsItsLimits)
+{
+    core.message(kBalancer,
+                 forwarded_packet{.purpose = forward_purpose::open,
+                                  .service = kService,
+                                  .origin = kBalancer,
+                                  .alternates = {kAgentB},
+                                  .limits = {.timeoutMs = 1500, .coldRateMilli = 4000},
+                                  .packetBytes = openingPacket().bytes},
+                 now, &actions);
+    ASSERT_EQ(delivered(), 1U);
+    packet_header returned = openingPacket().header;
+    returned.returned = true;
+    fromUpstream(makePacket(returned));
+    const auto passed = messagesOf<forwarded_packet>(actions);
+    ASSERT_EQ(passed.size(), 1U);
+    EXPECT_EQ(passed.front().second.limits, (request_limits{.timeoutMs = 1500, .coldRateMilli = 4000}));
+}
--- a/src/libpacket/packet_agent_fixture_test.h
+++ b/src/libpacket/packet_agent_fixture_test.h
@@ -90,7 +90,8 @@
                        .incarnation = 1,
                        .upstream = kUpstream,
                        .announcementPeriod = milliseconds(770),
-                       .flowLifetime = seconds(60)},
+                       .flowLifetime = seconds(60),
+                       .evacuationTime = seconds(5)},
                       decodeTestHeader,
                       readTestHead,
                       now};
--- a/src/libpacket/packet_balancer_admission_test.cpp
+++ b/src/libpacket/packet_balancer_admission_test.cpp
@@ -156,3 +156,35 @@
     }
     EXPECT_EQ(refused(refusal_cause::retry_budget), 0U);
 }
+
+// Guards against a reset of a flow whose first opening packet has opened it at an agent that the balancer has not heard
+// of yet, when an agent refuses the copy.
+TEST_F(PacketBalancerAdmission, ARefusedCopyResetsNothing)
+{
+    fromCaller(openingPacket());
+    fromCaller(openingPacket(1));
+    actions.clear();
+    core.message(kAgentA, rejection_notice{rejection_reason::no_time, forward_purpose::open, openingPacket(1).bytes},
+                 now, &actions);
+    core.message(kAgentB, rejection_notice{rejection_reason::no_time, forward_purpose::open, openingPacket(1).bytes},
+                 now, &actions);
+    EXPECT_EQ(resets(), 0U);
+    core.message(kAgentB, rejection_notice{rejection_reason::no_time, forward_purpose::open, openingPacket().bytes},
+                 now, &actions);
+    EXPECT_EQ(resets(), 1U) << "the first packet is refused truthfully";
+}
+
+// Guards against a reset of an open flow because a late copy of its opening packet is refused.
+TEST_F(PacketBalancerAdmission, ALateCopyDoesNotMakeAnOpenFlowAnOpeningOne)
+{
+    fromCaller(openingPacket());
+    core.message(forwarded().back().first, owner_notice{kFlow, {}}, now, &actions);
+    fromCaller(callerPacket(77));
+    fromCaller(openingPacket(1));
+    actions.clear();
+    for (const host_address &agent : {kAgentA, kAgentB})
+        core.message(agent,
+                     rejection_notice{rejection_reason::evacuated, forward_purpose::open, openingPacket(1).bytes}, now,
+                     &actions);
+    EXPECT_EQ(resets(), 0U);
+}
