--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -3,6 +3,7 @@
 /// @file
 /// State and load of the agents as one balancer sees them, and the choice of agents for new flows.
 
+#include "citroncrank/agent_load.h"
 #include "citroncrank/agent_record.h"
 #include "citroncrank/time.h"
 
@@ -14,6 +15,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace citroncrank {
@@ -24,12 +26,15 @@
     std::string_view service;
     std::string_view ownDomain; ///< Failure domain of the balancer.
     flow_key flow;
+    duration latencyTarget{0}; ///< Of the flow's route; 0: none.
 };
 
 /// Agents by address. Not thread safe.
 class agent_directory
 {
 public:
+    /// Property of an agent.
+    using agent_test = absl::FunctionRef<bool(const agent_record &)>;
     /// Whether an agent has denied that it owns a flow.
     using denial_test = absl::FunctionRef<bool(const host_address &)>;
 
@@ -50,11 +55,21 @@
     void recordFlowSent(const host_address &address);
     /// Counts an owner query sent to the agent until its next message.
     void recordQuery(const host_address &address, time_point now);
-    /// Records a message of the agent. Returns whether a query was overdue for a reply until then.
-    bool recordReply(const host_address &address, time_point now);
+    /// Records a message of the agent.
+    void recordReply(const host_address &address, time_point now);
 
     const agent_record *find(const host_address &address) const;
+    /// Excluded in an evacuated failure domain, otherwise stateAvailability().
     agent_availability availability(const agent_record &agent, time_point now) const;
+    /// Availability by the agent's own state, whether its failure domain is evacuated or not.
+    agent_availability stateAvailability(const agent_record &agent, time_point now) const;
+    /// Sets the failure domains that get no new flow. Sorted.
+    void setEvacuatedDomains(std::vector<std::string> domains) { m_evacuatedDomains = std::move(domains); }
+    bool isEvacuated(const agent_record &agent) const;
+    /// Reporting agents, and how many of them apply at least this version of the evacuations.
+    std::pair<std::size_t, std::size_t> countEvacuationReports(const evacuation_version &version, time_point now) const;
+    /// Whether the service has agents that could get new flows if their failure domains were not evacuated.
+    bool hasEvacuatedAgents(std::string_view service, time_point now) const;
     /// Whether the agent's availability is agent_availability::ready.
     bool isReady(const host_address &address, time_point now) const;
     /// Whether the last report of the agent is recent enough to treat the agent as alive.
@@ -67,9 +82,18 @@
 
     /// Agents for a new flow, least loaded first, at most `count`. They are a part of the agents that share the best
     /// availability found, without those in `excluded`; the flow's key decides which part. Their loads are drawn from
-    /// what the reports leave open.
+    /// what the reports leave open. Agents of the own failure domain come first as long as a request is expected to be
+    /// answered in time there; the last candidate is one of another failure domain, if there is one, for the case that
+    /// they have no free slot.
     std::vector<host_address> candidates(const flow_placement &placed, std::span<const host_address> excluded,
                                          std::size_t count, time_point now, std::mt19937_64 *random) const;
+    /// Whether the service has ready agents and all of them pass the test. False if an agent is unconfirmed, since it may
+    /// be usable.
+    bool areAllReady(std::string_view service, agent_test test, time_point now) const;
+    /// What the upstreams of a service are compared with.
+    service_reference reference(std::string_view service, time_point now) const;
+    /// Load of the agent, compared with the others of its service.
+    load_estimate load(const agent_record &agent, time_point now) const;
     /// Agents that may own the flow and that candidates() may have chosen from, whatever their state was then.
     std::vector<host_address> likelyOwners(const flow_placement &placed) const;
 
@@ -95,8 +119,10 @@
     bool isUnowned(denial_test hasDenied, time_point now) const;
     /// Agents that may still own the flow: not unresponsive, and without a denial or with overdue reports.
     std::vector<host_address> remainingOwnerCandidates(denial_test hasDenied, time_point now) const;
-    /// Number of agents that have not replied to a query since their last message.
-    std::size_t unansweredAgents() const { return m_unansweredAgents; }
+    /// Number of agents for which isUnresponsive() is true.
+    std::size_t countUnresponsive(time_point now) const;
+    /// Increases with each change of the agents that may own a flow, and of what they are chosen by.
+    std::uint64_t version() const { return m_version; }
     /// Removes agents that are not listed and whose last report is older than `age`.
     void removeStaleNodes(duration age, time_point now);
     std::size_t size() const { return m_agents.size(); }
@@ -110,6 +136,18 @@
     /// Ordered, so that the same input gives the same decisions in every process.
     absl::btree_map<host_address, agent_record> m_agents;
     std::size_t m_unansweredAgents = 0;
+    std::vector<std::string> m_evacuatedDomains;
+    std::uint64_t m_version = 1;
+    /// Last result of reference(). An opening asks for it several times.
+    struct compared_service
+    {
+        std::string service;
+        time_point at;
+        std::uint64_t reports = 0;
+        service_reference reference;
+    };
+    mutable compared_service m_compared;
+    std::uint64_t m_reports = 1; ///< Counts changes of reported values.
 };
 
 } // namespace citroncrank
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -5,12 +5,18 @@
 /// requests it has in progress. Performs no I/O; the caller carries out the returned actions.
 
 #include "citroncrank/caller_budget.h"
+#include "citroncrank/evacuation_state.h"
 #include "citroncrank/flow_snapshot.h"
+#include "citroncrank/opening_admission.h"
 #include "citroncrank/packet_action.h"
+#include "citroncrank/processing_model.h"
+#include "citroncrank/refusal.h"
 #include "citroncrank/request_head.h"
 #include "citroncrank/request_queue.h"
+#include "citroncrank/sliding_limit.h"
 #include "citroncrank/time.h"
 #include "citroncrank/upstream_health.h"
+#include "citroncrank/upstream_starts.h"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
@@ -26,6 +32,15 @@
 
 namespace citroncrank {
 
+/// Opening packets that a cold upstream may get in any second: the rate that its service bears, times `excessMilli`
+/// thousandths, plus `slackMilli` thousandths.
+struct cold_opening_limit
+{
+    std::uint32_t excessMilli = 1000;
+    std::uint32_t slackMilli = 0;
+    auto operator<=>(const cold_opening_limit &) const = default;
+};
+
 struct packet_agent_settings
 {
     host_address self; ///< Address at which other nodes reach this one.
@@ -38,6 +53,8 @@
     duration flowLifetime{0};        ///< Flows older than this need not be kept.
     duration minSnapshotInterval{0}; ///< Shortest time between two snapshots of the open flows. 0 disables snapshots.
     std::uint32_t storeWritesPerSecond = 1; ///< Write calls that the store accepts from all nodes together.
+    duration evacuationTime{0};             ///< An evacuation is in force this long after its write. 0: there are none.
+    std::optional<cold_opening_limit> coldLimit = std::nullopt; ///< Nullopt: none.
 };
 
 /// Announcement that an upstream sends to its agent periodically.
@@ -52,17 +69,18 @@
     duration coldRemaining{0};     ///< Remaining time for which it is slow after its start.
     std::uint64_t number = 0;      ///< Increases with each announcement of one start.
     std::uint64_t startedAtMs = 0; ///< Start time, in milliseconds since the Unix epoch. Identifies a start.
+    /// Unix time of the arrival at the agent, in milliseconds. 0: not known, so it may have been delayed.
+    std::uint64_t receivedAtMs = 0;
     auto operator<=>(const upstream_announcement &) const = default;
 };
 
-/// Result of an announcement.
-enum class announcement_result : std::uint8_t {
-    accepted,
-    foreign,      ///< For another service or address, or from another upstream.
-    out_of_order, ///< A later announcement of the same start has been accepted.
-    earlier_start ///< A later start of the upstream has announced itself.
+/// Notice of an upstream that it leaves permanently.
+struct upstream_leave
+{
+    std::string id;
+    std::optional<std::uint64_t> startedAtMs; ///< Of the start that leaves, if the notice names it.
+    auto operator<=>(const upstream_leave &) const = default;
 };
-const char *toString(announcement_result result);
 
 /// A request whose answer has begun.
 struct request_observation
@@ -81,6 +99,9 @@
     std::uint64_t returned = 0; ///< Packets that the upstream returned because it did not accept them.
     std::uint64_t resets = 0;
     std::uint64_t requests = 0;
+    std::uint64_t openedEvacuated = 0; ///< Opening packets delivered while the failure domain was evacuated.
+    std::uint64_t refusedEvacuated = 0;
+    std::uint64_t refusedCold = 0; ///< Opening packets over the limit of a cold upstream.
     auto operator<=>(const packet_agent_counts &) const = default;
 };
 
@@ -106,11 +127,18 @@
     /// Handles an announcement of the upstream. The caller confirms it to the upstream once the actions are carried
     /// out.
     announcement_result announce(const upstream_announcement &announcement, time_point now, packet_actions *out);
-    /// Handles the upstream's notice that it leaves permanently.
-    announcement_result leave(const std::string &upstreamId, time_point now, packet_actions *out);
+    /// Handles the upstream's notice that it leaves permanently. One that does not name the start which announces itself
+    /// may be late, so it takes effect only once recordUpstreamAbsent() confirms it.
+    announcement_result leave(const upstream_leave &notice, time_point now, packet_actions *out);
+    /// Whether a notice that the upstream leaves has not been confirmed yet.
+    bool isLeavePending() const { return m_pendingLeave.has_value(); }
+    /// Whether the caller should probe now if something listens at the upstream's address, to confirm such a notice.
+    bool takeProbeRequest(time_point now);
     /// Records that nothing listens at the upstream's address, so no running upstream holds flows. Ignored once the
-    /// upstream has announced itself.
+    /// upstream has announced itself, unless it has sent a notice that it leaves since.
     void recordUpstreamAbsent(time_point now, packet_actions *out);
+    /// Records that something listens at the upstream's address, so missing announcements do not show that it is gone.
+    void recordUpstreamListening() { m_wasUpstreamListening = true; }
     /// Sets the number of slots that an earlier start of this agent wrote to the store. Used until the upstream
     /// announces itself. 0 if the store does not have it.
     void assumeSlots(std::uint32_t slots);
@@ -135,6 +163,11 @@
     void advance(time_point now, packet_actions *out);
 
     agent_report report(time_point now);
+    const evacuation_state &evacuations() const { return m_evacuations; }
+    /// Learned processing time of all kinds of requests.
+    processing_estimate processing(time_point now) const { return m_processing.overall(now); }
+    /// Expected wait of a new request for a slot.
+    double expectedWaitMs(time_point now) const;
     agent_state state() const { return m_state; }
     const packet_agent_counts &counts() const { return m_counts; }
     std::size_t flowCount() const { return m_flows.size(); }
@@ -144,6 +177,10 @@
     std::size_t competingRequests(time_point now) const;
     /// Removes and returns the requests that were answered since the last call.
     std::vector<request_observation> takeObservations();
+    /// Removes and returns the waits that were estimated or measured since the last call.
+    std::vector<wait_observation> takeWaits();
+    /// Refused openings since the start of the agent.
+    const refusal_counts &refusals() const { return m_refusals; }
 
 private:
     enum class flow_phase : std::uint8_t {
@@ -167,9 +204,10 @@
         bool hasUpstreamInitialSequence = false;
         bool hasUpstreamNextSequence = false;
         bool hasCallerNextSequence = false;
-        std::uint32_t upstreamInitialSequence = 0; ///< Of the upstream's opening answer, once seen.
-        std::uint32_t upstreamNextSequence = 0;    ///< Follows the upstream's last byte.
-        std::uint32_t callerNextSequence = 0;      ///< Follows the caller's last byte.
+        std::optional<std::uint32_t> callerInitialSequence; ///< Of the opening packet, if this agent delivered it.
+        std::uint32_t upstreamInitialSequence = 0;          ///< Of the upstream's opening answer, once seen.
+        std::uint32_t upstreamNextSequence = 0;             ///< Follows the upstream's last byte.
+        std::uint32_t callerNextSequence = 0;               ///< Follows the caller's last byte.
         std::uint32_t callerAcknowledged = 0;
         bool isConfirmed = false; ///< The caller uses the flow here, not at another upstream that answered its opening.
         bool isRestored = false;  ///< Known only from a snapshot; the upstream has sent no packet of it since.
@@ -181,15 +219,25 @@
         bool awaitsAnswerHead = false; ///< The head of the answer has not been seen yet.
         std::uint32_t answerStart = 0; ///< Sequence number at which the answer to the last request begins.
         std::string requestId;
-        std::vector<packet> held;    ///< Packets of the waiting request, in order of arrival.
-        duration requestAge{0};      ///< Time from the caller's first attempt of the request to its arrival.
-        time_point requestArrivedAt; ///< When the first packet of the request arrived.
-        time_point processingSince;  ///< When the request was delivered to the upstream.
-        time_point requestDeadline;  ///< The caller times out at this time.
+        std::vector<packet> held;            ///< Packets of the waiting request, in order of arrival.
+        duration requestAge{0};              ///< Time from the caller's first attempt of the request to its arrival.
+        time_point requestArrivedAt;         ///< When the first packet of the request arrived.
+        time_point processingSince;          ///< When the request was delivered to the upstream.
+        bool isMeasured = false;             ///< Its processing time counts: the upstream held the flow from the start.
+        std::optional<time_point> slotSince; ///< When the request got a slot; nullopt: it waits for one there.
+        time_point requestDeadline;          ///< The caller times out at this time.
         time_point lastSeen;
         time_point firstSeen;
     };
     using flow_map = absl::flat_hash_map<flow_key, agent_flow>;
+    /// A notice that the upstream leaves, which may be a late one of an earlier start.
+    struct pending_leave
+    {
+        upstream_leave notice;
+        time_point arrivedAt;
+        time_point nextProbe;
+        duration probePause{0};
+    };
 
     void handleForwarded(forwarded_packet arrived, time_point now, packet_actions *out);
     void answerOwnerQuery(const host_address &from, const owner_query &query, time_point now, packet_actions *out);
@@ -201,8 +249,24 @@
     void forwardToAlternate(forwarded_packet arrived, const char *reason, const flow_key &flow, packet_actions *out);
     std::optional<rejection_reason> openingRejectionReason(const std::string &service) const;
     std::optional<forwarding_reason> forwardingReason(bool isTrial, time_point now) const;
+    bool isEvacuated() const { return m_evacuations.isEvacuated(m_settings.domain); }
+    void applyEvacuations(const host_address &from, const balancer_hello &hello, time_point now, packet_actions *out);
+    void checkEvacuations(time_point now, packet_actions *out);
+    bool deliverCopy(const flow_key &key, agent_flow *flow, const packet &content, time_point now, packet_actions *out);
+    void withdrawOpening(const flow_key &key, time_point now);
+    bool isRefusedAgain(const agent_flow &flow, const packet_header &opening) const;
+    bool isWithdrawn(const flow_key &key, const packet_header &header) const;
+    bool isColdOpeningAllowed(const request_limits &limits, time_point now);
+    void recordOpening(const flow_key &key, time_point now);
+    bool mayBeCold(time_point now) const;
+    duration coldRemaining(time_point now) const;
     bool hasFreeSlot(time_point now) const;
-    bool isOverloaded(const request_limits &limits) const;
+    admission_estimate admissionEstimate(const request_limits &limits, time_point now) const;
+    void recordOffered(const request_limits &limits, time_point now);
+    std::optional<refusal_cause> openingRefusalCause(const request_limits &limits, time_point now);
+    void refuseOpening(forwarded_packet arrived, const flow_key &key, refusal_cause cause, time_point now,
+                       packet_actions *out);
+    void countRefusal(rejection_reason reason);
     bool acknowledgementFits(const agent_flow &flow, const packet_header &header) const;
     void deliver(const flow_key &key, agent_flow *flow, packet content, time_point now, packet_actions *out);
     bool isRequestStart(agent_flow *flow, const packet &content);
@@ -228,6 +292,11 @@
     std::size_t maxWithinTarget() const;
     void recordAnswer(const flow_key &key, agent_flow *flow, const packet &content, time_point now,
                       packet_actions *out);
+    void recordSlotTaken(const flow_key &key, agent_flow *flow, time_point now);
+    void recordSlotFreed(agent_flow *flow, time_point now);
+    void recordProcessingTime(const agent_flow &flow, time_point now);
+    double processingMs() const;
+    double answerTimeMs() const;
     void recordUpstreamSequence(agent_flow *flow, const packet_header &header);
     void handleReturnedPacket(packet content, time_point now, packet_actions *out);
     void releaseRequestsInProgress(time_point now);
@@ -241,14 +310,17 @@
     void sendSeedHellos(time_point now, packet_actions *out);
     void evictFlows(time_point now);
     duration reportPeriod() const;
-    bool isStartSeen(const upstream_announcement &first, packet_actions *out) const;
+    bool isStartSeen(const known_start &start, packet_actions *out) const;
+    void recordProvenStart(const std::optional<known_start> &ended, time_point now, packet_actions *out);
+    void recordLeft(time_point leftAt, const std::string &cause, time_point now, packet_actions *out);
     upstream_evidence evidence() const;
     void resolveRestored(time_point now, packet_actions *out);
-    void endFlowsOfEarlierStart(time_point now, packet_actions *out);
+    void endFlowsOfEarlierStart(const std::optional<known_start> &ended, time_point now, packet_actions *out);
     bool restoreFlow(const snapshot_flow &entry, snapshot_verdict verdict, time_point now);
     void sendResets(packet_actions *out);
     bool isInSnapshot(const agent_flow &flow, time_point now) const;
     bool hasSeenAllFlows(time_point now) const;
+    bool wasReturnedByUpstream(const flow_key &flow, time_point now) const;
     bool isOtherService(const std::string &service) const;
     void log(log_class kind, std::string text, packet_actions *out) const;
 
@@ -261,18 +333,23 @@
     std::optional<time_point> m_lastAnnouncementAt;
     std::uint32_t m_assumedSlots; ///< Until the upstream announces itself.
     bool m_wasUpstreamAbsent = false;
-    bool m_sawUpstreamStart = false;          ///< The upstream's current start is later than this agent's.
-    std::uint32_t m_announcementsOfStart = 0; ///< Accepted ones of the upstream's current start.
-    std::optional<flow_snapshot> m_restored;  ///< Until it is known whether its flows still exist.
-    std::deque<reset_flow> m_resetsToSend;    ///< Of flows that ended with an earlier start of the upstream.
+    bool m_wasUpstreamListening = false;
+    upstream_starts m_starts;
+    bool m_sawUpstreamStart = false;         ///< A proven start of the upstream is later than this agent's.
+    std::optional<flow_snapshot> m_restored; ///< Until it is known whether its flows still exist.
+    std::uint64_t m_restoredStartMs = 0;     ///< Start of the upstream that the snapshot names.
+    std::deque<reset_flow> m_resetsToSend;   ///< Of flows that ended with an earlier start of the upstream.
     snapshot_schedule m_snapshotSchedule;
     std::optional<time_point> m_nextSnapshotCheck;
     std::size_t m_fleetAgents = 1; ///< Number of agents, as reported by the balancers.
     bool m_isEntryMissing = false;
     std::optional<time_point> m_leftAt;
+    std::optional<pending_leave> m_pendingLeave;
     std::optional<time_point> m_stoppingSince;
     time_point m_lastUpstreamPacketAt; ///< Time of the last packet from the upstream.
     flow_map m_flows;
+    absl::flat_hash_map<flow_key, time_point>
+        m_returnedFlows; ///< Flows that the upstream does not hold, and since when.
     std::deque<std::pair<time_point, flow_key>> m_expectationDeadlines;
     absl::btree_map<host_address, time_point> m_balancers; ///< With the time of the last message.
     std::vector<request_observation> m_observations;
@@ -283,18 +360,28 @@
     std::deque<std::pair<time_point, flow_key>> m_probesSent;   ///< Requests on flows that the upstream may not hold.
     caller_budgets m_callerBudgets;
     request_queue m_queue;
+    offered_load m_offeredLoad;
+    refusal_counts m_refusals{};
+    std::vector<wait_observation> m_waits;
     std::deque<flow_key> m_waitingProbes; ///< Requests on flows that the upstream may not hold, in order of arrival.
     std::size_t m_requestsInProgress = 0;
     std::size_t m_expected = 0;
     double m_meanBusy = 0;
-    double m_meanProcessingMs; ///< Processing time of a request at the upstream.
-    double m_meanSlackMs;      ///< Time that a request may wait and still meet its latency target.
+    processing_model m_processing;
+    std::size_t m_measuredRequests = 0;     ///< Requests in progress whose processing time counts.
+    std::deque<flow_key> m_requestsForSlot; ///< Those that wait for a slot at the upstream, in order of delivery.
+    double m_meanSlackMs;                   ///< Time that a request may wait and still meet its latency target.
     time_point m_meanUpdatedAt;
     std::uint64_t m_reportNumber = 0;
     std::optional<time_point> m_nextReport;
     std::optional<time_point> m_nextSeedHello;
     duration m_seedHelloDelay{0};
     std::optional<time_point> m_nextSweep;
+    evacuation_state m_evacuations;
+    bool m_areEvacuationsMissed = false; ///< Their absence has been logged.
+    /// Flows that were refused although an opening packet had been delivered; the upstream's answers to them are dropped.
+    absl::flat_hash_map<flow_key, time_point> m_withdrawnOpenings;
+    sliding_limit m_openingsDelivered; ///< Opening packets, including copies.
 };
 
 /// Interval between calls of packet_agent::advance().
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -4,8 +4,11 @@
 /// Decision core of a balancer: selects route, agent and owner for each packet of a caller. Performs no I/O.
 
 #include "citroncrank/agent_directory.h"
+#include "citroncrank/balancer_evacuations.h"
 #include "citroncrank/owner_search.h"
 #include "citroncrank/packet_action.h"
+#include "citroncrank/refusal.h"
+#include "citroncrank/retry_budget.h"
 #include "citroncrank/route_set.h"
 #include "citroncrank/routes_watch_role.h"
 #include "citroncrank/time.h"
@@ -35,6 +38,8 @@
     duration flowLifetime{0};        ///< The state of older flows may be dropped.
     std::uint64_t randomSeed = 0;
     routes_watch_settings routesWatch;
+    /// How the balancers of a failure domain share the watch of evacuations. Nullopt: the deployment has none.
+    std::optional<routes_watch_settings> evacuationsWatch = std::nullopt;
 };
 
 /// A node as the object store lists it.
@@ -74,6 +79,11 @@
     void storeConfirmedRoutes(duration age, time_point now, packet_actions *out);
     /// Whether this balancer watches the operator's configuration in the object store itself.
     bool watchesRoutes(time_point now) const { return m_watchRole.isWatcher(routesVersion(), now); }
+    /// Call after each answer of the object store about evacuations, with all that it holds. `age`: of its answer.
+    void storeListedEvacuations(const evacuation_set &listed, duration age, time_point now, packet_actions *out);
+    /// Whether this balancer watches the evacuations in the object store itself.
+    bool watchesEvacuations(time_point now) const { return m_evacuations.isWatcher(now); }
+    const evacuation_state &evacuations() const { return m_evacuations.state(); }
     /// Applies the latest era of the object store that this node has heard of.
     void applyStoreEra(std::uint64_t era, time_point now);
     /// Applies the seeds, the flow lifetime and the number of watchers. The other settings cannot change after the start.
@@ -101,6 +111,8 @@
     std::size_t flowCount() const { return m_flows.size(); }
     const agent_directory &agents() const { return m_agents; }
     std::size_t balancerCount() const { return m_balancers.size(); }
+    /// Openings that this balancer has refused itself, since its start.
+    const refusal_counts &refusals() const { return m_refusals; }
 
 private:
     struct held_packet
@@ -114,9 +126,11 @@
         std::string service;
         bool isOwnerKnown = false;               ///< False while the owner is searched for.
         bool isOpening = false;                  ///< Only opening packets were seen.
+        bool hasAlternates = false;              ///< The last opening packet was sent with alternates.
         std::vector<host_address> rejectedBy;    ///< Agents that rejected the opening packet.
         std::unique_ptr<owner_search> search;    ///< Null unless the owner is searched for.
         std::vector<held_packet> heldForRestart; ///< Data packets held during a planned restart of the owner.
+        std::optional<time_point> searchedAt;    ///< Start of the last search for the owner.
         bool finished = false;
         time_point lastSeen;
         time_point firstSeen;
@@ -142,6 +156,12 @@
     void forward(const host_address &agent, forward_purpose purpose, const std::string &service, const flow_key &key,
                  std::string packetBytes, std::vector<host_address> alternates, packet_actions *out) const;
     void openFlow(packet arrived, const packet_route &route, time_point now, packet_actions *out);
+    bool admitOpening(const packet_header &header, const packet_route &route, placement *chosen, time_point now);
+    bool wouldMissTimeout(const agent_record &agent, const packet_route &route, time_point now) const;
+    bool wouldAllMissTimeout(const std::string &service, const packet_route &route, time_point now) const;
+    void recordTimeRefusal(const host_address &agent, const balancer_flow &flow, const host_address &route,
+                           bool isLastAgent, time_point now);
+    void expireTimeRefusals(time_point now);
     void continueFlow(packet arrived, time_point now, packet_actions *out);
     bool isInPlannedRestart(const host_address &agent) const;
     void releaseHeldForRestart(const host_address &agent, time_point now, packet_actions *out);
@@ -152,13 +172,14 @@
     bool queryAgentsOfStep(balancer_flow *flow, const flow_key &key, time_point now, packet_actions *out);
     bool isStepDone(const owner_search &search, time_point now) const;
     void advanceSearch(balancer_flow *flow, const flow_key &key, time_point now, packet_actions *out);
+    bool hasQueryAllowance(time_point now);
     bool takeQueryAllowance(time_point now);
     void sendOwnerQuery(const host_address &agent, const balancer_flow &flow, const flow_key &key, time_point now,
                         packet_actions *out);
     void repeatUnansweredQueries(balancer_flow *flow, const flow_key &key, time_point now, packet_actions *out);
-    void onAgentReply(const host_address &agent, time_point now);
     void logUndecidedOwner(const flow_key &key, const balancer_flow &flow, time_point now, packet_actions *out) const;
     void advanceSearches(time_point now, packet_actions *out);
+    void advanceDueSearches(time_point now, packet_actions *out);
     void rejectFlowWithoutOwner(const flow_key &key, packet_actions *out);
     void onUnroutedPacket(const packet &arrived, packet_actions *out);
     void hold(packet arrived, time_point now, packet_actions *out);
@@ -167,12 +188,14 @@
     void learnOwner(const host_address &agent, const flow_key &flow, time_point now, packet_actions *out);
     void onRejection(const host_address &agent, const rejection_notice &notice, time_point now, packet_actions *out);
     void onUnknownFlowReturned(const host_address &agent, packet returned, time_point now, packet_actions *out);
+    static bool mayReset(const packet_header &rejected, rejection_reason reason);
     void onOpeningRejected(const host_address &agent, rejection_reason reason, packet returned, time_point now,
                            packet_actions *out);
     void onCarriedPacketRejected(const host_address &agent, packet returned, time_point now, packet_actions *out);
     void onOwnerNack(const host_address &agent, const owner_nack &nack, time_point now, packet_actions *out);
     bool isDeniedByAll(const owner_search &search, time_point now) const;
-    bool isAnswerMissing(const owner_search &search, time_point now) const;
+    bool mayBeDeniedByAll(const owner_search &search) const;
+    bool takeRemainingOwner(const balancer_flow &flow, const flow_key &key, time_point now, packet_actions *out);
     void probeUncertainAgents(balancer_flow *flow, const flow_key &key, time_point now, packet_actions *out) const;
     void onAgentReport(const host_address &agent, const agent_report &report, time_point now, packet_actions *out);
     void onBalancerHello(const host_address &from, const balancer_hello &hello, time_point now, packet_actions *out);
@@ -186,6 +209,13 @@
     void introduceSelf(const host_address &balancer, time_point now, packet_actions *out) const;
     void confirmStore(time_point now, packet_actions *out);
     void sendHellos(time_point now, packet_actions *out);
+    balancer_hello helloWithoutLists() const;
+    void sendToOwnDomain(const balancer_hello &message, packet_actions *out) const;
+    void onEvacuationsHeard(const host_address &from, const balancer_hello &hello, time_point now, packet_actions *out);
+    void applyEvacuations(const evacuation_set &heard, const std::string &source, time_point now, packet_actions *out);
+    void updateAgentEvacuations(const host_address &agent, time_point now, packet_actions *out);
+    bool isUpdaterOf(const host_address &agent) const;
+    bool areEvacuationsAwaited(duration waited) const;
     void requestMissingEntries(time_point now, packet_actions *out);
     void expireFlows(time_point now);
     bool isStarting(time_point now) const;
@@ -209,11 +239,18 @@
     absl::btree_map<host_address, known_balancer> m_balancers; ///< Other balancers.
     absl::flat_hash_map<flow_key, balancer_flow> m_flows;
     absl::btree_set<flow_key> m_searchedFlows; ///< Flows whose owner is searched for.
-    double m_queryAllowance;                   ///< Queries beyond the likely owners that may be sent now.
+    time_point m_searchesAdvancedAt{};
+    std::size_t m_unresponsiveAgents = 0; ///< At the last tick.
+    double m_queryAllowance;              ///< Queries beyond the likely owners that may be sent now.
     time_point m_allowanceUpdatedAt;
+    absl::btree_map<std::string, retry_budget> m_retryBudgets; ///< By service.
+    /// When an agent last refused an opening of a service address for lack of time.
+    absl::btree_map<std::pair<host_address, host_address>, time_point> m_timeRefusals;
+    refusal_counts m_refusals{};
     std::vector<held_packet> m_held;
     std::optional<routes_source> m_newerRoutes;
     routes_watch_role m_watchRole;
+    balancer_evacuations m_evacuations;
     absl::btree_map<host_address, time_point> m_listedBalancers; ///< Other balancers and when they became listed.
     bool m_isListingKnown = false;
     std::uint64_t m_helloRound = 0;
--- a/src/include/citroncrank/packet_node.h
+++ b/src/include/citroncrank/packet_node.h
@@ -11,6 +11,7 @@
 #include "citroncrank/owner_message_batch.h"
 #include "citroncrank/packet_action.h"
 #include "citroncrank/packet_node_settings.h"
+#include "citroncrank/refusal.h"
 #include "citroncrank/settings_watch.h"
 #include "citroncrank/store_worker.h"
 
@@ -50,11 +51,15 @@
     virtual void flush();
 
     void log(log_class kind, const std::string &text);
+    /// Publishes the refused openings by cause.
+    void setRefusalCounts(const refusal_counts &counts);
     /// Thread-safe log function for the store workers.
     store_log storeLog();
     /// Latest era of the store that this node has heard of; also updates its metric.
     store_era storeEra();
-    store_access storeAccess() { return {m_settings.platform, m_storeEras, storeLog()}; }
+    store_access storeAccess();
+    /// Counts a document of another writer that cannot be read. Thread safe.
+    void countMalformedDocument(const char *document);
 
     settings_watch m_settingsFile;
     packet_node_settings m_settings;
--- a/src/libpacket/agent_directory.cpp
+++ b/src/libpacket/agent_directory.cpp
@@ -1,8 +1,9 @@
 #include "citroncrank/agent_directory.h"
 
-#include "citroncrank/agent_load.h"
+#include "agent_directory_pvt.h"
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -16,17 +17,13 @@
 constexpr duration kReportSlack = std::chrono::milliseconds(100);
 // Used until an agent reports its own period.
 constexpr std::uint32_t kDefaultReportPeriodMs = 200;
-// Fraction of the slots. A round trip between failure domains takes about 9 ms, as much as waiting for a sixth of a
-// typical request.
-constexpr double kOtherDomainLoad = 0.15;
-// Agents of the own failure domain, and as many of the others, that a flow may be placed at.
-constexpr std::size_t kCandidatesPerDomain = 6;
-// Further agents that may own a flow, since agents leave and become usable between its opening and a search.
-constexpr std::size_t kOwnerRankMargin = 2;
 
 // A restarting agent reports again sooner than this. An agent that is silent for longer does not serve its flows, so it
 // no longer keeps them from being reset.
 constexpr duration kOwnerSilenceTimeout = std::chrono::milliseconds(1500);
+// An agent that announced its restart answers requests in progress, may wait for its own HTTP endpoint (0.8 s) and starts
+// again. Together that can exceed kOwnerSilenceTimeout.
+constexpr duration kPlannedRestartTimeout = 2 * kOwnerSilenceTimeout;
 // Overdue reports and unanswered queries together. At 5 % loss, that many messages of a running agent are lost in a row
 // once in three million cases.
 constexpr std::int64_t kMinMissingMessages = 5;
@@ -54,12 +51,18 @@
     return agent.firstUnansweredAt && now - *agent.firstUnansweredAt >= kReplyTimeout;
 }
 
-// An agent is listed from its upstream's first announcement on; before that, its upstream holds no flow.
-bool canOwnFlows(const agent_record &agent)
+// A sample has whole milliseconds. It replaces the reported value only if it differs by more than the rounding.
+std::uint32_t refine(std::uint32_t reportedMicroseconds, std::uint32_t sampledMs)
 {
-    const bool isAbsent = !agent.isListed && !agent.isNamedByBalancer;
-    const bool isUnannounced = isAbsent && agent.report.state == agent_state::unconfirmed;
-    return agent.report.state != agent_state::left && !isUnannounced;
+    constexpr std::uint32_t kMicroseconds = 1000;
+    const std::uint32_t reportedMs = (reportedMicroseconds + kMicroseconds / 2) / kMicroseconds;
+    const bool isRounded = std::max(reportedMs, 1U) == sampledMs || reportedMicroseconds / kMicroseconds == sampledMs;
+    return reportedMicroseconds == 0 || isRounded ? reportedMicroseconds : sampledMs * kMicroseconds;
+}
+
+duration ownerSilenceTimeout(const agent_record &agent)
+{
+    return agent.report.state == agent_state::stopping ? kPlannedRestartTimeout : kOwnerSilenceTimeout;
 }
 
 } // namespace
@@ -74,6 +77,13 @@
     const bool isRestarted = report.incarnation != agent.report.incarnation && !isFresh(agent, now);
     if (isOlder && !isRestarted)
         return false;
+    const auto ownershipOf = [](const agent_report &value) {
+        return std::tuple(value.state == agent_state::left, std::string_view(value.service),
+                          std::string_view(value.domain));
+    };
+    if (agent.address != address || ownershipOf(agent.report) != ownershipOf(report))
+        ++m_version;
+    ++m_reports;
     agent.address = address;
     agent.report = report;
     agent.lastHeardAt = now;
@@ -90,9 +100,11 @@
     const auto found = m_agents.find(load.agent);
     if (found == m_agents.end() || !found->second.lastHeardAt)
         return;
+    ++m_reports;
     agent_record &agent = found->second;
     agent.report.busy = load.busy;
     agent.report.processingMilliseconds = load.processingMilliseconds;
+    agent.report.processingMicroseconds = refine(agent.report.processingMicroseconds, load.processingMilliseconds);
     agent.loadKnownAt = now;
     agent.sentSinceLoad = 0;
 }
@@ -101,6 +113,8 @@
                                  time_point now)
 {
     agent_record &agent = m_agents[address];
+    if (agent.address != address || (!agent.lastHeardAt && agent.report.service != service))
+        ++m_version;
     agent.address = address;
     if (!agent.isListed)
         agent.listedAt = now;
@@ -125,6 +139,7 @@
         entry->second.address = address;
         entry->second.listedAt = now;
         entry->second.isNamedByBalancer = true;
+        ++m_version;
     }
     return isNew;
 }
@@ -169,15 +184,13 @@
     agent.lastQueriedAt = now;
 }
 
-bool agent_directory::recordReply(const host_address &address, time_point now)
+void agent_directory::recordReply(const host_address &address, time_point now)
 {
     const auto found = m_agents.find(address);
     if (found == m_agents.end())
-        return false;
-    const bool wasOverdue = isReplyOverdue(found->second, now);
+        return;
     found->second.lastReplyAt = now;
     clearUnanswered(&found->second);
-    return wasOverdue;
 }
 
 const agent_record *agent_directory::find(const host_address &address) const
@@ -204,7 +217,15 @@
         sinceHeard + std::chrono::milliseconds(kDefaultReportPeriodMs) - reportPeriod(agent);
     const duration silence = std::max(sinceReportDue, now - *agent.firstUnansweredAt);
     const std::int64_t missedReports = (sinceHeard - kReportSlack) / reportPeriod(agent);
-    return silence >= kOwnerSilenceTimeout && missedReports + agent.unansweredQueries >= kMinMissingMessages;
+    return silence >= ownerSilenceTimeout(agent) && missedReports + agent.unansweredQueries >= kMinMissingMessages;
+}
+
+std::size_t agent_directory::countUnresponsive(time_point now) const
+{
+    if (m_unansweredAgents == 0)
+        return 0;
+    return std::size_t(std::count_if(m_agents.begin(), m_agents.end(),
+                                     [&](const auto &entry) { return isUnresponsive(entry.second, now); }));
 }
 
 bool agent_directory::isRepetitionAllowed(const host_address &address, time_point now) const
@@ -216,6 +237,11 @@
 }
 
 agent_availability agent_directory::availability(const agent_record &agent, time_point now) const
+{
+    return isEvacuated(agent) ? agent_availability::excluded : stateAvailability(agent, now);
+}
+
+agent_availability agent_directory::stateAvailability(const agent_record &agent, time_point now) const
 {
     switch (agent.report.state) {
     case agent_state::draining:
@@ -239,96 +265,6 @@
     return agent != nullptr && availability(*agent, now) == agent_availability::ready;
 }
 
-// All balancers of a failure domain choose a flow's agents from the same part of the agents, so that each of them finds
-// the owner of an open flow without asking all agents. The part is large enough that one of it has a free slot.
-std::vector<const agent_record *> agent_directory::partOf(const std::vector<const agent_record *> &agents,
-                                                          const flow_placement &placed, std::size_t perDomain)
-{
-    struct ranked
-    {
-        std::uint64_t rank = 0;
-        const agent_record *agent = nullptr;
-        auto operator<=>(const ranked &) const = default;
-    };
-    std::vector<ranked> own;
-    std::vector<ranked> others;
-    const std::uint64_t key = hashPair(packAddress(placed.flow.caller), packAddress(placed.flow.service));
-    for (const agent_record *const agent : agents) {
-        std::vector<ranked> &ranking = agent->report.domain == placed.ownDomain ? own : others;
-        ranking.push_back({hashPair(key, packAddress(agent->address)), agent});
-    }
-    std::vector<const agent_record *> part;
-    for (std::vector<ranked> *const ranking : {&own, &others}) {
-        const std::size_t taken = std::min(perDomain, ranking->size());
-        std::partial_sort(ranking->begin(), ranking->begin() + std::ptrdiff_t(taken), ranking->end());
-        for (std::size_t i = 0; i < taken; ++i)
-            part.push_back((*ranking)[i].agent);
-    }
-    return part;
-}
-
-// Many balancers choose at the same moment by reports of about the same age. Each draws the loads of its own, so that
-// they do not all choose the agent that was the least loaded one when it reported. Agents whose drawn loads are equal
-// come in random order for the same reason.
-std::vector<host_address> agent_directory::candidates(const flow_placement &placed,
-                                                      std::span<const host_address> excluded, std::size_t count,
-                                                      time_point now, std::mt19937_64 *random) const
-{
-    std::vector<const agent_record *> usable;
-    agent_availability best = agent_availability::excluded;
-    for (const auto &[address, agent] : m_agents) {
-        const agent_availability rank = availability(agent, now);
-        if (agent.report.service != placed.service || rank == agent_availability::excluded || rank > best
-            || std::find(excluded.begin(), excluded.end(), address) != excluded.end())
-            continue;
-        if (rank < best)
-            usable.clear();
-        best = rank;
-        usable.push_back(&agent);
-    }
-    struct ranked
-    {
-        double load = 0;
-        std::uint64_t tieBreak = 0;
-        host_address address;
-        auto operator<=>(const ranked &) const = default;
-    };
-    std::vector<ranked> order;
-    for (const agent_record *const agent : partOf(usable, placed, kCandidatesPerDomain)) {
-        const double domainPenalty = agent->report.domain == placed.ownDomain ? 0 : kOtherDomainLoad;
-        order.push_back({drawLoad(estimateLoad(*agent, now), random) + domainPenalty, (*random)(), agent->address});
-    }
-    std::sort(order.begin(), order.end());
-    std::vector<host_address> result;
-    for (std::size_t i = 0; i < std::min(count, order.size()); ++i)
-        result.push_back(order[i].address);
-    return result;
-}
-
-// Some agents were not usable when the flow was placed, so its owner may rank a little lower now.
-std::vector<host_address> agent_directory::likelyOwners(const flow_placement &placed) const
-{
-    std::vector<const agent_record *> possible;
-    for (const auto &[address, agent] : m_agents) {
-        if (canOwnFlows(agent) && agent.report.service == placed.service)
-            possible.push_back(&agent);
-    }
-    std::vector<host_address> result;
-    for (const agent_record *const agent : partOf(possible, placed, kCandidatesPerDomain + kOwnerRankMargin))
-        result.push_back(agent->address);
-    return result;
-}
-
-std::optional<host_address> agent_directory::trialCandidate(std::string_view service, time_point now) const
-{
-    for (const auto &[address, agent] : m_agents) {
-        if (agent.report.isTrialDue && agent.sentSinceReport == 0 && agent.report.service == service
-            && availability(agent, now) == agent_availability::failing)
-            return address;
-    }
-    return std::nullopt;
-}
-
 std::vector<host_address> agent_directory::agentsOfService(std::string_view service) const
 {
     std::vector<host_address> result;
@@ -430,8 +366,10 @@
     absl::erase_if(m_agents, [&](auto &entry) {
         agent_record &agent = entry.second;
         const bool isStale = !agent.isListed && timeSinceHeard(agent, now) > age;
-        if (isStale)
+        if (isStale) {
             clearUnanswered(&agent);
+            ++m_version;
+        }
         return isStale;
     });
 }
--- a/src/libpacket/packet_agent.cpp
+++ b/src/libpacket/packet_agent.cpp
@@ -13,8 +13,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Initial means, until enough requests have been seen.
-constexpr double kInitialProcessingMs = 50;
+// Initial mean, until enough requests have been seen.
 constexpr double kInitialSlackMs = 100;
 constexpr duration kStaleBalancerTime = seconds(30);
 constexpr duration kSweepPeriod = seconds(1);
@@ -29,6 +28,10 @@
 constexpr duration kOpeningFlowTimeout = seconds(5);
 constexpr duration kFinishedFlowRetention = seconds(5);
 constexpr duration kEndedFlowRetention = seconds(5);
+// Longer than a search for an owner takes at a balancer.
+constexpr duration kReturnedFlowRetention = seconds(5);
+// About 1 MB.
+constexpr std::size_t kMaxReturnedFlows = 20'000;
 // An upstream abandons a request soon after its caller has timed out.
 constexpr duration kUnansweredGracePeriod = seconds(1);
 constexpr duration kIdleFlowTimeout = seconds(60);
@@ -38,21 +41,6 @@
 
 } // namespace
 
-const char *toString(announcement_result result)
-{
-    switch (result) {
-    case announcement_result::accepted:
-        return "accepted";
-    case announcement_result::foreign:
-        return "foreign";
-    case announcement_result::out_of_order:
-        return "out_of_order";
-    case announcement_result::earlier_start:
-        return "earlier_start";
-    }
-    return "unknown";
-}
-
 packet_agent::packet_agent(packet_agent_settings settings, packet_header_decoder decoder, request_head_reader readHead,
                            time_point now)
     : m_settings(std::move(settings))
@@ -60,18 +48,22 @@
     , m_readHead(readHead)
     , m_startedAt(now)
     , m_assumedSlots(kAssumedSlots)
-    , m_meanProcessingMs(kInitialProcessingMs)
+    , m_starts(m_settings.announcementPeriod)
+    , m_processing(kDefaultProcessingMs)
     , m_meanSlackMs(kInitialSlackMs)
     , m_meanUpdatedAt(now)
+    , m_openingsDelivered(kColdWindow)
 {}
 
 void packet_agent::changeSettings(const packet_agent_settings &changed)
 {
     m_settings.seeds = changed.seeds;
     m_settings.announcementPeriod = changed.announcementPeriod;
+    m_starts.setPeriod(changed.announcementPeriod);
     m_settings.flowLifetime = changed.flowLifetime;
     m_settings.minSnapshotInterval = changed.minSnapshotInterval;
     m_settings.storeWritesPerSecond = changed.storeWritesPerSecond;
+    m_settings.coldLimit = changed.coldLimit;
     m_nextSeedHello = std::nullopt;
 }
 
@@ -103,6 +95,7 @@
     const bool isNew = !m_balancers.contains(from);
     m_balancers[from] = now;
     m_fleetAgents = std::max<std::size_t>(1, hello->agents);
+    applyEvacuations(from, *hello, now, out);
     m_isEntryMissing = m_isEntryMissing || (hello->isEntryMissing && m_upstream);
     for (const host_address &other : hello->balancers) {
         if (m_balancers.try_emplace(other, now).second)
@@ -161,13 +154,22 @@
     return m_sawUpstreamStart || (!m_upstream && m_wasUpstreamAbsent) || now - m_startedAt > m_settings.flowLifetime;
 }
 
+// An upstream that returned a packet of a flow does not hold it, and a flow that it accepts later passes this agent. So
+// several balancers that search for the same flow cost the upstream one packet.
+bool packet_agent::wasReturnedByUpstream(const flow_key &flow, time_point now) const
+{
+    const auto found = m_returnedFlows.find(flow);
+    return found != m_returnedFlows.end() && now - found->second <= kReturnedFlowRetention;
+}
+
 void packet_agent::answerOwnerQuery(const host_address &from, const owner_query &query, time_point now,
                                     packet_actions *out)
 {
     const auto found = m_flows.find(query.flow);
     const packet_header header{.acknowledges = query.hasAcknowledged, .acknowledged = query.acknowledged};
     if (found == m_flows.end() || found->second.phase == flow_phase::probing) {
-        const bool isDenied = hasSeenAllFlows(now) || isOtherService(query.service);
+        const bool isDenied = hasSeenAllFlows(now) || isOtherService(query.service)
+                              || (found == m_flows.end() && wasReturnedByUpstream(query.flow, now));
         const bool isExpected = !isDenied && m_restored && contains(*m_restored, query.flow);
         out->emplace_back(send_to_node{from, owner_nack{query.flow, !isDenied, isExpected}});
         return;
@@ -192,8 +194,16 @@
     const flow_key key = flowFromCaller(content.header);
     auto found = m_flows.find(key);
     const bool isOtherUpstreams = found != m_flows.end() && !acknowledgementFits(found->second, content.header);
-    const bool isUnknown = found == m_flows.end() && (hasSeenAllFlows(now) || isOtherService(arrived.service));
-    if (isOtherUpstreams || isUnknown || (found == m_flows.end() && m_flows.size() >= kMaxAgentFlows)) {
+    const bool isUnknown =
+        found == m_flows.end()
+        && (hasSeenAllFlows(now) || isOtherService(arrived.service) || wasReturnedByUpstream(key, now));
+    if (found == m_flows.end() && !isUnknown && m_flows.size() >= kMaxAgentFlows) {
+        // A full table is no evidence that the upstream does not hold the flow.
+        log(log_class::refusal, absl::StrCat("dropped packet, reason=too_many_flows flow=", toString(key)), out);
+        out->emplace_back(send_to_node{arrived.origin, owner_nack{key, true}});
+        return;
+    }
+    if (isOtherUpstreams || isUnknown) {
         if (isOtherUpstreams) {
             log(log_class::owner,
                 absl::StrCat("flow is another upstream's, flow=", toString(key), " acknowledged=",
@@ -254,6 +264,8 @@
         return;
     }
     const flow_key key = flowFromUpstream(arrived.header);
+    if (isWithdrawn(key, arrived.header))
+        return;
     const auto found = m_flows.find(key);
     if (found == m_flows.end() && m_flows.size() < kMaxAgentFlows) {
         // After a restart of this agent, packets from the upstream show which flows it holds.
@@ -308,6 +320,7 @@
                               .service = flow.service,
                               .origin = flow.origin,
                               .alternates = std::move(flow.alternates),
+                              .limits = flow.limits,
                               .packetBytes = std::move(content.bytes)};
     log(log_class::refusal,
         absl::StrCat("upstream returned packet, flow=", toString(key), " open=", content.header.open,
@@ -325,6 +338,8 @@
     }
     if (flow.phase == flow_phase::probing)
         returned.purpose = forward_purpose::probe;
+    if (!content.header.open && m_returnedFlows.size() < kMaxReturnedFlows)
+        m_returnedFlows[key] = now;
     for (packet &waiting : held) {
         forwarded_packet further = returned;
         further.packetBytes = std::move(waiting.bytes);
@@ -336,6 +351,7 @@
 
 void packet_agent::advance(time_point now, packet_actions *out)
 {
+    m_queue.advance(now);
     dropExpired(now, out);
     checkTimeouts(now, out);
     dispatch(now, out);
@@ -355,7 +371,8 @@
         setState(agent_state::silent, "no announcement for several periods", now, out);
     if (!m_lastAnnouncementAt && m_state == agent_state::unconfirmed
         && now - m_startedAt > kMaxMissedAnnouncements * m_settings.announcementPeriod)
-        setState(agent_state::left, "no upstream has announced itself since the agent's start", now, out);
+        setState(m_wasUpstreamListening ? agent_state::silent : agent_state::left,
+                 "no upstream has announced itself since the agent's start", now, out);
     if (m_leftAt && now - *m_leftAt >= kLeaveGracePeriod)
         endFlows("upstream_left", now, out);
     if (!m_nextReport || now >= *m_nextReport) {
@@ -366,6 +383,7 @@
         evictFlows(now);
         absl::erase_if(m_balancers, [&](const auto &entry) { return now - entry.second > kStaleBalancerTime; });
         m_nextSweep = now + kSweepPeriod;
+        checkEvacuations(now, out);
     }
 }
 
@@ -401,6 +419,7 @@
 
 void packet_agent::evictFlows(time_point now)
 {
+    absl::erase_if(m_returnedFlows, [&](const auto &entry) { return now - entry.second > kReturnedFlowRetention; });
     for (auto entry = m_flows.begin(); entry != m_flows.end();) {
         agent_flow &flow = entry->second;
         // If the answer was lost before it reached this agent, the request must not occupy its slot forever.
--- a/src/libpacket/packet_agent_opening.cpp
+++ b/src/libpacket/packet_agent_opening.cpp
@@ -19,6 +19,8 @@
 
 std::optional<rejection_reason> packet_agent::openingRejectionReason(const std::string &service) const
 {
+    if (isEvacuated())
+        return rejection_reason::evacuated;
     if (service != m_settings.service)
         return rejection_reason::wrong_service;
     switch (m_state) {
@@ -62,22 +64,13 @@
     return competingRequests(now) < slots();
 }
 
-// Whether the caller of a request that arrives now would time out before its answer.
-bool packet_agent::isOverloaded(const request_limits &limits) const
-{
-    if (!m_upstream || limits.timeoutMs == 0)
-        return false;
-    const double wait = double(m_queue.size()) * m_meanProcessingMs / slots();
-    return wait + m_meanProcessingMs > limits.timeoutMs;
-}
-
 agent_load_sample packet_agent::loadSample(time_point now) const
 {
     constexpr double kMost = UINT16_MAX;
     return {.agent = m_settings.self,
             .busy = std::uint16_t(std::min(kMost, double(competingRequests(now)))),
             .slots = std::uint16_t(slots()),
-            .processingMilliseconds = std::uint16_t(std::clamp(m_meanProcessingMs, 1.0, kMost))};
+            .processingMilliseconds = std::uint16_t(std::clamp(m_processing.overall(now).meanMs, 1.0, kMost))};
 }
 
 // A flow that no agent had a free slot for would otherwise stay at the last agent asked, however many requests wait
@@ -115,21 +108,27 @@
     const auto known = m_flows.find(key);
     const bool isDuplicate = known != m_flows.end()
                              && (known->second.phase == flow_phase::opening || known->second.phase == flow_phase::open);
-    if (isDuplicate) {
+    if (isDuplicate && !isRefusedAgain(known->second, content.header)) {
         known->second.origin = arrived.origin;
-        deliver(key, &known->second, std::move(content), now, out);
+        if (deliverCopy(key, &known->second, content, now, out))
+            deliver(key, &known->second, std::move(content), now, out);
         return;
     }
+    if (isDuplicate)
+        withdrawOpening(key, now);
     if (const auto rejection = openingRejectionReason(arrived.service)) {
         log(log_class::refusal,
             absl::StrCat("turned flow away, flow=", toString(key), " reason=", toString(*rejection),
                          " state=", toString(m_state), " asked_service=", arrived.service),
             out);
+        m_counts.refusedEvacuated += *rejection == rejection_reason::evacuated ? 1 : 0;
         arrived.packetBytes = std::move(content.bytes);
         if (!arrived.alternates.empty())
             forwardToAlternate(std::move(arrived), toString(*rejection), key, out);
-        else
+        else {
+            countRefusal(*rejection);
             rejectPacket(std::move(arrived), *rejection, out);
+        }
         return;
     }
     const auto reason = forwardingReason(arrived.isTrial, now);
@@ -142,15 +141,31 @@
         forwardToAlternate(std::move(arrived), toString(*reason), key, out);
         return;
     }
-    if (m_flows.size() >= kMaxAgentFlows || isOverloaded(arrived.limits)) {
+    if (const auto cause = openingRefusalCause(arrived.limits, now)) {
         arrived.packetBytes = std::move(content.bytes);
-        rejectPacket(std::move(arrived), rejection_reason::full, out);
+        if (!arrived.alternates.empty()) {
+            forwardToAlternate(std::move(arrived), toString(*cause), key, out);
+            return;
+        }
+        refuseOpening(std::move(arrived), key, *cause, now, out);
+        return;
+    }
+    if (!isColdOpeningAllowed(arrived.limits, now)) {
+        ++m_counts.refusedCold;
+        arrived.packetBytes = std::move(content.bytes);
+        if (!arrived.alternates.empty())
+            forwardToAlternate(std::move(arrived), toString(rejection_reason::cold), key, out);
+        else
+            refuseOpening(std::move(arrived), key, refusal_cause::cold, now, out);
         return;
     }
+    recordOpening(key, now);
     ++m_counts.opened;
     agent_flow &flow = m_flows[key];
+    releaseRequest(key, &flow, now); // Of an earlier flow with the same key.
     flow = agent_flow{};
     flow.phase = flow_phase::opening;
+    flow.callerInitialSequence = content.header.sequence;
     flow.firstSeen = now;
     flow.origin = arrived.origin;
     flow.alternates = std::move(arrived.alternates);
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -1,7 +1,5 @@
 #include "citroncrank/packet_balancer.h"
 
-#include "citroncrank/agent_load.h"
-
 #include "packet_balancer_pvt.h"
 
 #include <absl/strings/str_cat.h>
@@ -44,6 +42,7 @@
     , m_queryAllowance(kWideQueriesPerSecond)
     , m_allowanceUpdatedAt(now)
     , m_watchRole(m_settings.self, m_settings.routesWatch)
+    , m_evacuations(m_settings.self, m_settings.evacuationsWatch)
 {
     changeSettings(m_settings);
 }
@@ -145,7 +144,9 @@
 std::vector<host_address> packet_balancer::placementCandidates(const flow_key &key, const std::string &service,
                                                                std::span<const host_address> excluded, time_point now)
 {
-    return m_agents.candidates({service, m_settings.domain, key}, excluded, kMaxAlternates + 1, now, &m_random);
+    const packet_route *const route = m_routes ? m_routes->find(key.service) : nullptr;
+    const duration target = route == nullptr ? duration(0) : route->latencyTarget;
+    return m_agents.candidates({service, m_settings.domain, key, target}, excluded, kMaxAlternates + 1, now, &m_random);
 }
 
 // A trial flow also gets alternates that are not failing, for the case that the failing upstream does not accept it.
@@ -173,7 +174,7 @@
         return placeNewFlow(key, route, service, now);
     const balancer_flow &flow = known->second;
     const agent_record *const agent = m_agents.find(flow.owner);
-    if (agent != nullptr && m_agents.availability(*agent, now) < agent_availability::failing)
+    if (agent != nullptr && m_agents.stateAvailability(*agent, now) < agent_availability::failing)
         return {flow.service, {flow.owner}};
     if (agent != nullptr && agent->report.state == agent_state::draining && m_agents.isFresh(*agent, now))
         return {flow.service, {flow.owner}};
@@ -185,13 +186,19 @@
     const flow_key key = flowFromCaller(arrived.header);
     placement chosen = placeFlow(key, route, now);
     if (chosen.agents.empty()) {
-        if (isStarting(now))
+        const bool isEvacuated = m_isListingKnown && m_agents.hasEvacuatedAgents(chosen.service, now);
+        if (isStarting(now) && !isEvacuated)
             hold(std::move(arrived), now, out);
         else
-            rejectPacket(arrived, "no_agent", out);
+            rejectPacket(arrived, isEvacuated ? toString(rejection_reason::evacuated) : "no_agent", out);
+        return;
+    }
+    if (!admitOpening(arrived.header, route, &chosen, now)) {
+        rejectPacket(arrived, toString(refusal_cause::no_time), out);
         return;
     }
     const host_address agent = chosen.agents.front();
+    updateAgentEvacuations(agent, now, out);
     logPlacement(arrived.header, route, chosen, now, out);
     m_agents.recordFlowSent(agent);
     if (m_flows.size() < kMaxFlows || m_flows.contains(key)) {
@@ -202,7 +209,11 @@
         flow.owner = agent;
         flow.service = chosen.service;
         flow.isOwnerKnown = true;
-        flow.isOpening = true;
+        flow.search = nullptr; // A search for an earlier flow with the same key must not end this one.
+        flow.searchedAt = std::nullopt;
+        // A late copy does not make an open flow an opening one, which may be reset.
+        flow.isOpening = isNew || flow.isOpening || arrived.header.acknowledged == 0;
+        flow.hasAlternates = chosen.agents.size() > 1;
         flow.lastSeen = now;
     }
     chosen.agents.erase(chosen.agents.begin());
@@ -217,11 +228,12 @@
 {
     const agent_record *const agent = m_agents.find(chosen.agents.front());
     const bool isHeard = agent != nullptr && agent->lastHeardAt;
+    const load_estimate load = isHeard ? m_agents.load(*agent, now) : load_estimate{};
     log(log_class::placement,
         absl::StrCat("placed flow, flow=", toString(flowFromCaller(header)), " copy=", header.acknowledged,
                      " service=", chosen.service, " route=", route.name, " agent=", toString(chosen.agents.front()),
-                     " trial=", chosen.isTrial,
-                     " load_percent=", isHeard ? int(100 * expectedLoad(estimateLoad(*agent, now))) : 0,
+                     " trial=", chosen.isTrial, " load_percent=", isHeard ? int(100 * expectedLoad(load)) : 0,
+                     " relative_percent=", int(100 * load.relative), " pace_percent=", int(100 * load.pace),
                      " report_age_ms=", isHeard ? wholeMilliseconds(now - *agent->lastHeardAt) : -1,
                      " routes=", routesVersion()),
         out);
@@ -250,12 +262,7 @@
     flow.isOpening = false;
     flow.finished = flow.finished || arrived.header.finish || arrived.header.reset;
     if (!flow.isOwnerKnown) {
-        // The replies to the last query are still in flight. A query for each packet would saturate small links.
-        const bool isQueryPending = flow.search && now - flow.search->startedAt() < kOwnerQueryTimeout;
-        if (isQueryPending && flow.search->heldPackets.size() < kMaxHeldPerFlow)
-            flow.search->heldPackets.push_back(std::move(arrived.bytes));
-        else
-            searchOwner(std::move(arrived), &flow, std::nullopt, now, out);
+        searchOwner(std::move(arrived), &flow, std::nullopt, now, out);
         return;
     }
     // Acknowledgements are still forwarded, since the agent still delivers responses of requests in progress.
@@ -328,8 +335,9 @@
             self->log(log_class::refusal, absl::StrCat("dropped forwarded packet, from=", toString(from)), out);
         }
     };
-    onAgentReply(from, now);
+    m_agents.recordReply(from, now);
     std::visit(visitor{this, from, now, out}, arrived);
+    advanceDueSearches(now, out);
 }
 
 void packet_balancer::onRejection(const host_address &agent, const rejection_notice &notice, time_point now,
@@ -367,33 +375,6 @@
         onOwnerNack(agent, {flow, false}, now, out);
 }
 
-// All agents of the placement have rejected the flow. The remaining agents are tried once, then the flow is reset.
-void packet_balancer::onOpeningRejected(const host_address &agent, rejection_reason reason, packet returned,
-                                        time_point now, packet_actions *out)
-{
-    const auto found = m_flows.find(flowFromCaller(returned.header));
-    if (found == m_flows.end() || !found->second.isOpening)
-        return; // Another agent has opened the flow.
-    balancer_flow &flow = found->second;
-    addUnique(agent, &flow.rejectedBy);
-    addUnique(flow.owner, &flow.rejectedBy);
-    const auto order = placementCandidates(found->first, flow.service, flow.rejectedBy, now);
-    if (order.empty()) {
-        m_flows.erase(found);
-        rejectPacket(returned, toString(reason), out);
-        return;
-    }
-    found->second.owner = order.front();
-    found->second.lastSeen = now;
-    m_agents.recordFlowSent(order.front());
-    log(log_class::placement,
-        absl::StrCat("moved opening flow, flow=", toString(flowFromCaller(returned.header)), " from=", toString(agent),
-                     " reason=", toString(reason), " agent=", toString(order.front())),
-        out);
-    forward(order.front(), forward_purpose::open, flow.service, flowFromCaller(returned.header),
-            std::move(returned.bytes), {order.begin() + 1, order.end()}, out);
-}
-
 void packet_balancer::applyRoutes(std::shared_ptr<const route_set> routes, time_point now, packet_actions *out)
 {
     if (m_routes && routes->version <= m_routes->version)
@@ -418,32 +399,6 @@
     replayHeld(now, out);
 }
 
-forwarded_packet packet_balancer::makeForwardedPacket(forward_purpose purpose, const std::string &service,
-                                                      const flow_key &key, std::string packetBytes,
-                                                      std::vector<host_address> alternates) const
-{
-    request_limits limits;
-    if (const packet_route *const route = m_routes->find(key.service)) {
-        limits = {.priority = route->priority,
-                  .latencyTargetMs = std::uint32_t(wholeMilliseconds(route->latencyTarget)),
-                  .timeoutMs = std::uint32_t(wholeMilliseconds(route->timeout))};
-    }
-    return {.purpose = purpose,
-            .service = service,
-            .origin = m_settings.self,
-            .alternates = std::move(alternates),
-            .limits = limits,
-            .packetBytes = std::move(packetBytes)};
-}
-
-void packet_balancer::forward(const host_address &agent, forward_purpose purpose, const std::string &service,
-                              const flow_key &key, std::string packetBytes, std::vector<host_address> alternates,
-                              packet_actions *out) const
-{
-    out->emplace_back(
-        send_to_node{agent, makeForwardedPacket(purpose, service, key, std::move(packetBytes), std::move(alternates))});
-}
-
 void packet_balancer::advance(time_point now, packet_actions *out)
 {
     if (!m_nextHello || now >= *m_nextHello) {
@@ -464,6 +419,7 @@
         expireFlows(now);
         m_agents.removeStaleNodes(kAgentExpiry, now);
         removeSilentBalancers(now);
+        expireTimeRefusals(now);
         m_nextSweep = now + kSweepPeriod;
     }
 }
@@ -487,7 +443,7 @@
     if (!m_routes)
         reasons.emplace_back("no routes are in force yet");
     else if (!m_isStoreConfirmed)
-        reasons.emplace_back("the routes are not confirmed by another balancer yet");
+        reasons.emplace_back("the routes or the evacuations are not confirmed yet");
     if (!m_agents.hasFreshAgent(now))
         reasons.emplace_back("no agent reports");
     return reasons;
--- a/testsuite/packet-lib.sh
+++ b/testsuite/packet-lib.sh
@@ -4,15 +4,17 @@
 packets_port=27172
 http_port=27167
 
-# packet_settings NAME IP [SEEDS]: prints the settings that balancer and agent share.
+# packet_settings NAME IP [SEEDS]: prints the settings that balancer and agent share. node_domain: failure domain of the
+# nodes that are started next; node_extra: further lines of their settings.
 packet_settings() {
     cat <<YAML
 name: $1
 region: is-sudvestur
-domain: rvk-a
+domain: ${node_domain:-rvk-a}
 caller-address: "127.0.77.1:$packets_port"
 platform: "$store"
 seeds: [${3:-127.0.71.1:27166, 127.0.71.2:27166}]
+${node_extra:-}
 listen:
   plane: "$2:27200"
   http: "$2:$http_port"
@@ -57,7 +59,7 @@
     local rotation=()
     for i in 1 2 3; do rotation+=(--balancer "127.0.71.$i:$packets_port=127.0.71.$i:$http_port"); done
     start callers "$bin/standin-packet-callers" "${rotation[@]}" --service-address 198.18.0.1:443 \
-        --first-caller "127.0.77.1:$packets_port" --callers 8 --seconds "$seconds" "$@"
+        --first-caller "${first_caller:-127.0.77.1}:$packets_port" --callers 8 --seconds "$seconds" "$@"
 }
 
 # stop_and_wait NAME SIGNAL: sends the signal to a process of this case and waits for its end.
