--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -443,7 +443,9 @@
     if (!m_routes)
         reasons.emplace_back("no routes are in force yet");
     else if (!m_isStoreConfirmed)
-        reasons.emplace_back("the routes or the evacuations are not confirmed yet");
+        reasons.emplace_back(areEvacuationsAwaited(now - m_routesKnownAt.value_or(now))
+                                 ? "the evacuations are not known yet"
+                                 : "the routes are not confirmed by another balancer yet");
     if (!m_agents.hasFreshAgent(now))
         reasons.emplace_back("no agent reports");
     return reasons;
