--- a/src/include/citroncrank/agent_directory.h
+++ b/src/include/citroncrank/agent_directory.h
@@ -50,8 +50,8 @@
     void recordFlowSent(const host_address &address);
     /// Counts an owner query sent to the agent until its next message.
     void recordQuery(const host_address &address, time_point now);
-    /// Records a message of the agent. Returns whether a query was overdue for a reply until then.
-    bool recordReply(const host_address &address, time_point now);
+    /// Records a message of the agent.
+    void recordReply(const host_address &address, time_point now);
 
     const agent_record *find(const host_address &address) const;
     agent_availability availability(const agent_record &agent, time_point now) const;
@@ -95,8 +95,10 @@
     bool isUnowned(denial_test hasDenied, time_point now) const;
     /// Agents that may still own the flow: not unresponsive, and without a denial or with overdue reports.
     std::vector<host_address> remainingOwnerCandidates(denial_test hasDenied, time_point now) const;
-    /// Number of agents that have not replied to a query since their last message.
-    std::size_t unansweredAgents() const { return m_unansweredAgents; }
+    /// Number of agents for which isUnresponsive() is true.
+    std::size_t countUnresponsive(time_point now) const;
+    /// Increases with each change of the agents that may own a flow, and of what they are chosen by.
+    std::uint64_t version() const { return m_version; }
     /// Removes agents that are not listed and whose last report is older than `age`.
     void removeStaleNodes(duration age, time_point now);
     std::size_t size() const { return m_agents.size(); }
@@ -110,6 +112,7 @@
     /// Ordered, so that the same input gives the same decisions in every process.
     absl::btree_map<host_address, agent_record> m_agents;
     std::size_t m_unansweredAgents = 0;
+    std::uint64_t m_version = 1;
 };
 
 } // namespace citroncrank
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -111,6 +111,8 @@
     /// Records that nothing listens at the upstream's address, so no running upstream holds flows. Ignored once the
     /// upstream has announced itself.
     void recordUpstreamAbsent(time_point now, packet_actions *out);
+    /// Records that something listens at the upstream's address, so missing announcements do not show that it is gone.
+    void recordUpstreamListening() { m_wasUpstreamListening = true; }
     /// Sets the number of slots that an earlier start of this agent wrote to the store. Used until the upstream
     /// announces itself. 0 if the store does not have it.
     void assumeSlots(std::uint32_t slots);
@@ -249,6 +251,7 @@
     void sendResets(packet_actions *out);
     bool isInSnapshot(const agent_flow &flow, time_point now) const;
     bool hasSeenAllFlows(time_point now) const;
+    bool wasReturnedByUpstream(const flow_key &flow, time_point now) const;
     bool isOtherService(const std::string &service) const;
     void log(log_class kind, std::string text, packet_actions *out) const;
 
@@ -261,6 +264,7 @@
     std::optional<time_point> m_lastAnnouncementAt;
     std::uint32_t m_assumedSlots; ///< Until the upstream announces itself.
     bool m_wasUpstreamAbsent = false;
+    bool m_wasUpstreamListening = false;
     bool m_sawUpstreamStart = false;          ///< The upstream's current start is later than this agent's.
     std::uint32_t m_announcementsOfStart = 0; ///< Accepted ones of the upstream's current start.
     std::optional<flow_snapshot> m_restored;  ///< Until it is known whether its flows still exist.
@@ -273,6 +277,8 @@
     std::optional<time_point> m_stoppingSince;
     time_point m_lastUpstreamPacketAt; ///< Time of the last packet from the upstream.
     flow_map m_flows;
+    absl::flat_hash_map<flow_key, time_point>
+        m_returnedFlows; ///< Flows that the upstream does not hold, and since when.
     std::deque<std::pair<time_point, flow_key>> m_expectationDeadlines;
     absl::btree_map<host_address, time_point> m_balancers; ///< With the time of the last message.
     std::vector<request_observation> m_observations;
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -117,6 +117,7 @@
         std::vector<host_address> rejectedBy;    ///< Agents that rejected the opening packet.
         std::unique_ptr<owner_search> search;    ///< Null unless the owner is searched for.
         std::vector<held_packet> heldForRestart; ///< Data packets held during a planned restart of the owner.
+        std::optional<time_point> searchedAt;    ///< Start of the last search for the owner.
         bool finished = false;
         time_point lastSeen;
         time_point firstSeen;
@@ -156,7 +157,6 @@
     void sendOwnerQuery(const host_address &agent, const balancer_flow &flow, const flow_key &key, time_point now,
                         packet_actions *out);
     void repeatUnansweredQueries(balancer_flow *flow, const flow_key &key, time_point now, packet_actions *out);
-    void onAgentReply(const host_address &agent, time_point now);
     void logUndecidedOwner(const flow_key &key, const balancer_flow &flow, time_point now, packet_actions *out) const;
     void advanceSearches(time_point now, packet_actions *out);
     void rejectFlowWithoutOwner(const flow_key &key, packet_actions *out);
@@ -172,7 +172,8 @@
     void onCarriedPacketRejected(const host_address &agent, packet returned, time_point now, packet_actions *out);
     void onOwnerNack(const host_address &agent, const owner_nack &nack, time_point now, packet_actions *out);
     bool isDeniedByAll(const owner_search &search, time_point now) const;
-    bool isAnswerMissing(const owner_search &search, time_point now) const;
+    bool mayBeDeniedByAll(const owner_search &search) const;
+    bool takeRemainingOwner(const balancer_flow &flow, const flow_key &key, time_point now, packet_actions *out);
     void probeUncertainAgents(balancer_flow *flow, const flow_key &key, time_point now, packet_actions *out) const;
     void onAgentReport(const host_address &agent, const agent_report &report, time_point now, packet_actions *out);
     void onBalancerHello(const host_address &from, const balancer_hello &hello, time_point now, packet_actions *out);
@@ -209,6 +210,7 @@
     absl::btree_map<host_address, known_balancer> m_balancers; ///< Other balancers.
     absl::flat_hash_map<flow_key, balancer_flow> m_flows;
     absl::btree_set<flow_key> m_searchedFlows; ///< Flows whose owner is searched for.
+    std::size_t m_unresponsiveAgents = 0;      ///< At the last tick.
     double m_queryAllowance;                   ///< Queries beyond the likely owners that may be sent now.
     time_point m_allowanceUpdatedAt;
     std::vector<held_packet> m_held;
--- a/src/libpacket/agent_directory.cpp
+++ b/src/libpacket/agent_directory.cpp
@@ -3,6 +3,7 @@
 #include "citroncrank/agent_load.h"
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -27,6 +28,9 @@
 // A restarting agent reports again sooner than this. An agent that is silent for longer does not serve its flows, so it
 // no longer keeps them from being reset.
 constexpr duration kOwnerSilenceTimeout = std::chrono::milliseconds(1500);
+// An agent that announced its restart answers requests in progress, may wait for its own HTTP endpoint (0.8 s) and starts
+// again. Together that can exceed kOwnerSilenceTimeout.
+constexpr duration kPlannedRestartTimeout = 2 * kOwnerSilenceTimeout;
 // Overdue reports and unanswered queries together. At 5 % loss, that many messages of a running agent are lost in a row
 // once in three million cases.
 constexpr std::int64_t kMinMissingMessages = 5;
@@ -54,12 +58,17 @@
     return agent.firstUnansweredAt && now - *agent.firstUnansweredAt >= kReplyTimeout;
 }
 
-// An agent is listed from its upstream's first announcement on; before that, its upstream holds no flow.
+// Only the agent's own statement that no upstream runs beside it rules it out. A missing entry or announcement does not:
+// an agent that was cut off, or whose host the store rejects, has no entry, and after a restart it is unconfirmed until
+// the next announcement of an upstream that may hold flows.
 bool canOwnFlows(const agent_record &agent)
 {
-    const bool isAbsent = !agent.isListed && !agent.isNamedByBalancer;
-    const bool isUnannounced = isAbsent && agent.report.state == agent_state::unconfirmed;
-    return agent.report.state != agent_state::left && !isUnannounced;
+    return agent.report.state != agent_state::left;
+}
+
+duration ownerSilenceTimeout(const agent_record &agent)
+{
+    return agent.report.state == agent_state::stopping ? kPlannedRestartTimeout : kOwnerSilenceTimeout;
 }
 
 } // namespace
@@ -74,6 +83,12 @@
     const bool isRestarted = report.incarnation != agent.report.incarnation && !isFresh(agent, now);
     if (isOlder && !isRestarted)
         return false;
+    const auto ownershipOf = [](const agent_report &value) {
+        return std::tuple(value.state == agent_state::left, std::string_view(value.service),
+                          std::string_view(value.domain));
+    };
+    if (agent.address != address || ownershipOf(agent.report) != ownershipOf(report))
+        ++m_version;
     agent.address = address;
     agent.report = report;
     agent.lastHeardAt = now;
@@ -101,6 +116,8 @@
                                  time_point now)
 {
     agent_record &agent = m_agents[address];
+    if (agent.address != address || (!agent.lastHeardAt && agent.report.service != service))
+        ++m_version;
     agent.address = address;
     if (!agent.isListed)
         agent.listedAt = now;
@@ -125,6 +142,7 @@
         entry->second.address = address;
         entry->second.listedAt = now;
         entry->second.isNamedByBalancer = true;
+        ++m_version;
     }
     return isNew;
 }
@@ -169,15 +187,13 @@
     agent.lastQueriedAt = now;
 }
 
-bool agent_directory::recordReply(const host_address &address, time_point now)
+void agent_directory::recordReply(const host_address &address, time_point now)
 {
     const auto found = m_agents.find(address);
     if (found == m_agents.end())
-        return false;
-    const bool wasOverdue = isReplyOverdue(found->second, now);
+        return;
     found->second.lastReplyAt = now;
     clearUnanswered(&found->second);
-    return wasOverdue;
 }
 
 const agent_record *agent_directory::find(const host_address &address) const
@@ -204,7 +220,15 @@
         sinceHeard + std::chrono::milliseconds(kDefaultReportPeriodMs) - reportPeriod(agent);
     const duration silence = std::max(sinceReportDue, now - *agent.firstUnansweredAt);
     const std::int64_t missedReports = (sinceHeard - kReportSlack) / reportPeriod(agent);
-    return silence >= kOwnerSilenceTimeout && missedReports + agent.unansweredQueries >= kMinMissingMessages;
+    return silence >= ownerSilenceTimeout(agent) && missedReports + agent.unansweredQueries >= kMinMissingMessages;
+}
+
+std::size_t agent_directory::countUnresponsive(time_point now) const
+{
+    if (m_unansweredAgents == 0)
+        return 0;
+    return std::size_t(std::count_if(m_agents.begin(), m_agents.end(),
+                                     [&](const auto &entry) { return isUnresponsive(entry.second, now); }));
 }
 
 bool agent_directory::isRepetitionAllowed(const host_address &address, time_point now) const
@@ -430,8 +454,10 @@
     absl::erase_if(m_agents, [&](auto &entry) {
         agent_record &agent = entry.second;
         const bool isStale = !agent.isListed && timeSinceHeard(agent, now) > age;
-        if (isStale)
+        if (isStale) {
             clearUnanswered(&agent);
+            ++m_version;
+        }
         return isStale;
     });
 }
--- a/src/libpacket/agent_directory_test.cpp
+++ b/src/libpacket/agent_directory_test.cpp
@@ -146,3 +146,19 @@
     now += milliseconds(800);
     EXPECT_TRUE(agents.applyReport(kAgentA, restarted, now));
 }
+
+// Guards against the reset of an open flow whose agent has restarted and has no entry in the store (review/1, review/4):
+// neither the missing entry nor the missing announcement shows that its upstream holds no flow.
+TEST(AgentDirectory, UnconfirmedAgentWithoutAnEntryMayOwnFlowsUntilItDenies)
+{
+    agent_directory agents;
+    const time_point now{};
+    agents.applyReport(kAgentA, makeReport(1), now);
+    agents.applyReport(kAgentB, makeReport(1, agent_state::unconfirmed), now);
+    EXPECT_FALSE(agents.isUnowned([](const host_address &agent) { return agent == kAgentA; }, now));
+    EXPECT_EQ(agents.ownerCandidates(kService).size(), 2U);
+    EXPECT_EQ(agents.likelyOwners({kService, "nbi-west", kFlow}).size(), 2U);
+    EXPECT_TRUE(agents.isUnowned([](const host_address &) { return true; }, now));
+    agents.applyReport(kAgentB, makeReport(2, agent_state::left), now);
+    EXPECT_TRUE(agents.isUnowned([](const host_address &agent) { return agent == kAgentA; }, now));
+}
--- a/src/libpacket/packet_agent.cpp
+++ b/src/libpacket/packet_agent.cpp
@@ -29,6 +29,10 @@
 constexpr duration kOpeningFlowTimeout = seconds(5);
 constexpr duration kFinishedFlowRetention = seconds(5);
 constexpr duration kEndedFlowRetention = seconds(5);
+// Longer than a search for an owner takes at a balancer.
+constexpr duration kReturnedFlowRetention = seconds(5);
+// About 1 MB.
+constexpr std::size_t kMaxReturnedFlows = 20'000;
 // An upstream abandons a request soon after its caller has timed out.
 constexpr duration kUnansweredGracePeriod = seconds(1);
 constexpr duration kIdleFlowTimeout = seconds(60);
@@ -161,13 +165,22 @@
     return m_sawUpstreamStart || (!m_upstream && m_wasUpstreamAbsent) || now - m_startedAt > m_settings.flowLifetime;
 }
 
+// An upstream that returned a packet of a flow does not hold it, and a flow that it accepts later passes this agent. So
+// several balancers that search for the same flow cost the upstream one packet.
+bool packet_agent::wasReturnedByUpstream(const flow_key &flow, time_point now) const
+{
+    const auto found = m_returnedFlows.find(flow);
+    return found != m_returnedFlows.end() && now - found->second <= kReturnedFlowRetention;
+}
+
 void packet_agent::answerOwnerQuery(const host_address &from, const owner_query &query, time_point now,
                                     packet_actions *out)
 {
     const auto found = m_flows.find(query.flow);
     const packet_header header{.acknowledges = query.hasAcknowledged, .acknowledged = query.acknowledged};
     if (found == m_flows.end() || found->second.phase == flow_phase::probing) {
-        const bool isDenied = hasSeenAllFlows(now) || isOtherService(query.service);
+        const bool isDenied = hasSeenAllFlows(now) || isOtherService(query.service)
+                              || (found == m_flows.end() && wasReturnedByUpstream(query.flow, now));
         const bool isExpected = !isDenied && m_restored && contains(*m_restored, query.flow);
         out->emplace_back(send_to_node{from, owner_nack{query.flow, !isDenied, isExpected}});
         return;
@@ -192,8 +205,16 @@
     const flow_key key = flowFromCaller(content.header);
     auto found = m_flows.find(key);
     const bool isOtherUpstreams = found != m_flows.end() && !acknowledgementFits(found->second, content.header);
-    const bool isUnknown = found == m_flows.end() && (hasSeenAllFlows(now) || isOtherService(arrived.service));
-    if (isOtherUpstreams || isUnknown || (found == m_flows.end() && m_flows.size() >= kMaxAgentFlows)) {
+    const bool isUnknown =
+        found == m_flows.end()
+        && (hasSeenAllFlows(now) || isOtherService(arrived.service) || wasReturnedByUpstream(key, now));
+    if (found == m_flows.end() && !isUnknown && m_flows.size() >= kMaxAgentFlows) {
+        // A full table is no evidence that the upstream does not hold the flow.
+        log(log_class::refusal, absl::StrCat("dropped packet, reason=too_many_flows flow=", toString(key)), out);
+        out->emplace_back(send_to_node{arrived.origin, owner_nack{key, true}});
+        return;
+    }
+    if (isOtherUpstreams || isUnknown) {
         if (isOtherUpstreams) {
             log(log_class::owner,
                 absl::StrCat("flow is another upstream's, flow=", toString(key), " acknowledged=",
@@ -325,6 +346,8 @@
     }
     if (flow.phase == flow_phase::probing)
         returned.purpose = forward_purpose::probe;
+    if (!content.header.open && m_returnedFlows.size() < kMaxReturnedFlows)
+        m_returnedFlows[key] = now;
     for (packet &waiting : held) {
         forwarded_packet further = returned;
         further.packetBytes = std::move(waiting.bytes);
@@ -355,7 +378,8 @@
         setState(agent_state::silent, "no announcement for several periods", now, out);
     if (!m_lastAnnouncementAt && m_state == agent_state::unconfirmed
         && now - m_startedAt > kMaxMissedAnnouncements * m_settings.announcementPeriod)
-        setState(agent_state::left, "no upstream has announced itself since the agent's start", now, out);
+        setState(m_wasUpstreamListening ? agent_state::silent : agent_state::left,
+                 "no upstream has announced itself since the agent's start", now, out);
     if (m_leftAt && now - *m_leftAt >= kLeaveGracePeriod)
         endFlows("upstream_left", now, out);
     if (!m_nextReport || now >= *m_nextReport) {
@@ -401,6 +425,7 @@
 
 void packet_agent::evictFlows(time_point now)
 {
+    absl::erase_if(m_returnedFlows, [&](const auto &entry) { return now - entry.second > kReturnedFlowRetention; });
     for (auto entry = m_flows.begin(); entry != m_flows.end();) {
         agent_flow &flow = entry->second;
         // If the answer was lost before it reached this agent, the request must not occupy its slot forever.
--- a/src/libpacket/packet_agent_test.cpp
+++ b/src/libpacket/packet_agent_test.cpp
@@ -301,6 +301,59 @@
     EXPECT_EQ(agentWithoutUpstream.state(), agent_state::left);
 }
 
+// Guards against the reset of open flows, and the removal of their snapshot, because the announcements of a running
+// upstream do not arrive after a restart of its agent.
+TEST_F(PacketAgent, MissingAnnouncementsDoNotShowThatAListeningUpstreamIsGone)
+{
+    packet_agent restarted(
+        {.self = kAgentA, .service = kService, .upstream = kUpstream, .announcementPeriod = milliseconds(770)},
+        decodeTestHeader, readTestHead, now);
+    restarted.recordUpstreamListening();
+    restarted.advance(now + seconds(3), &actions);
+    EXPECT_EQ(restarted.state(), agent_state::silent);
+}
+
+// Guards against a packet to the upstream for each balancer that searches for a flow, and for each search.
+TEST_F(PacketAgent, AReturnedFlowIsDeniedWithoutAskingTheUpstreamAgain)
+{
+    const auto isUncertain = [&] {
+        actions.clear();
+        core.message(kOtherBalancer, owner_query{kFlow, kService}, now, &actions);
+        return messagesOf<owner_nack>(actions).at(0).second.isUncertain;
+    };
+    EXPECT_TRUE(isUncertain());
+    forward(callerPacket(77), forward_purpose::probe);
+    EXPECT_EQ(delivered(), 1U);
+    EXPECT_TRUE(isUncertain()) << "the upstream has not shown yet whether it holds the flow";
+    fromUpstream(returned(callerPacket(77)));
+    EXPECT_EQ(rejections(), std::vector{rejection_reason::unknown_flow});
+    EXPECT_FALSE(isUncertain());
+    forward(callerPacket(77), forward_purpose::probe);
+    EXPECT_EQ(delivered(), 0U);
+    EXPECT_EQ(rejections(), std::vector{rejection_reason::unknown_flow});
+    // The caller reuses the key, and the flow opens here.
+    open();
+    actions.clear();
+    core.message(kOtherBalancer, owner_query{kFlow, kService}, now, &actions);
+    EXPECT_EQ(messagesOf<owner_notice>(actions).size(), 1U);
+}
+
+// Guards against the reset of an open flow because the table of its restarted agent is full.
+TEST_F(PacketAgent, AFullTableIsNoDenial)
+{
+    for (std::uint32_t i = 0; i < 20'000; ++i) {
+        packet_header header = callerPacket(77).header;
+        header.source = {0x64410000 + i, 1};
+        forward(makePacket(header), forward_purpose::probe);
+    }
+    forward(callerPacket(77), forward_purpose::probe);
+    EXPECT_EQ(delivered(), 0U);
+    EXPECT_TRUE(rejections().empty());
+    const auto nacks = messagesOf<owner_nack>(actions);
+    ASSERT_EQ(nacks.size(), 1U);
+    EXPECT_TRUE(nacks[0].second.isUncertain);
+}
+
 // Guards against an agent that is unknown to all balancers after a restart.
 TEST_F(PacketAgent, SendsHellosToItsSeedsUntilABalancerAnswers)
 {
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -202,6 +202,8 @@
         flow.owner = agent;
         flow.service = chosen.service;
         flow.isOwnerKnown = true;
+        flow.search = nullptr; // A search for an earlier flow with the same key must not end this one.
+        flow.searchedAt = std::nullopt;
         flow.isOpening = true;
         flow.lastSeen = now;
     }
@@ -250,12 +252,7 @@
     flow.isOpening = false;
     flow.finished = flow.finished || arrived.header.finish || arrived.header.reset;
     if (!flow.isOwnerKnown) {
-        // The replies to the last query are still in flight. A query for each packet would saturate small links.
-        const bool isQueryPending = flow.search && now - flow.search->startedAt() < kOwnerQueryTimeout;
-        if (isQueryPending && flow.search->heldPackets.size() < kMaxHeldPerFlow)
-            flow.search->heldPackets.push_back(std::move(arrived.bytes));
-        else
-            searchOwner(std::move(arrived), &flow, std::nullopt, now, out);
+        searchOwner(std::move(arrived), &flow, std::nullopt, now, out);
         return;
     }
     // Acknowledgements are still forwarded, since the agent still delivers responses of requests in progress.
@@ -328,7 +325,7 @@
             self->log(log_class::refusal, absl::StrCat("dropped forwarded packet, from=", toString(from)), out);
         }
     };
-    onAgentReply(from, now);
+    m_agents.recordReply(from, now);
     std::visit(visitor{this, from, now, out}, arrived);
 }
 
--- a/src/libpacket/packet_balancer_owners.cpp
+++ b/src/libpacket/packet_balancer_owners.cpp
@@ -14,11 +14,6 @@
 
 // Limit of the searches that are advanced without a further packet; each of them keeps a packet.
 constexpr std::size_t kMaxSearchedFlows = 2000;
-// A caller retransmits its packet sooner than this. Older copies must not reach an upstream.
-constexpr duration kMaxQueriedPacketAge = std::chrono::seconds(1);
-// Longer than the time after which silent agents no longer count as possible owners, so that a flow without an owner is
-// detected before its search is abandoned.
-constexpr duration kSearchTimeout = std::chrono::seconds(2);
 // Agents that are not listed yet report within this time after a balancer's start.
 constexpr duration kAgentDiscoveryTime = milliseconds(300);
 
@@ -30,22 +25,30 @@
            && now - m_startedAt > kAgentDiscoveryTime;
 }
 
+// A caller retransmits its packet several times before a search ends. Packets that restarted it, with all its queries and
+// probes, kept 22 balancers busy with searches that never ended after a kill of all processes.
 void packet_balancer::searchOwner(packet arrived, balancer_flow *flow, std::optional<host_address> except,
                                   time_point now, packet_actions *out)
 {
     const flow_key key = flowFromCaller(arrived.header);
-    if (!flow->search)
-        flow->search = std::make_unique<owner_search>();
-    else
+    const bool isSearched = flow->search && !flow->isOwnerKnown;
+    const bool isRunning = isSearched && flow->search->isRunning(now);
+    if (isSearched && !isRunning)
         logUndecidedOwner(key, *flow, now, out);
-    const bool keepsDenials = !flow->isOwnerKnown && now - flow->search->startedAt() <= kMaxQueriedPacketAge;
     flow->isOwnerKnown = false;
-    flow->search->start(std::move(arrived), keepsDenials, now);
+    if (!isRunning || !flow->search->join(arrived, now)) {
+        // While a search is running, only a packet of another flow with the same key does not join it.
+        const bool isPaused = !isRunning && flow->searchedAt;
+        const time_point beginsAt = isPaused ? std::max(now, *flow->searchedAt + kSearchPause) : now;
+        flow->search = std::make_unique<owner_search>(std::move(arrived), beginsAt, now);
+        flow->searchedAt = beginsAt;
+    }
     if (except)
         flow->search->recordDenial(*except);
     if (m_searchedFlows.size() < kMaxSearchedFlows)
         m_searchedFlows.insert(key);
     advanceSearch(flow, key, now, out);
+    repeatUnansweredQueries(flow, key, now, out);
 }
 
 void packet_balancer::logUndecidedOwner(const flow_key &key, const balancer_flow &flow, time_point now,
@@ -100,6 +103,8 @@
 bool packet_balancer::queryAgentsOfStep(balancer_flow *flow, const flow_key &key, time_point now, packet_actions *out)
 {
     owner_search &search = *flow->search;
+    if (search.isStepQueried(m_agents.version()))
+        return true;
     const bool isLimited = search.step() != search_step::likely;
     std::size_t queryCount = 0;
     bool areAllQueried = true;
@@ -111,37 +116,41 @@
             break;
         }
         ++queryCount;
-        search.recordQuery(agent);
         sendOwnerQuery(agent, *flow, key, now, out);
     }
     if (queryCount > 0)
         log(log_class::owner,
             absl::StrCat("asked agents for the owner, flow=", toString(key), " agents=", queryCount,
                          " step=", toString(search.step()), " denied=", search.deniedCount(),
-                         " data=", search.lastPacket.header.dataBytes),
+                         " data=", search.probePacket().header.dataBytes),
             out);
+    if (areAllQueried)
+        search.markStepQueried(m_agents.version());
     return areAllQueried;
 }
 
 void packet_balancer::sendOwnerQuery(const host_address &agent, const balancer_flow &flow, const flow_key &key,
                                      time_point now, packet_actions *out)
 {
-    const packet_header &header = flow.search->lastPacket.header;
+    const packet_header &header = flow.search->newestPacket().header;
+    const agent_record *const record = m_agents.find(agent);
+    // Agents whose reports are overdue are not waited for, since they may never report again.
+    flow.search->recordQuery(agent, record != nullptr && m_agents.isFresh(*record, now), now);
     m_agents.recordQuery(agent, now);
     out->emplace_back(
         send_to_node{agent, owner_query{key, serviceForAgent(flow, agent), header.acknowledges, header.acknowledged}});
 }
 
-// Agents whose reports are overdue are not waited for here, since they may never report again, and those that do not
-// reply only for a while, since their replies may be lost.
 bool packet_balancer::isStepDone(const owner_search &search, time_point now) const
 {
-    return search.count(owner_reply::uncertain) == 0 && !search.isProbePending(now) && !isAnswerMissing(search, now);
+    return search.count(owner_reply::uncertain) == 0 && !search.isProbePending(now) && !search.isReplyMissing(now);
 }
 
 void packet_balancer::advanceSearch(balancer_flow *flow, const flow_key &key, time_point now, packet_actions *out)
 {
     owner_search &search = *flow->search;
+    if (now < search.startedAt() || !search.isRunning(now))
+        return;
     while (queryAgentsOfStep(flow, key, now, out)) {
         probeUncertainAgents(flow, key, now, out);
         if (search.step() == search_step::all || !isStepDone(search, now))
@@ -150,50 +159,58 @@
     }
 }
 
-// A lost query or reply would otherwise delay the flow until its caller retransmits, and only repeated queries show
-// that an agent that reports rarely is not running.
+// A lost query, reply or probe would otherwise delay the flow until its caller retransmits, and only repeated queries show
+// that an agent that reports rarely is not running. A query costs less than a packet, and an agent that has delivered one
+// replies with what its upstream has shown.
 void packet_balancer::repeatUnansweredQueries(balancer_flow *flow, const flow_key &key, time_point now,
                                               packet_actions *out)
 {
-    if (flow->search->count(owner_reply::none) == 0 || !flow->search->takeRepetition(now))
+    if (now < flow->search->startedAt())
         return;
-    for (const host_address &agent : flow->search->agentsWithReply(owner_reply::none)) {
+    for (const host_address &agent : flow->search->dueRepetitions(now)) {
         if (m_agents.isRepetitionAllowed(agent, now))
             sendOwnerQuery(agent, *flow, key, now, out);
     }
 }
 
-// Repetitions to an agent that was overdue with a reply were limited, so they are made up for now that it replies.
-void packet_balancer::onAgentReply(const host_address &agent, time_point now)
+// If all other agents have denied the flow and the upstream of the last one has not returned its packet, that upstream
+// holds the flow; it does not answer a packet without data, for instance. A wrong conclusion costs one packet, which the
+// upstream returns. An upstream that does not announce itself may have ended, so its silence shows nothing.
+bool packet_balancer::takeRemainingOwner(const balancer_flow &flow, const flow_key &key, time_point now,
+                                         packet_actions *out)
 {
-    if (!m_agents.recordReply(agent, now))
-        return;
-    for (const flow_key &key : m_searchedFlows) {
-        const auto found = m_flows.find(key);
-        if (found != m_flows.end() && found->second.search)
-            found->second.search->hastenRepetition(now);
-    }
+    const auto remaining = flow.search->remainingOwner(now);
+    const agent_record *const agent = remaining ? m_agents.find(*remaining) : nullptr;
+    if (agent == nullptr || !m_agents.isFresh(*agent, now)
+        || (agent->report.state != agent_state::ready && agent->report.state != agent_state::draining))
+        return false;
+    learnOwner(*remaining, key, now, out);
+    return true;
 }
 
 // After a balancer's start its agents become known one by one, and negative replies are conclusive only once all are
 // known. Without further queries a caller would wait until its next retransmission.
 void packet_balancer::advanceSearches(time_point now, packet_actions *out)
 {
+    m_unresponsiveAgents = m_searchedFlows.empty() ? 0 : m_agents.countUnresponsive(now);
     std::vector<flow_key> ended;
     std::vector<flow_key> unowned;
     for (const flow_key &key : m_searchedFlows) {
         const auto found = m_flows.find(key);
-        if (found == m_flows.end() || !found->second.search
-            || now - found->second.search->startedAt() > kSearchTimeout) {
+        if (found == m_flows.end() || found->second.isOwnerKnown || !found->second.search
+            || !found->second.search->isRunning(now)) {
             ended.push_back(key);
             continue;
         }
-        if (isDeniedByAll(*found->second.search, now)) {
+        owner_search &search = *found->second.search;
+        const bool isChanged = search.takeDirectoryChange(m_agents.version());
+        if ((isChanged || mayBeDeniedByAll(search)) && isDeniedByAll(search, now)) {
             unowned.push_back(key);
             continue;
         }
         advanceSearch(&found->second, key, now, out);
-        repeatUnansweredQueries(&found->second, key, now, out);
+        if (!takeRemainingOwner(found->second, key, now, out))
+            repeatUnansweredQueries(&found->second, key, now, out);
     }
     for (const flow_key &key : ended)
         m_searchedFlows.erase(key);
@@ -204,7 +221,7 @@
 void packet_balancer::rejectFlowWithoutOwner(const flow_key &key, packet_actions *out)
 {
     const auto found = m_flows.find(key);
-    const packet last = std::move(found->second.search->lastPacket);
+    const packet last = found->second.search->newestPacket();
     m_flows.erase(found);
     m_searchedFlows.erase(key);
     if (!last.header.reset)
@@ -221,12 +238,8 @@
     entry.isOwnerKnown = true;
     entry.rejectedBy.clear();
     if (const auto search = std::exchange(entry.search, nullptr)) {
-        const bool isRecent = now - search->startedAt() <= kMaxQueriedPacketAge;
-        if (!search->isProbed(agent) && isRecent)
-            forward(agent, forward_purpose::to_owner, entry.service, flow, std::move(search->lastPacket.bytes), {},
-                    out);
-        for (std::string &held : search->heldPackets)
-            forward(agent, forward_purpose::to_owner, entry.service, flow, std::move(held), {}, out);
+        for (std::string &waiting : search->takePackets(agent, now))
+            forward(agent, forward_purpose::to_owner, entry.service, flow, std::move(waiting), {}, out);
     }
     if (const agent_record *const record = m_agents.find(agent))
         entry.service = record->report.service;
@@ -248,64 +261,65 @@
     searchOwner(std::move(returned), &found->second, agent, now, out);
 }
 
-// A flow has no owner only if all agents are known and each has replied that it does not own the flow. An agent may
-// reply several times, so replies are counted per agent. While more replies are missing than agents are overdue, the
-// check would fail, so it is not made for each reply in a large fleet.
-bool packet_balancer::isDeniedByAll(const owner_search &search, time_point now) const
+// While more agents have not denied than are unresponsive, isDeniedByAll() fails. Its work grows with the fleet, so it is
+// not done for each reply.
+bool packet_balancer::mayBeDeniedByAll(const owner_search &search) const
 {
-    if (!knowsAllAgents(now) || search.count(owner_reply::none) > m_agents.unansweredAgents())
-        return false;
-    return m_agents.isUnowned([&](const host_address &agent) { return search.hasDenied(agent); }, now);
+    return search.remainingCount() <= m_unresponsiveAgents;
 }
 
-// A reply that is still missing after the timeout counts as lost. Agents whose reports are overdue may never reply.
-bool packet_balancer::isAnswerMissing(const owner_search &search, time_point now) const
+// A flow has no owner only if all agents are known and each has replied that it does not own the flow. An agent may
+// reply several times, so replies are counted per agent.
+bool packet_balancer::isDeniedByAll(const owner_search &search, time_point now) const
 {
-    if (search.count(owner_reply::none) == 0 || now - search.stepBeganAt() >= kOwnerQueryTimeout)
-        return false;
-    const auto agents = search.agentsWithReply(owner_reply::none);
-    return std::any_of(agents.begin(), agents.end(), [&](const host_address &agent) {
-        const agent_record *const record = m_agents.find(agent);
-        return record != nullptr && m_agents.isFresh(*record, now);
-    });
+    return knowsAllAgents(now)
+           && m_agents.isUnowned([&](const host_address &agent) { return search.hasDenied(agent); }, now);
 }
 
 // Only the upstream of an uncertain agent can show whether it holds the flow, by answering or returning a packet of it.
 // After a restart of all agents, each agent is uncertain about flows that its snapshot lacks, but most flows have an
 // owner that replies to the query, or one whose snapshot names the flow. Probing every upstream before that reply would
-// use the slots that callers wait for, and the links.
+// use the slots that callers wait for, and the links. Most flows are at an upstream of the own failure domain, and bytes
+// between failure domains are expensive, so the others are probed only after those have returned the packet.
 void packet_balancer::probeUncertainAgents(balancer_flow *flow, const flow_key &key, time_point now,
                                            packet_actions *out) const
 {
     owner_search &search = *flow->search;
     const auto probe = [&](const host_address &agent) {
         search.recordProbe(agent, now);
-        forward(agent, forward_purpose::probe, serviceForAgent(*flow, agent), key, search.lastPacket.bytes, {}, out);
+        forward(agent, forward_purpose::probe, serviceForAgent(*flow, agent), key, search.probePacket().bytes, {}, out);
     };
-    if (const auto expected = search.expectedOwner(); expected && !search.isProbed(*expected))
+    const auto expected = search.expectedOwner();
+    if (expected && search.count(owner_reply::uncertain) > 0 && search.isUncertain(*expected))
         probe(*expected);
-    if ((search.expectedOwner() && search.isProbePending(now)) || isAnswerMissing(search, now))
+    if (search.count(owner_reply::uncertain) == 0 || search.isProbePending(now) || search.isReplyMissing(now))
         return;
-    for (const host_address &agent : search.agentsWithReply(owner_reply::uncertain))
-        probe(agent);
+    const auto uncertain = search.agentsWithReply(owner_reply::uncertain);
+    const auto isOwnDomain = [&](const host_address &agent) {
+        const agent_record *const record = m_agents.find(agent);
+        return record != nullptr && record->report.domain == m_settings.domain;
+    };
+    const bool hasOwnDomain = std::any_of(uncertain.begin(), uncertain.end(), isOwnDomain);
+    for (const host_address &agent : uncertain) {
+        if (!hasOwnDomain || isOwnDomain(agent))
+            probe(agent);
+    }
 }
 
 void packet_balancer::onOwnerNack(const host_address &agent, const owner_nack &nack, time_point now,
                                   packet_actions *out)
 {
     const auto found = m_flows.find(nack.flow);
-    if (found == m_flows.end() || !found->second.search)
+    if (found == m_flows.end() || !found->second.search || found->second.isOwnerKnown)
         return;
     owner_search &search = *found->second.search;
     if (!nack.isUncertain)
         search.recordDenial(agent);
     else if (nack.isExpected)
-        search.recordExpected(agent);
+        search.recordExpected(agent, now);
     else
-        search.recordUncertain(agent);
-    if (search.count(owner_reply::none) > m_agents.unansweredAgents() && !nack.isExpected)
-        return;
-    if (isDeniedByAll(search, now))
+        search.recordUncertain(agent, now);
+    if (mayBeDeniedByAll(search) && isDeniedByAll(search, now))
         rejectFlowWithoutOwner(nack.flow, out);
     else
         advanceSearch(&found->second, nack.flow, now, out);
--- a/src/libpacketnode/packet_agent_node.cpp
+++ b/src/libpacketnode/packet_agent_node.cpp
@@ -135,6 +135,8 @@
         log(log_class::belief, absl::StrCat("upstream cannot be probed, reason=", reason.message()));
     if (state == listener_state::absent)
         m_core.recordUpstreamAbsent(monotonicNow(), &m_actions);
+    if (state == listener_state::listening)
+        m_core.recordUpstreamListening();
     perform(&m_actions);
 }
 
