--- a/review/standins-2/small_site.cpp
+++ b/review/standins-2/small_site.cpp
@@ -415,7 +415,10 @@
 {
     return hostIp(66, index);
 }
-const std::string kRoute = "198.18.0.1"; // In packets only; nothing is sent to it.
+std::string routeIp()
+{
+    return hostIp(68, 0);
+} // In packets only; nothing is sent to it.
 constexpr int kRoutePort = 443;
 constexpr int kCallers = 24;
 std::string callerIp(int index)
@@ -631,7 +634,7 @@
 private:
     void sendPacket(std::uint8_t flags, std::uint32_t sequence, std::uint32_t acknowledged, const std::string &data)
     {
-        const segment out{flags,          0x4242,     sequence, acknowledged, ipNumber(kRoute),
+        const segment out{flags,          0x4242,     sequence, acknowledged, ipNumber(routeIp()),
                           ipNumber(m_ip), kRoutePort, m_port,   data};
         sendTo(m_socket, frontIp(m_routers->choose(ipNumber(m_ip), m_port)), kPackets, encode(out));
     }
@@ -876,7 +879,7 @@
         return 2;
     }
     objects.put("config", "main",
-                "{\"version\":3,\"routes\":[{\"name\":\"r-1\",\"host\":\"" + kRoute
+                "{\"version\":3,\"routes\":[{\"name\":\"r-1\",\"host\":\"" + routeIp()
                     + "\",\"path-prefix\":\"/443/\",\"service\":\"desk\","
                       "\"route-type\":\"download\",\"timeout-ms\":8000,\"target-latency-ms\":500,\"priority\":1}],"
                       "\"services\":[{\"name\":\"desk\"}],\"limits\":{\"idle-timeout-ms\":12000}}");
