--- a/src/libsimulation/routes_watch_guarantees_test.cpp
+++ b/src/libsimulation/routes_watch_guarantees_test.cpp
@@ -1,5 +1,7 @@
 #include "routes_watch_simulation_pvt.h"
 
+#include <array>
+#include <chrono>
 #include <cstdint>
 #include <cstdlib>
 #include <gtest/gtest.h>
@@ -12,6 +14,8 @@
 
 // Schedules of each test, unless the environment variable PACKET_SCHEDULES sets another number.
 constexpr std::uint64_t kDefaultSchedules = 200;
+// Limits that deployments set, in their order of strictness.
+constexpr std::array kLimits{std::chrono::seconds(3), std::chrono::seconds(5), std::chrono::seconds(11)};
 
 std::uint64_t scheduleCount()
 {
@@ -42,17 +46,17 @@
 // balancers that watch the store.
 TEST(RoutesWatchGuarantees, ChangesAreInForceInTime)
 {
-    const routes_watch_outcome total = runAll({.loss = 0.03});
-    EXPECT_GT(total.faults, 15 * scheduleCount());
-    EXPECT_EQ(total.staleRoutes, 0U);
+    for (const std::chrono::seconds limit : kLimits) {
+        const routes_watch_outcome total = runAll({.loss = 0.03, .limit = limit});
+        EXPECT_GT(total.faults, 15 * scheduleCount());
+        EXPECT_EQ(total.staleRoutes, 0U) << "limit of " << limit.count() << " s";
+    }
 }
 
 // The schedules find balancers with old routes if a balancer trusts watchers that are silent.
 TEST(RoutesWatchGuarantees, SchedulesFindBalancersThatWaitForSilentWatchers)
 {
-    routes_watch_schedule schedule{.loss = 0.03};
-    schedule.watch.confirmationTimeout = std::chrono::hours(1);
-    EXPECT_GT(runAll(schedule).staleRoutes, 0U);
+    EXPECT_GT(runAll({.loss = 0.03, .confirmationTimeout = std::chrono::hours(1)}).staleRoutes, 0U);
 }
 
 // Guards against calls to the store that grow with the number of balancers: three watch, with a call each 1.5 s and one for
--- a/src/libsimulation/routes_watch_simulation.cpp
+++ b/src/libsimulation/routes_watch_simulation.cpp
@@ -1,6 +1,7 @@
 #include "routes_watch_simulation_pvt.h"
 
 #include "citroncrank/packet_balancer.h"
+#include "citroncrank/watch_timing.h"
 
 #include <algorithm>
 #include <functional>
@@ -19,16 +20,12 @@
 using std::chrono::seconds;
 
 constexpr duration kStep = milliseconds(10);
-constexpr duration kWatchWait = milliseconds(1500);
-constexpr duration kCallDeadline = milliseconds(800);
+constexpr duration kCallDeadline = kStoreCallDeadline;
 constexpr duration kFetchDeadline = milliseconds(500);
 constexpr duration kFetchTime = milliseconds(10);
 constexpr int kMaxStoreDelayMs = 20;
 constexpr int kMaxDatagramDelayMs = 9;
 constexpr int kMaxRetryDelayMs = 1000;
-// The users' bound for a change, and the time without a fault after which it holds for a balancer.
-constexpr duration kApplyLimit = seconds(5);
-constexpr duration kCalmTime = seconds(5);
 constexpr duration kStartTime = seconds(5);
 
 struct store_state
@@ -98,6 +95,7 @@
 public:
     explicit routes_watch_run(const routes_watch_schedule &schedule)
         : m_schedule(schedule)
+        , m_timing(watchTimingFor(schedule.limit))
         , m_random(schedule.seed)
     {}
 
@@ -149,7 +147,9 @@
                                      .domain = "rvk-a",
                                      .flowLifetime = seconds(60),
                                      .randomSeed = m_random(),
-                                     .routesWatch = m_schedule.watch},
+                                     .routesWatch = {.watchers = m_schedule.watchers,
+                                                     .confirmationTimeout = m_schedule.confirmationTimeout.value_or(
+                                                         m_timing.confirmationTimeout)}},
             [](std::string_view) { return std::optional<packet_header>(); }, m_now);
         balancer->call.reset();
         balancer->cursor = 0;
@@ -282,7 +282,7 @@
         if (!balancer->call || balancer->call->isDone)
             return;
         store_call &call = *balancer->call;
-        const duration wait = call.isList ? duration(0) : kWatchWait;
+        const duration wait = call.isList ? duration(0) : m_timing.wait;
         if (!reachesStore(*balancer)) {
             call.isDone = m_now - call.sentAt >= wait + kCallDeadline;
             return;
@@ -294,7 +294,7 @@
         }
         const bool isHistoryGone = m_store.historyDroppedAt > balancer->cursorAt;
         const bool wasWaiting = m_store.historyDroppedAt > call.sentAt;
-        const bool isOver = m_now - call.sentAt >= kWatchWait;
+        const bool isOver = m_now - call.sentAt >= m_timing.wait;
         call.isHistoryGone = isHistoryGone && !wasWaiting;
         const bool hasChange = !isHistoryGone && m_store.latest() > balancer->cursor;
         call.isDone = isOver || hasChange || call.isHistoryGone;
@@ -320,7 +320,7 @@
         balancer->cursor = *call.version;
         packet_actions actions;
         balancer->core->applyRoutes(routesOfVersion(*call.version), m_now, &actions);
-        const duration wait = call.isList ? duration(0) : kWatchWait;
+        const duration wait = call.isList ? duration(0) : m_timing.wait;
         balancer->core->storeConfirmedRoutes(std::max(m_now - call.sentAt - wait, duration(0)), m_now, &actions);
         send(*balancer, &actions);
     }
@@ -359,8 +359,9 @@
 
     void check(simulated_balancer *balancer)
     {
-        const bool isCalm = m_now - balancer->faultEnd() >= kCalmTime && m_now - m_store.downUntil >= kCalmTime;
-        const std::uint64_t required = m_store.confirmedBefore(m_now - kApplyLimit);
+        const bool isCalm =
+            m_now - balancer->faultEnd() >= m_schedule.limit && m_now - m_store.downUntil >= m_schedule.limit;
+        const std::uint64_t required = m_store.confirmedBefore(m_now - m_schedule.limit);
         if (!isCalm || balancer->core->routesVersion() >= required || balancer->staleVersion == required)
             return;
         balancer->staleVersion = required;
@@ -375,6 +376,7 @@
     };
 
     routes_watch_schedule m_schedule;
+    watch_timing m_timing;
     std::mt19937_64 m_random;
     time_point m_startedAt{seconds(100)};
     time_point m_now = m_startedAt;
--- a/src/libsimulation/routes_watch_simulation_pvt.h
+++ b/src/libsimulation/routes_watch_simulation_pvt.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace citroncrank::simulation {
 
@@ -19,14 +20,17 @@
     std::size_t balancers = 8; ///< All in one failure domain.
     double loss = 0;           ///< Probability that a datagram is lost.
     bool hasFaults = true;     ///< Kills, pauses, cuts, and a store that fails or drops its history.
-    routes_watch_settings watch;
+    /// Within which a change must be in force at a balancer that had no fault for as long.
+    duration limit = std::chrono::seconds(5);
+    std::size_t watchers = routes_watch_settings{}.watchers;
+    std::optional<duration> confirmationTimeout; ///< Nullopt: as for the limit.
     duration length = std::chrono::seconds(30);
 };
 
 struct routes_watch_outcome
 {
     std::uint64_t changes = 0;     ///< Versions that the store confirmed to the operator.
-    std::uint64_t staleRoutes = 0; ///< Times that a balancer without a fault had routes replaced 5 s earlier.
+    std::uint64_t staleRoutes = 0; ///< Times that a balancer without a fault had routes replaced before the limit.
     std::uint64_t storeCalls = 0;  ///< After the first 5 s, in which all balancers start.
     std::uint64_t faults = 0;
 };
