packet balancer: logs and metric that tell why a configuration comes late

Change: "configuration changed, revision= version= waited_ms=" (a watch), version= in "configuration read" (a list) and in "cannot read routes from balancer"; "configuration watch" with reason=, version= and confirmed_ms=; the gauge citroncrank_balancer_configuration_confirmed_age_seconds. No decision has changed.

--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -78,7 +78,11 @@
     /// Call when the object store has shown that it holds no newer routes than those in force. `age`: of its answer.
     void storeConfirmedRoutes(duration age, time_point now, packet_actions *out);
     /// Whether this balancer watches the operator's configuration in the object store itself.
-    bool watchesRoutes(time_point now) const { return m_watchRole.isWatcher(routesVersion(), now); }
+    bool watchesRoutes(time_point now) const { return routesWatchReason(now) != watch_reason::none; }
+    watch_reason routesWatchReason(time_point now) const { return m_watchRole.watchReason(routesVersion(), now); }
+    /// How long ago the object store held no newer routes than those in force, as far as this balancer or another one of
+    /// the failure domain knows. Nullopt: unknown.
+    std::optional<duration> routesConfirmationAge(time_point now) const;
     /// Call after each answer of the object store about evacuations, with all that it holds. `age`: of its answer.
     void storeListedEvacuations(const evacuation_set &listed, duration age, time_point now, packet_actions *out);
     /// Whether this balancer watches the evacuations in the object store itself.
@@ -250,6 +254,12 @@
     std::vector<held_packet> m_held;
     std::optional<routes_source> m_newerRoutes;
     routes_watch_role m_watchRole;
+    struct own_confirmation
+    {
+        std::uint64_t version = 0;
+        time_point at;
+    };
+    own_confirmation m_ownConfirmation; ///< The latest answer of the object store to this balancer.
     balancer_evacuations m_evacuations;
     absl::btree_map<host_address, time_point> m_listedBalancers; ///< Other balancers and when they became listed.
     bool m_isListingKnown = false;
--- a/src/include/citroncrank/routes_watch_role.h
+++ b/src/include/citroncrank/routes_watch_role.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace citroncrank {
 
@@ -21,6 +22,15 @@
     auto operator<=>(const routes_watch_settings &) const = default;
 };
 
+/// Why a balancer watches the object store itself, or that it does not.
+enum class watch_reason : std::uint8_t {
+    none,            ///< It does not watch.
+    no_confirmation, ///< No other balancer has confirmed the routes in force within the time-out.
+    first_in_order,  ///< Fewer watchers than configured come before it.
+};
+
+const char *toString(watch_reason reason);
+
 /// Watchers tell the balancers of their failure domain that the object store holds no newer routes than theirs. A
 /// balancer watches by itself unless it hears enough watchers that come before it in a fixed random order, and one of
 /// them has just confirmed the routes that it has in force. No election is needed, and silence of any cause leads to more
@@ -33,7 +43,13 @@
     /// Records that another balancer of the failure domain found no newer routes than `version` in the store at `when`.
     void recordConfirmation(const host_address &from, std::uint64_t version, time_point when, time_point now);
     /// Whether this balancer watches. `version`: routes in force here, 0 for none.
-    bool isWatcher(std::uint64_t version, time_point now) const;
+    bool isWatcher(std::uint64_t version, time_point now) const
+    {
+        return watchReason(version, now) != watch_reason::none;
+    }
+    watch_reason watchReason(std::uint64_t version, time_point now) const;
+    /// When the object store held no newer routes than `version`, as far as another balancer has told. Nullopt: unknown.
+    std::optional<time_point> confirmedAt(std::uint64_t version) const;
     void changeSettings(const routes_watch_settings &settings) { m_settings = settings; }
 
 private:
--- a/src/include/citroncrank/routes_worker.h
+++ b/src/include/citroncrank/routes_worker.h
@@ -48,7 +48,8 @@
 private:
     std::optional<duration> listConfig();
     std::optional<duration> watchConfig();
-    void applyDocument(const std::string &text);
+    /// Returns the version that it has passed on, 0 if the document cannot be read.
+    std::uint64_t applyDocument(const std::string &text);
     void readFromPeer();
 
     receiver m_receive;
--- a/src/libpacket/packet_balancer_nodes.cpp
+++ b/src/libpacket/packet_balancer_nodes.cpp
@@ -200,6 +200,7 @@
 // The other balancers of the failure domain learn of newer routes so, and that there are none otherwise.
 void packet_balancer::storeConfirmedRoutes(duration age, time_point now, packet_actions *out)
 {
+    m_ownConfirmation = {routesVersion(), now - age};
     if (!watchesRoutes(now))
         return;
     balancer_hello confirmation = helloWithoutLists();
@@ -208,6 +209,14 @@
     sendToOwnDomain(confirmation, out);
 }
 
+std::optional<duration> packet_balancer::routesConfirmationAge(time_point now) const
+{
+    auto latest = m_watchRole.confirmedAt(routesVersion());
+    if (m_ownConfirmation.version == routesVersion() && (!latest || m_ownConfirmation.at > *latest))
+        latest = m_ownConfirmation.at;
+    return routesVersion() > 0 && latest ? std::optional(now - *latest) : std::nullopt;
+}
+
 // Hellos to another balancer, which name all agents without an entry. One datagram holds a part of them.
 std::vector<balancer_hello> packet_balancer::hellosToBalancer(time_point now) const
 {
--- a/src/libpacket/routes_watch_role.cpp
+++ b/src/libpacket/routes_watch_role.cpp
@@ -42,17 +42,36 @@
 
 // A confirmation of other routes than those in force says nothing about them: of older ones since the store may hold
 // newer ones by now, of newer ones since they still have to be read.
-bool routes_watch_role::isWatcher(std::uint64_t version, time_point now) const
+watch_reason routes_watch_role::watchReason(std::uint64_t version, time_point now) const
 {
-    const auto confirmedAt = m_confirmedAt.find(version);
-    if (version == 0 || confirmedAt == m_confirmedAt.end()
-        || now - confirmedAt->second > m_settings.confirmationTimeout)
-        return true;
+    const auto confirmed = confirmedAt(version);
+    if (version == 0 || !confirmed || now - *confirmed > m_settings.confirmationTimeout)
+        return watch_reason::no_confirmation;
     const std::uint64_t ownRank = rank(m_self);
     const auto isBefore = [&](const auto &entry) {
         return now - entry.second <= watcherTimeout() && rank(entry.first) < ownRank;
     };
-    return std::size_t(std::count_if(m_heardAt.begin(), m_heardAt.end(), isBefore)) < m_settings.watchers;
+    const auto before = std::count_if(m_heardAt.begin(), m_heardAt.end(), isBefore);
+    return std::size_t(before) < m_settings.watchers ? watch_reason::first_in_order : watch_reason::none;
+}
+
+std::optional<time_point> routes_watch_role::confirmedAt(std::uint64_t version) const
+{
+    const auto found = m_confirmedAt.find(version);
+    return found == m_confirmedAt.end() ? std::nullopt : std::optional(found->second);
+}
+
+const char *toString(watch_reason reason)
+{
+    switch (reason) {
+    case watch_reason::none:
+        return "none";
+    case watch_reason::no_confirmation:
+        return "no_confirmation";
+    case watch_reason::first_in_order:
+        return "first_in_order";
+    }
+    return "unknown";
 }
 
 } // namespace citroncrank
--- a/src/libpacket/routes_watch_role_test.cpp
+++ b/src/libpacket/routes_watch_role_test.cpp
@@ -121,6 +121,20 @@
     }
 }
 
+// Guards against a late change whose cause the log does not show: whether nobody confirmed, or nobody else watches.
+TEST_F(RoutesWatchRole, TellsWhyItWatches)
+{
+    start(12);
+    EXPECT_EQ(roles[0].watchReason(kVersion, now), watch_reason::no_confirmation);
+    EXPECT_EQ(roles[0].confirmedAt(kVersion), std::nullopt);
+    round();
+    const std::size_t watcher = watchers().front();
+    EXPECT_EQ(roles[watcher].watchReason(kVersion, now), watch_reason::first_in_order);
+    EXPECT_EQ(roles[watcher].confirmedAt(kVersion), now - milliseconds(1500));
+    now += milliseconds(501);
+    EXPECT_EQ(roles[watcher].watchReason(kVersion, now), watch_reason::no_confirmation);
+}
+
 // Guards against a confirmation that a paused watcher sends late.
 TEST_F(RoutesWatchRole, TheAgeOfTheAnswerCounts)
 {
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -89,6 +89,9 @@
     , m_callerPackets(m_metrics.counter("citroncrank_balancer_packets_total", "Packets received from callers."))
     , m_flows(m_metrics.gauge("citroncrank_balancer_flows", "Flows with a remembered owner."))
     , m_routesVersion(m_metrics.gauge("citroncrank_balancer_routes_version", "Version of the routes in force."))
+    , m_confirmationAge(m_metrics.gauge(
+          "citroncrank_balancer_configuration_confirmed_age_seconds",
+          "Time since the platform's store held no newer configuration than the one in force, -1: unknown."))
     , m_watchesRoutes(m_metrics.gauge("citroncrank_balancer_watches_configuration",
                                       "1 if this balancer watches the configuration in the platform's store itself."))
 {}
@@ -163,10 +166,15 @@
 // Balancers that do not watch hear of newer routes from those that do.
 void packet_balancer_node::updateWatch(time_point now)
 {
-    const bool isWatching = m_core.watchesRoutes(now);
+    const watch_reason reason = m_core.routesWatchReason(now);
+    const bool isWatching = reason != watch_reason::none;
+    const auto age = m_core.routesConfirmationAge(now);
     if (std::exchange(m_isWatching, isWatching) != isWatching)
-        log(log_class::lifecycle, absl::StrCat("configuration watch, watching=", isWatching));
+        log(log_class::lifecycle,
+            absl::StrCat("configuration watch, watching=", isWatching, " reason=", toString(reason),
+                         " version=", m_core.routesVersion(), " confirmed_ms=", age ? wholeMilliseconds(*age) : -1));
     m_watchesRoutes.set(isWatching ? 1 : 0);
+    m_confirmationAge.set(age ? std::chrono::duration<double>(*age).count() : -1);
     m_routesWorker.setWatching(isWatching);
 }
 
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -90,12 +90,13 @@
         readFromPeer();
         return pause;
     }
+    std::uint64_t version = 0;
     for (const object_entry &entry : list->entries) {
         if (entry.key == platform::kConfigKey && entry.value)
-            applyDocument(*entry.value);
+            version = applyDocument(*entry.value);
     }
     cursor().recordListing(list->version);
-    log(absl::StrCat("configuration read, revision=", toString(list->version)));
+    log(absl::StrCat("configuration read, revision=", toString(list->version), " version=", version));
     m_confirm(monotonicNow() - calledAt);
     return duration(0);
 }
@@ -108,24 +109,29 @@
     if (!result)
         return pause;
     for (const object_change &change : result->changes) {
-        if (change.key == platform::kConfigKey && change.value)
-            applyDocument(*change.value);
+        if (change.key != platform::kConfigKey || !change.value)
+            continue;
+        const std::uint64_t version = applyDocument(*change.value);
+        log(absl::StrCat("configuration changed, revision=", toString(change.version), " version=", version,
+                         " waited_ms=", wholeMilliseconds(monotonicNow() - calledAt)));
     }
     // A call that took longer than its wait may have been answered before this process was paused.
     m_confirm(std::max(monotonicNow() - calledAt - duration(m_wait), duration(0)));
     return duration(0);
 }
 
-void routes_worker::applyDocument(const std::string &text)
+std::uint64_t routes_worker::applyDocument(const std::string &text)
 {
     platform::document_fault fault;
     auto routes = platform::parseRoutes(text, &fault);
     if (!routes) {
         log(absl::StrCat("configuration is invalid, kind=", platform::toString(fault.kind), " reason=", fault.what));
         countMalformed("configuration");
-        return;
+        return 0;
     }
+    const std::uint64_t version = routes->version;
     m_receive(std::move(routes), text);
+    return version;
 }
 
 void routes_worker::readFromPeer()
@@ -169,8 +175,8 @@
     platform::document_fault fault{.what = "no answer"};
     auto routes = text ? platform::parseRoutes(*text, &fault) : nullptr;
     if (!routes) {
-        m_log(
-            absl::StrCat("cannot read routes from balancer, balancer=", toString(offer.http), " reason=", fault.what));
+        m_log(absl::StrCat("cannot read routes from balancer, balancer=", toString(offer.http),
+                           " version=", offer.version, " reason=", fault.what));
         return;
     }
     m_log(absl::StrCat("routes read from a balancer, balancer=", toString(offer.http), " version=", routes->version));
