packet balancer: newer routes are read from another balancer when their announcer cannot be reached

Callers saw: a change that was confirmed is not in force at balancers that rely on watchers (CONFIG). Cause (hypothesis 2): a balancer remembered the first balancer that announced a version. Others that announced the same version did not replace it. If the first one was dead, cut off or frozen, the balancer called it in vain until a higher version came, or until nobody had confirmed its own, older version for a whole time-out. Change: routes_sources keeps the latest announcers of the newest version; one that cannot be read, or that serves older routes than it announced, is left out until it announces again. A balancer that knows of newer routes and could not read them watches the store itself, whatever is confirmed: a confirmation of its own version is outdated then.

--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -10,6 +10,7 @@
 #include "citroncrank/refusal.h"
 #include "citroncrank/retry_budget.h"
 #include "citroncrank/route_set.h"
+#include "citroncrank/routes_sources.h"
 #include "citroncrank/routes_watch_role.h"
 #include "citroncrank/time.h"
 
@@ -53,14 +54,6 @@
     auto operator<=>(const listed_node &) const = default;
 };
 
-/// Balancer from which a newer version of the routes can be read.
-struct routes_source
-{
-    host_address http;
-    std::uint64_t version = 0;
-    auto operator<=>(const routes_source &) const = default;
-};
-
 /// Not thread safe. Actions are appended to `out`.
 class packet_balancer
 {
@@ -79,7 +72,7 @@
     void storeConfirmedRoutes(duration age, time_point now, packet_actions *out);
     /// Whether this balancer watches the operator's configuration in the object store itself.
     bool watchesRoutes(time_point now) const { return routesWatchReason(now) != watch_reason::none; }
-    watch_reason routesWatchReason(time_point now) const { return m_watchRole.watchReason(routesVersion(), now); }
+    watch_reason routesWatchReason(time_point now) const;
     /// How long ago the object store held no newer routes than those in force, as far as this balancer or another one of
     /// the failure domain knows. Nullopt: unknown.
     std::optional<duration> routesConfirmationAge(time_point now) const;
@@ -108,7 +101,9 @@
     /// Reasons why this balancer should not receive callers' packets. Empty: ready.
     std::vector<std::string> notReadyReasons(time_point now) const;
     /// Balancer with the newest routes, if they are newer than the routes in force here.
-    std::optional<routes_source> newerRoutes() const;
+    std::optional<routes_source> newerRoutes() const { return m_routesSources.latest(routesVersion()); }
+    /// Call when the routes could not be read from a source that newerRoutes() named.
+    void routesFetchFailed(const routes_source &source) { m_routesSources.recordFailure(source); }
     /// Nodes whose entries this balancer should remove from the object store, since they have been silent for too long.
     std::vector<host_address> staleNodes(time_point now) const;
     std::uint64_t routesVersion() const { return m_routes ? m_routes->version : 0; }
@@ -252,7 +247,7 @@
     absl::btree_map<std::pair<host_address, host_address>, time_point> m_timeRefusals;
     refusal_counts m_refusals{};
     std::vector<held_packet> m_held;
-    std::optional<routes_source> m_newerRoutes;
+    routes_sources m_routesSources;
     routes_watch_role m_watchRole;
     struct own_confirmation
     {
--- a/src/include/citroncrank/packet_balancer_node.h
+++ b/src/include/citroncrank/packet_balancer_node.h
@@ -40,6 +40,7 @@
     void beginStop();
     bool isDoneStopping(time_point now) const;
     std::vector<std::string> notReadyReasons() const;
+    peer_routes_access peerRoutesAccess();
     std::optional<routes_source> newerRoutes() const;
     std::vector<host_address> staleNodes() const;
     http_reply readiness() const;
--- a/src/include/citroncrank/routes_watch_role.h
+++ b/src/include/citroncrank/routes_watch_role.h
@@ -26,6 +26,7 @@
 enum class watch_reason : std::uint8_t {
     none,            ///< It does not watch.
     no_confirmation, ///< No other balancer has confirmed the routes in force within the time-out.
+    fetch_failed,    ///< Newer routes exist and could not be read from the balancer that has them.
     first_in_order,  ///< Fewer watchers than configured come before it.
 };
 
--- a/src/include/citroncrank/routes_worker.h
+++ b/src/include/citroncrank/routes_worker.h
@@ -20,21 +20,27 @@
 /// another time.
 constexpr std::chrono::milliseconds kDefaultConfigurationTime{3000};
 
+/// How the workers read routes from other balancers.
+struct peer_routes_access
+{
+    /// Returns a balancer that has newer routes. Called in a worker's thread, like fail.
+    std::function<std::optional<routes_source>()> source = [] { return std::nullopt; };
+    /// Called when the routes could not be read from the balancer.
+    std::function<void(const routes_source &source)> fail = [](const routes_source &) {};
+};
+
 /// Watches the operator's configuration in the platform's store.
 class routes_worker : public store_worker
 {
 public:
     /// Called in the worker's thread. The text is the document as stored.
     using receiver = std::function<void(std::shared_ptr<const route_set> routes, std::string text)>;
-    /// Returns a balancer that has newer routes. They are fetched from it while the store does not answer.
-    using peer_source = std::function<std::optional<routes_source>()>;
-
     /// Called in the worker's thread when the store has shown that there is no newer configuration than the ones
     /// received. `age`: of its answer, at most.
     using confirmation_receiver = std::function<void(duration age)>;
 
-    /// `wait`: of a watch without a change.
-    routes_worker(const store_access &access, receiver receive, confirmation_receiver confirm, peer_source peer,
+    /// `peers`: read while the store does not answer. `wait`: of a watch without a change.
+    routes_worker(const store_access &access, receiver receive, confirmation_receiver confirm, peer_routes_access peers,
                   std::chrono::milliseconds wait = kDefaultConfigurationTime / 2);
     ~routes_worker() override;
 
@@ -50,11 +56,10 @@
     std::optional<duration> watchConfig();
     /// Returns the version that it has passed on, 0 if the document cannot be read.
     std::uint64_t applyDocument(const std::string &text);
-    void readFromPeer();
 
     receiver m_receive;
     confirmation_receiver m_confirm;
-    peer_source m_peer;
+    peer_routes_access m_peers;
     std::chrono::milliseconds m_wait;
     std::atomic<bool> m_isWatching = true;
     bool m_wasIdle = false; ///< The last step did not call the store.
@@ -64,7 +69,7 @@
 class peer_routes_worker : public worker_thread
 {
 public:
-    peer_routes_worker(routes_worker::receiver receive, routes_worker::peer_source peer, store_log log);
+    peer_routes_worker(routes_worker::receiver receive, peer_routes_access peers, store_log log);
     ~peer_routes_worker() override { stop(); }
 
     /// Fetches the newer routes without delay. May be called from any thread.
@@ -74,10 +79,8 @@
     std::optional<duration> step() override;
 
 private:
-    void fetch(const routes_source &offer);
-
     routes_worker::receiver m_receive;
-    routes_worker::peer_source m_peer;
+    peer_routes_access m_peers;
     store_log m_log;
     bool m_wasBehind = false; ///< Another balancer had a newer version at the last step.
     std::atomic<bool> m_isUrgent = false;
--- a/src/libpacket/packet_balancer_nodes.cpp
+++ b/src/libpacket/packet_balancer_nodes.cpp
@@ -73,8 +73,8 @@
         if (m_agents.markNamed(agent, now))
             out->emplace_back(send_to_node{agent, this->hello()});
     }
-    if (hello.routesVersion > routesVersion() && (!m_newerRoutes || hello.routesVersion > m_newerRoutes->version))
-        m_newerRoutes = routes_source{hello.http, hello.routesVersion};
+    if (hello.routesVersion > routesVersion())
+        m_routesSources.recordAnnouncement({hello.http, hello.routesVersion});
     m_isNeighbourHeard = m_isNeighbourHeard || hello.routesVersion > 0;
     if (hello.areRoutesConfirmed && hello.domain == m_settings.domain)
         m_watchRole.recordConfirmation(from, hello.routesVersion,
@@ -90,9 +90,12 @@
         sendOwnerList(from, out);
 }
 
-std::optional<routes_source> packet_balancer::newerRoutes() const
+// A confirmation of the routes in force is outdated once newer ones are known to exist.
+watch_reason packet_balancer::routesWatchReason(time_point now) const
 {
-    return m_newerRoutes && m_newerRoutes->version > routesVersion() ? m_newerRoutes : std::nullopt;
+    if (m_routesSources.hasFailed(routesVersion()))
+        return watch_reason::fetch_failed;
+    return m_watchRole.watchReason(routesVersion(), now);
 }
 
 void packet_balancer::applyListing(const std::vector<listed_node> &nodes, time_point now, packet_actions *out)
--- a/src/libpacket/routes_watch_role.cpp
+++ b/src/libpacket/routes_watch_role.cpp
@@ -68,6 +68,8 @@
         return "none";
     case watch_reason::no_confirmation:
         return "no_confirmation";
+    case watch_reason::fetch_failed:
+        return "fetch_failed";
     case watch_reason::first_in_order:
         return "first_in_order";
     }
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -65,7 +65,7 @@
                   perform(&m_actions);
               });
           },
-          [this] { return newerRoutes(); }, watchTimingFor(m_fileSettings.configurationTime).wait)
+          peerRoutesAccess(), watchTimingFor(m_fileSettings.configurationTime).wait)
     , m_evacuations(
           m_fileSettings.node.evacuationTime, m_metrics,
           [this](const evacuation_set &set, duration age) {
@@ -77,7 +77,7 @@
           storeAccess())
     , m_peerRoutes([this](std::shared_ptr<const route_set> routes,
                           std::string text) { receiveRoutes(std::move(routes), std::move(text)); },
-                   [this] { return newerRoutes(); }, storeLog())
+                   peerRoutesAccess(), storeLog())
     , m_nodeRegistry(storeAccess(), m_settings.name, listed_node{m_settings.nodeAddress, false, {}, m_settings.domain},
                      true,
                      [this](std::vector<listed_node> nodes) {
@@ -269,6 +269,18 @@
     return m_sharedNotReadyReasons;
 }
 
+peer_routes_access packet_balancer_node::peerRoutesAccess()
+{
+    return {.source = [this] { return newerRoutes(); },
+            .fail =
+                [this](const routes_source &source) {
+                    m_loop.post([this, source] {
+                        m_core.routesFetchFailed(source);
+                        tick(monotonicNow());
+                    });
+                }};
+}
+
 std::optional<routes_source> packet_balancer_node::newerRoutes() const
 {
     const std::lock_guard lock(m_sharedMutex);
--- /dev/null
+++ b/src/libpacketnode/peer_routes_worker_test.cpp
@@ -0,0 +1,109 @@
+#include "citroncrank/http_endpoint.h"
+#include "citroncrank/metrics.h"
+#include "citroncrank/routes_worker.h"
+
+#include "restored_store_fixture_test.h"
+
+#include <gtest/gtest.h>
+
+#include <mutex>
+
+using namespace citroncrank;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A balancer that serves routes of one version.
+class serving_balancer
+{
+public:
+    explicit serving_balancer(std::uint64_t version)
+    {
+        m_http.handle("GET", "/routes", [version](const http_request &) {
+            return http_reply{.status = 200, .contentType = "application/json", .body = configuration(version)};
+        });
+        EXPECT_FALSE(m_http.start());
+    }
+    host_address address() const { return m_http.address(); }
+
+private:
+    metrics_registry m_metrics;
+    http_endpoint m_http{{.address = {0x7F000001, 0}}, m_metrics, [] { return std::vector<std::string>(); }};
+};
+
+/// Reads routes from the sources that the test announces.
+class PeerRoutes : public ::testing::Test
+{
+protected:
+    ~PeerRoutes() override { m_worker.stop(); }
+
+    void announce(const routes_source &source)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_sources.recordAnnouncement(source);
+    }
+
+    void recordFailure(const routes_source &source)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_sources.recordFailure(source);
+        m_failures.push_back(source);
+    }
+
+    bool waitForVersion(std::uint64_t version)
+    {
+        const auto end = std::chrono::steady_clock::now() + kConfigApplyLimit;
+        while (m_version != version && std::chrono::steady_clock::now() < end) {
+            m_worker.fetchNow();
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        return m_version == version;
+    }
+
+    std::vector<routes_source> failures() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_failures;
+    }
+
+    mutable std::mutex m_mutex;
+    routes_sources m_sources;
+    std::vector<routes_source> m_failures;
+    std::atomic<std::uint64_t> m_version = 5;
+    peer_routes_worker m_worker{
+        [this](const std::shared_ptr<const route_set> &routes, const std::string &) { m_version = routes->version; },
+        {.source =
+             [this] {
+                 const std::lock_guard lock(m_mutex);
+                 return m_sources.latest(m_version);
+             },
+         .fail = [this](const routes_source &source) { recordFailure(source); }},
+        [](const std::string &) {}};
+};
+
+} // namespace
+
+// Guards against a balancer that keeps older routes because the one that announced newer ones to it has ended.
+TEST_F(PeerRoutes, ReadsFromAnotherBalancerWhenTheLastAnnouncerHasEnded)
+{
+    const serving_balancer alive(7);
+    const host_address ended = serving_balancer(7).address();
+    announce({alive.address(), 7});
+    announce({ended, 7});
+    m_worker.start();
+    EXPECT_TRUE(waitForVersion(7));
+    EXPECT_EQ(failures(), (std::vector<routes_source>{{ended, 7}}));
+}
+
+// Guards against routes that a restarted balancer has read from an older copy of the store, taken for the ones it announced.
+TEST_F(PeerRoutes, OlderRoutesThanAnnouncedAreAFailure)
+{
+    const serving_balancer older(6);
+    const serving_balancer current(7);
+    announce({current.address(), 7});
+    announce({older.address(), 7});
+    m_worker.start();
+    EXPECT_TRUE(waitForVersion(7));
+    EXPECT_EQ(failures(), (std::vector<routes_source>{{older.address(), 7}}));
+}
--- a/src/libpacketnode/routes_watch_test.cpp
+++ b/src/libpacketnode/routes_watch_test.cpp
@@ -46,7 +46,7 @@
     routes_worker m_worker{
         access(),
         [this](const std::shared_ptr<const route_set> &routes, const std::string &) { m_version = routes->version; },
-        [this](duration) { ++m_confirmations; }, [] { return std::nullopt; }};
+        [this](duration) { ++m_confirmations; }, {}};
 };
 
 } // namespace
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -44,14 +44,56 @@
     return std::move(answer->body);
 }
 
+struct fetched_routes
+{
+    std::shared_ptr<const route_set> routes;
+    std::string text;
+};
+
+// A balancer that has restarted may hold older routes than it announced.
+std::optional<fetched_routes> fetchAnnouncedRoutes(const routes_source &source, platform::document_fault *lastReason)
+{
+    auto text = fetchRoutes(source.http);
+    if (!text) {
+        lastReason->what = "no answer";
+        return std::nullopt;
+    }
+    auto routes = platform::parseRoutes(*text, lastReason);
+    if (!routes)
+        return std::nullopt;
+    if (routes->version < source.version) {
+        lastReason->what = absl::StrCat("older than announced, read=", routes->version);
+        return std::nullopt;
+    }
+    return fetched_routes{std::move(routes), std::move(*text)};
+}
+
+void readFromBalancer(const peer_routes_access &peers, const routes_worker::receiver &receive, const store_log &log)
+{
+    const auto source = peers.source();
+    if (!source)
+        return;
+    platform::document_fault fault;
+    auto fetched = fetchAnnouncedRoutes(*source, &fault);
+    if (!fetched) {
+        log(absl::StrCat("cannot read routes from balancer, balancer=", toString(source->http),
+                         " version=", source->version, " reason=", fault.what));
+        peers.fail(*source);
+        return;
+    }
+    log(absl::StrCat("routes read from a balancer, balancer=", toString(source->http),
+                     " version=", fetched->routes->version));
+    receive(std::move(fetched->routes), std::move(fetched->text));
+}
+
 } // namespace
 
 routes_worker::routes_worker(const store_access &access, receiver receive, confirmation_receiver confirm,
-                             peer_source peer, milliseconds wait)
+                             peer_routes_access peers, milliseconds wait)
     : store_worker("configuration", access)
     , m_receive(std::move(receive))
     , m_confirm(std::move(confirm))
-    , m_peer(std::move(peer))
+    , m_peers(std::move(peers))
     , m_wait(wait)
 {}
 
@@ -87,7 +129,7 @@
     const auto list = store().list({.prefix = platform::kConfigPrefix, .after = {}}, &reason);
     const duration pause = recordCall(list.has_value(), reason);
     if (!list) {
-        readFromPeer();
+        readFromBalancer(m_peers, m_receive, [this](const std::string &text) { log(text); });
         return pause;
     }
     std::uint64_t version = 0;
@@ -134,31 +176,19 @@
     return version;
 }
 
-void routes_worker::readFromPeer()
-{
-    const auto offer = m_peer();
-    if (!offer)
-        return;
-    if (const auto text = fetchRoutes(offer->http)) {
-        log(absl::StrCat("routes read from a balancer, balancer=", toString(offer->http), " version=", offer->version));
-        applyDocument(*text);
-    }
-}
-
-peer_routes_worker::peer_routes_worker(routes_worker::receiver receive, routes_worker::peer_source peer, store_log log)
+peer_routes_worker::peer_routes_worker(routes_worker::receiver receive, peer_routes_access peers, store_log log)
     : m_receive(std::move(receive))
-    , m_peer(std::move(peer))
+    , m_peers(std::move(peers))
     , m_log(std::move(log))
 {}
 
 std::optional<duration> peer_routes_worker::step()
 {
-    const auto offer = m_peer();
+    const bool isBehind = m_peers.source().has_value();
     const bool isUrgent = m_isUrgent.exchange(false);
-    if (!std::exchange(m_wasBehind, offer.has_value()) && !isUrgent)
-        return offer ? kPeerDelay : kPeerCheckPeriod;
-    if (offer)
-        fetch(*offer);
+    if (!std::exchange(m_wasBehind, isBehind) && !isUrgent)
+        return isBehind ? kPeerDelay : kPeerCheckPeriod;
+    readFromBalancer(m_peers, m_receive, m_log);
     m_wasBehind = false;
     return kPeerCheckPeriod;
 }
@@ -169,18 +199,4 @@
     wake();
 }
 
-void peer_routes_worker::fetch(const routes_source &offer)
-{
-    const auto text = fetchRoutes(offer.http);
-    platform::document_fault fault{.what = "no answer"};
-    auto routes = text ? platform::parseRoutes(*text, &fault) : nullptr;
-    if (!routes) {
-        m_log(absl::StrCat("cannot read routes from balancer, balancer=", toString(offer.http),
-                           " version=", offer.version, " reason=", fault.what));
-        return;
-    }
-    m_log(absl::StrCat("routes read from a balancer, balancer=", toString(offer.http), " version=", routes->version));
-    m_receive(std::move(routes), *text);
-}
-
 } // namespace citroncrank
--- a/src/libsimulation/routes_watch_simulation.cpp
+++ b/src/libsimulation/routes_watch_simulation.cpp
@@ -78,7 +78,8 @@
     bool wasIdle = false;
     time_point nextCallAt;
     time_point nextFetchAt;
-    std::uint64_t staleVersion = 0; ///< Version whose absence has been counted.
+    std::optional<routes_source> failedFetch; ///< Known to the balancer at nextFetchAt.
+    std::uint64_t staleVersion = 0;           ///< Version whose absence has been counted.
 
     time_point faultEnd() const { return std::max({downUntil, pausedUntil, storeCutUntil, muteUntil, deafUntil}); }
 };
@@ -152,6 +153,7 @@
                                                          m_timing.confirmationTimeout)}},
             [](std::string_view) { return std::optional<packet_header>(); }, m_now);
         balancer->call.reset();
+        balancer->failedFetch.reset();
         balancer->cursor = 0;
         balancer->wasIdle = false;
         std::vector<listed_node> nodes;
@@ -342,6 +344,8 @@
 
     void fetchIfNeeded(simulated_balancer *balancer)
     {
+        if (balancer->failedFetch && m_now >= balancer->nextFetchAt)
+            balancer->core->routesFetchFailed(*std::exchange(balancer->failedFetch, std::nullopt));
         const auto source = balancer->core->newerRoutes();
         if (!source || !balancer->core->needsNewerRoutes(m_now) || m_now < balancer->nextFetchAt)
             return;
@@ -350,8 +354,10 @@
                                  && m_now >= peer->deafUntil && m_now >= balancer->muteUntil
                                  && m_now >= balancer->deafUntil;
         balancer->nextFetchAt = m_now + (isReachable ? kFetchTime : kFetchDeadline);
-        if (!isReachable)
+        if (!isReachable) {
+            balancer->failedFetch = source;
             return;
+        }
         packet_actions actions;
         balancer->core->applyRoutes(routesOfVersion(peer->core->routesVersion()), m_now, &actions);
         send(*balancer, &actions);
