packet balancer: a confirmation speaks of the beginning of a watch; times in series stay below the limit

Callers saw: a change that was confirmed is not in force at balancers that do not watch the store (CONFIG). Cause (hypothesis 1): a watch may end without a change that came while it waited. Its watcher then confirmed the older version as of the end of the watch, and the other balancers relied on that for a whole time-out before they called the store. Wait and time-out were each compared with the limit, but pass one after the other: 2.5 + 3.33 s where 5 s are allowed, 1.5 + 2 s where 3 s are. AWatchThatMissedAChangeConfirmsNoTimeAfterTheChange and ReadsTheEvacuationsAgainAfterTheHistoryIsGone fail if the worker confirms as of the end of the watch (tried).

--- a/src/include/citroncrank/evacuations_worker.h
+++ b/src/include/citroncrank/evacuations_worker.h
@@ -5,6 +5,7 @@
 
 #include "citroncrank/evacuation_set.h"
 #include "citroncrank/store_worker.h"
+#include "citroncrank/watch_timing.h"
 
 #include <absl/container/btree_set.h>
 #include <atomic>
@@ -19,12 +20,10 @@
 class evacuations_worker : public store_worker
 {
 public:
-    /// Called in the worker's thread after each answer of the store, with all that it holds. `age`: of the answer, at
-    /// most.
-    using receiver = std::function<void(const evacuation_set &set, duration age)>;
+    /// Called in the worker's thread after each answer of the store, with all that it held at `listedAt`.
+    using receiver = std::function<void(const evacuation_set &set, time_point listedAt)>;
 
-    /// `wait`: of a watch without a change.
-    evacuations_worker(const store_access &access, std::chrono::milliseconds wait, receiver receive);
+    evacuations_worker(const store_access &access, const watch_timing &timing, receiver receive);
     ~evacuations_worker() override;
 
     /// Whether to watch, which it does from the start on. Otherwise it calls the store only after a restore of it. May be
@@ -37,7 +36,7 @@
 private:
     std::optional<duration> listAll();
     std::optional<duration> watchChanges();
-    void report(const object_version &version, duration age);
+    void report(const object_version &version, time_point listedAt);
 
     std::chrono::milliseconds m_wait;
     receiver m_receive;
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -68,16 +68,16 @@
     void applyRoutes(std::shared_ptr<const route_set> routes, time_point now, packet_actions *out);
     /// Processes the complete list of nodes in the object store.
     void applyListing(const std::vector<listed_node> &nodes, time_point now, packet_actions *out);
-    /// Call when the object store has shown that it holds no newer routes than those in force. `age`: of its answer.
-    void storeConfirmedRoutes(duration age, time_point now, packet_actions *out);
+    /// Call when the object store has shown that at `confirmedAt` it held no newer routes than those in force.
+    void storeConfirmedRoutes(time_point confirmedAt, time_point now, packet_actions *out);
     /// Whether this balancer watches the operator's configuration in the object store itself.
     bool watchesRoutes(time_point now) const { return routesWatchReason(now) != watch_reason::none; }
     watch_reason routesWatchReason(time_point now) const;
     /// How long ago the object store held no newer routes than those in force, as far as this balancer or another one of
     /// the failure domain knows. Nullopt: unknown.
     std::optional<duration> routesConfirmationAge(time_point now) const;
-    /// Call after each answer of the object store about evacuations, with all that it holds. `age`: of its answer.
-    void storeListedEvacuations(const evacuation_set &listed, duration age, time_point now, packet_actions *out);
+    /// Call after each answer of the object store about evacuations, with all that it held at `listedAt`.
+    void storeListedEvacuations(const evacuation_set &listed, time_point listedAt, time_point now, packet_actions *out);
     /// Whether this balancer watches the evacuations in the object store itself.
     bool watchesEvacuations(time_point now) const { return m_evacuations.isWatcher(now); }
     const evacuation_state &evacuations() const { return m_evacuations.state(); }
--- a/src/include/citroncrank/routes_worker.h
+++ b/src/include/citroncrank/routes_worker.h
@@ -6,6 +6,7 @@
 #include "citroncrank/packet_balancer.h"
 #include "citroncrank/route_set.h"
 #include "citroncrank/store_worker.h"
+#include "citroncrank/watch_timing.h"
 
 #include <atomic>
 #include <chrono>
@@ -35,13 +36,13 @@
 public:
     /// Called in the worker's thread. The text is the document as stored.
     using receiver = std::function<void(std::shared_ptr<const route_set> routes, std::string text)>;
-    /// Called in the worker's thread when the store has shown that there is no newer configuration than the ones
-    /// received. `age`: of its answer, at most.
-    using confirmation_receiver = std::function<void(duration age)>;
+    /// Called in the worker's thread when the store has shown that at `confirmedAt` it held no newer configuration than
+    /// the ones received.
+    using confirmation_receiver = std::function<void(time_point confirmedAt)>;
 
-    /// `peers`: read while the store does not answer. `wait`: of a watch without a change.
+    /// `peers`: read while the store does not answer.
     routes_worker(const store_access &access, receiver receive, confirmation_receiver confirm, peer_routes_access peers,
-                  std::chrono::milliseconds wait = kDefaultConfigurationTime / 2);
+                  const watch_timing &timing = watchTimingFor(kDefaultConfigurationTime));
     ~routes_worker() override;
 
     /// Whether to watch, which it does from the start on. Otherwise it calls the store only after a restore of it. May be
--- a/src/include/citroncrank/store_worker.h
+++ b/src/include/citroncrank/store_worker.h
@@ -39,13 +39,17 @@
 /// Deadline of one call. Reads take a few milliseconds, so a store that is slower by a factor of 100 still answers
 /// within it.
 constexpr std::chrono::milliseconds kStoreCallDeadline{800};
+/// Longest pause after the first of several failed calls.
+constexpr std::chrono::milliseconds kFirstStoreRetryDelay{100};
 
 /// Worker thread with its own store client. Logs when the store is lost and when it is back, and backs off after failed
 /// calls.
 class store_worker : public worker_thread
 {
 public:
-    store_worker(std::string name, const store_access &access);
+    /// `callDeadline`: of one call. The wait of a watch is added to it.
+    store_worker(std::string name, const store_access &access,
+                 std::chrono::milliseconds callDeadline = kStoreCallDeadline);
     ~store_worker() override;
 
 protected:
--- a/src/libpacket/packet_balancer_evacuations.cpp
+++ b/src/libpacket/packet_balancer_evacuations.cpp
@@ -34,7 +34,7 @@
 
 // The applied set may be later than the listed one, if another balancer has listed it since. The answer of the store
 // confirms it as long as it is of the same era.
-void packet_balancer::storeListedEvacuations(const evacuation_set &listed, duration age, time_point now,
+void packet_balancer::storeListedEvacuations(const evacuation_set &listed, time_point listedAt, time_point now,
                                              packet_actions *out)
 {
     if (!m_evacuations.isEnabled())
@@ -45,7 +45,7 @@
         return;
     balancer_hello confirmation = helloWithoutLists();
     confirmation.areEvacuationsConfirmed = true;
-    confirmation.evacuationsAgeMilliseconds = std::uint32_t(wholeMilliseconds(age));
+    confirmation.evacuationsAgeMilliseconds = std::uint32_t(wholeMilliseconds(now - listedAt));
     sendToOwnDomain(confirmation, out);
 }
 
--- a/src/libpacket/packet_balancer_evacuations_test.cpp
+++ b/src/libpacket/packet_balancer_evacuations_test.cpp
@@ -33,7 +33,7 @@
     void serve()
     {
         core.applyRoutes(makeRoutes(5), now, &actions);
-        core.storeListedEvacuations({{1, 1}, {}}, duration(0), now, &actions);
+        core.storeListedEvacuations({{1, 1}, {}}, now, now, &actions);
         now += seconds(5);
         core.advance(now, &actions);
         reportAll({1, 1});
@@ -59,7 +59,7 @@
     void evacuate(std::vector<std::string> domains, const evacuation_version &version = kFirst)
     {
         actions.clear();
-        core.storeListedEvacuations({version, std::move(domains)}, duration(0), now, &actions);
+        core.storeListedEvacuations({version, std::move(domains)}, now, now, &actions);
     }
 
     void open(std::uint16_t port = kCaller.port, std::uint32_t copy = 0)
@@ -304,7 +304,7 @@
 {
     core.message(kOtherBalancer, balancer_hello{.domain = kWest, .evacuations = evacuation_set{kFirst, {kWest}}}, now,
                  &actions);
-    core.storeListedEvacuations({kFirst, {kWest}}, duration(0), now, &actions);
+    core.storeListedEvacuations({kFirst, {kWest}}, now, now, &actions);
     fromCaller(openingPacket());
     EXPECT_EQ(forwarded().size(), 1U);
     for (const auto &[to, hello] : messagesOf<balancer_hello>(actions))
--- a/src/libpacket/packet_balancer_nodes.cpp
+++ b/src/libpacket/packet_balancer_nodes.cpp
@@ -201,14 +201,14 @@
 }
 
 // The other balancers of the failure domain learn of newer routes so, and that there are none otherwise.
-void packet_balancer::storeConfirmedRoutes(duration age, time_point now, packet_actions *out)
+void packet_balancer::storeConfirmedRoutes(time_point confirmedAt, time_point now, packet_actions *out)
 {
-    m_ownConfirmation = {routesVersion(), now - age};
+    m_ownConfirmation = {routesVersion(), confirmedAt};
     if (!watchesRoutes(now))
         return;
     balancer_hello confirmation = helloWithoutLists();
     confirmation.areRoutesConfirmed = true;
-    confirmation.confirmationAgeMilliseconds = std::uint32_t(wholeMilliseconds(age));
+    confirmation.confirmationAgeMilliseconds = std::uint32_t(wholeMilliseconds(now - confirmedAt));
     sendToOwnDomain(confirmation, out);
 }
 
--- a/src/libpacket/packet_balancer_nodes_test.cpp
+++ b/src/libpacket/packet_balancer_nodes_test.cpp
@@ -305,7 +305,7 @@
     core.message(far, balancer_hello{.domain = "nbi-east", .routesVersion = 5}, now, &actions);
     actions.clear();
     EXPECT_EQ(core.routesConfirmationAge(now), std::nullopt);
-    core.storeConfirmedRoutes(milliseconds(40), now, &actions);
+    core.storeConfirmedRoutes(now - milliseconds(40), now, &actions);
     EXPECT_EQ(core.routesConfirmationAge(now + seconds(1)), milliseconds(1040)) << "its own answer of the store";
     const auto sent = messagesOf<balancer_hello>(actions);
     ASSERT_EQ(sent.size(), 1U);
--- a/src/libpacketnode/evacuations_endpoint.cpp
+++ b/src/libpacketnode/evacuations_endpoint.cpp
@@ -36,8 +36,7 @@
                               "1 if this balancer watches the evacuations in the platform's store itself."))
 {
     if (evacuationTime)
-        m_worker =
-            std::make_unique<evacuations_worker>(access, watchTimingFor(*evacuationTime).wait, std::move(receive));
+        m_worker = std::make_unique<evacuations_worker>(access, watchTimingFor(*evacuationTime), std::move(receive));
 }
 
 void evacuations_endpoint::start()
--- a/src/libpacketnode/evacuations_worker.cpp
+++ b/src/libpacketnode/evacuations_worker.cpp
@@ -26,9 +26,9 @@
 
 } // namespace
 
-evacuations_worker::evacuations_worker(const store_access &access, std::chrono::milliseconds wait, receiver receive)
-    : store_worker("evacuations", access)
-    , m_wait(wait)
+evacuations_worker::evacuations_worker(const store_access &access, const watch_timing &timing, receiver receive)
+    : store_worker("evacuations", access, timing.callDeadline)
+    , m_wait(timing.wait)
     , m_receive(std::move(receive))
 {}
 
@@ -82,10 +82,11 @@
     m_domains = std::move(domains);
     cursor().recordListing(*first);
     log(absl::StrCat("evacuations read, revision=", toString(*first), " count=", m_domains.size()));
-    report(*first, monotonicNow() - calledAt);
+    report(*first, calledAt);
     return duration(0);
 }
 
+// A watch shows what the store held when it began: it may end without a change that came while it waited.
 std::optional<duration> evacuations_worker::watchChanges()
 {
     const time_point calledAt = monotonicNow();
@@ -102,16 +103,14 @@
         else
             m_domains.erase(domain);
     }
-    // A call that took longer than its wait may have been answered before this process was paused.
-    const duration age = std::max(monotonicNow() - calledAt - duration(m_wait), duration(0));
-    report(result->changes.empty() ? m_version : result->version, age);
+    report(result->changes.empty() ? m_version : result->version, calledAt);
     return duration(0);
 }
 
-void evacuations_worker::report(const object_version &version, duration age)
+void evacuations_worker::report(const object_version &version, time_point listedAt)
 {
     m_version = version;
-    m_receive({{m_version.era, m_version.number}, {m_domains.begin(), m_domains.end()}}, age);
+    m_receive({{m_version.era, m_version.number}, {m_domains.begin(), m_domains.end()}}, listedAt);
 }
 
 } // namespace citroncrank
--- a/src/libpacketnode/evacuations_worker_test.cpp
+++ b/src/libpacketnode/evacuations_worker_test.cpp
@@ -1,4 +1,6 @@
 #include "citroncrank/evacuations_worker.h"
+
+#include "citroncrank/timer_service.h"
 #include "citroncrank/watch_timing.h"
 
 #include "restored_store_fixture_test.h"
@@ -60,10 +62,13 @@
 
     std::mutex m_mutex;
     evacuation_set m_last;
+    time_point m_lastEmptyAt; ///< Of the last listing without a domain.
     std::atomic<int> m_answers = 0;
-    evacuations_worker m_worker{access(), kTiming.wait, [this](const evacuation_set &set, duration) {
+    evacuations_worker m_worker{access(), kTiming, [this](const evacuation_set &set, time_point listedAt) {
                                     const std::lock_guard lock(m_mutex);
                                     m_last = set;
+                                    if (set.domains.empty())
+                                        m_lastEmptyAt = listedAt;
                                     ++m_answers;
                                 }};
 };
@@ -107,15 +112,20 @@
     EXPECT_TRUE(waitForDomains({"nbi-west"}, milliseconds(500)));
 }
 
-// Guards against an evacuation that is missed because the store has dropped the change that a watch should have reported.
+// Guards against an evacuation that is missed because the store has dropped the change that a watch should have reported,
+// and against a watch that vouches at its end for what it read before: other balancers would rely on that.
 TEST_F(EvacuationsWorker, ReadsTheEvacuationsAgainAfterTheHistoryIsGone)
 {
     ASSERT_TRUE(waitForDomains({}));
+    std::this_thread::sleep_for(milliseconds(50));
+    const time_point before = monotonicNow();
     change([](standin_platform &store) {
         writeObject(store, "evacuations/nbi-west", "{}");
         store.dropHistory();
     });
     EXPECT_TRUE(waitForDomains({"nbi-west"}, kLimit));
+    const std::lock_guard lock(m_mutex);
+    EXPECT_LT(m_lastEmptyAt, before);
 }
 
 // Guards against evacuations of the store before its restore, in a worker that does not watch.
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -59,18 +59,18 @@
           [this](std::shared_ptr<const route_set> routes, std::string text) {
               receiveRoutes(std::move(routes), std::move(text));
           },
-          [this](duration age) {
-              m_loop.post([this, age] {
-                  m_core.storeConfirmedRoutes(age, monotonicNow(), &m_actions);
+          [this](time_point confirmedAt) {
+              m_loop.post([this, confirmedAt] {
+                  m_core.storeConfirmedRoutes(confirmedAt, monotonicNow(), &m_actions);
                   perform(&m_actions);
               });
           },
-          peerRoutesAccess(), watchTimingFor(m_fileSettings.configurationTime).wait)
+          peerRoutesAccess(), watchTimingFor(m_fileSettings.configurationTime))
     , m_evacuations(
           m_fileSettings.node.evacuationTime, m_metrics,
-          [this](const evacuation_set &set, duration age) {
-              m_loop.post([this, set, age] {
-                  m_core.storeListedEvacuations(set, age, monotonicNow(), &m_actions);
+          [this](const evacuation_set &set, time_point listedAt) {
+              m_loop.post([this, set, listedAt] {
+                  m_core.storeListedEvacuations(set, listedAt, monotonicNow(), &m_actions);
                   perform(&m_actions);
               });
           },
--- a/src/libpacketnode/packet_node_settings.cpp
+++ b/src/libpacketnode/packet_node_settings.cpp
@@ -58,8 +58,8 @@
         {.path = "configuration-time",
          .type = settings_type::duration,
          .description =
-             "Longest time from the confirmation of a configuration until all balancers apply it. Half of it "
-             "is the wait of a balancer's watch of the platform's store.",
+             "Longest time from the confirmation of a configuration until all balancers apply it. The waits and "
+             "time-outs of the watch of the platform's store follow from it.",
          .defaultValue = "3s",
          .minimum = duration(kMinWatchLimit).count()},
         {.path = "cold-excess",
--- a/src/libpacketnode/routes_after_restore_test.cpp
+++ b/src/libpacketnode/routes_after_restore_test.cpp
@@ -29,7 +29,8 @@
     routes_worker m_worker{
         access(),
         [this](const std::shared_ptr<const route_set> &routes, const std::string &) { m_version = routes->version; },
-        [](duration) {}, {}};
+        [](time_point) {},
+        {}};
 };
 
 } // namespace
--- a/src/libpacketnode/routes_watch_test.cpp
+++ b/src/libpacketnode/routes_watch_test.cpp
@@ -1,8 +1,12 @@
 #include "citroncrank/routes_worker.h"
 
+#include "citroncrank/timer_service.h"
+
 #include "restored_store_fixture_test.h"
 
 #include <atomic>
+#include <map>
+#include <mutex>
 
 using namespace citroncrank;
 
@@ -43,10 +47,17 @@
 
     std::atomic<std::uint64_t> m_version = 0;
     std::atomic<int> m_confirmations = 0;
+    std::mutex m_mutex;
+    std::map<std::uint64_t, time_point> m_lastConfirmedAt; ///< By the version that was confirmed.
     routes_worker m_worker{
         access(),
         [this](const std::shared_ptr<const route_set> &routes, const std::string &) { m_version = routes->version; },
-        [this](duration) { ++m_confirmations; }, {}};
+        [this](time_point confirmedAt) {
+            ++m_confirmations;
+            const std::lock_guard lock(m_mutex);
+            m_lastConfirmedAt[m_version] = confirmedAt;
+        },
+        {}};
 };
 
 } // namespace
@@ -84,3 +95,21 @@
     std::this_thread::sleep_for(kWatchTime);
     EXPECT_EQ(m_confirmations, before);
 }
+
+// Guards against a watch that ends without the change that it missed and vouches for the older configuration at its end:
+// other balancers would rely on that for a whole time-out.
+TEST_F(RoutesWatch, AWatchThatMissedAChangeConfirmsNoTimeAfterTheChange)
+{
+    ASSERT_TRUE(waitFor(kWatchTime, [&] { return m_confirmations > 1; })) << "a watch is in progress";
+    std::this_thread::sleep_for(milliseconds(50));
+    const time_point before = monotonicNow();
+    change([&](standin_platform &store) {
+        writeObject(store, "config/main", configuration(9));
+        store.dropHistory();
+    });
+    const int seen = m_confirmations;
+    EXPECT_TRUE(waitForVersion(9));
+    EXPECT_GE(m_confirmations, seen + 1) << "the watch ended without the change";
+    const std::lock_guard lock(m_mutex);
+    EXPECT_LT(m_lastConfirmedAt[5], before);
+}
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -1,7 +1,6 @@
 #include "citroncrank/routes_worker.h"
 
 #include "citroncrank/timer_service.h"
-#include "citroncrank/watch_timing.h"
 #include "documents.h"
 #include "watch_cursor_pvt.h"
 
@@ -89,12 +88,12 @@
 } // namespace
 
 routes_worker::routes_worker(const store_access &access, receiver receive, confirmation_receiver confirm,
-                             peer_routes_access peers, milliseconds wait)
-    : store_worker("configuration", access)
+                             peer_routes_access peers, const watch_timing &timing)
+    : store_worker("configuration", access, timing.callDeadline)
     , m_receive(std::move(receive))
     , m_confirm(std::move(confirm))
     , m_peers(std::move(peers))
-    , m_wait(wait)
+    , m_wait(timing.wait)
 {}
 
 routes_worker::~routes_worker()
@@ -139,10 +138,12 @@
     }
     cursor().recordListing(list->version);
     log(absl::StrCat("configuration read, revision=", toString(list->version), " version=", version));
-    m_confirm(monotonicNow() - calledAt);
+    m_confirm(calledAt);
     return duration(0);
 }
 
+// A watch may end without a change that came while it waited, so it shows only what the store held when it began: an
+// earlier change would have been returned at once.
 std::optional<duration> routes_worker::watchConfig()
 {
     const time_point calledAt = monotonicNow();
@@ -157,8 +158,7 @@
         log(absl::StrCat("configuration changed, revision=", toString(change.version), " version=", version,
                          " waited_ms=", wholeMilliseconds(monotonicNow() - calledAt)));
     }
-    // A call that took longer than its wait may have been answered before this process was paused.
-    m_confirm(std::max(monotonicNow() - calledAt - duration(m_wait), duration(0)));
+    m_confirm(calledAt);
     return duration(0);
 }
 
--- a/src/libpacketnode/store_worker.cpp
+++ b/src/libpacketnode/store_worker.cpp
@@ -12,18 +12,17 @@
 
 using std::chrono::milliseconds;
 
-constexpr duration kFirstRetryDelay = milliseconds(100);
 constexpr duration kMaxRetryDelay = std::chrono::seconds(1);
 constexpr std::uint32_t kMaxDoublings = 4;
 
 } // namespace
 
-store_worker::store_worker(std::string name, const store_access &access)
+store_worker::store_worker(std::string name, const store_access &access, milliseconds callDeadline)
     : m_name(std::move(name))
     , m_log(access.log)
     , m_countMalformed(access.countMalformed)
     , m_eras(access.eras)
-    , m_store({access.address, kStoreCallDeadline})
+    , m_store({access.address, callDeadline})
     , m_cursor(std::make_unique<watch_cursor>())
     , m_random(std::random_device{}())
 {
@@ -71,7 +70,7 @@
     if (!std::exchange(m_isLost, true))
         log(absl::StrCat("store is lost, reason=", toString(reason)));
     const duration delay =
-        std::min(kFirstRetryDelay * (1U << std::min(m_failuresInRow, kMaxDoublings)), kMaxRetryDelay);
+        std::min<duration>(kFirstStoreRetryDelay * (1U << std::min(m_failuresInRow, kMaxDoublings)), kMaxRetryDelay);
     ++m_failuresInRow;
     // Half of the delay is random, so that nodes that lost the store at the same time do not retry at the same time.
     return delay / 2 + duration(std::int64_t(m_random() % std::uint64_t(delay.count())) / 2);
--- a/src/libsimulation/routes_watch_guarantees_test.cpp
+++ b/src/libsimulation/routes_watch_guarantees_test.cpp
@@ -53,6 +53,17 @@
     }
 }
 
+// Guards against times that are each below the bound and pass one after the other: a watch that ends without the change,
+// the time-out of its confirmation at a balancer that does not watch, and that balancer's own call.
+TEST(RoutesWatchGuarantees, ChangesThatTheWatchesMissedAreInForceInTime)
+{
+    for (const std::chrono::seconds limit : kLimits) {
+        const routes_watch_outcome total = runAll({.hasOnlyMissedChanges = true, .limit = limit, .length = 10 * limit});
+        EXPECT_GT(total.faults, scheduleCount());
+        EXPECT_EQ(total.staleRoutes, 0U) << "limit of " << limit.count() << " s";
+    }
+}
+
 // The schedules find balancers with old routes if a balancer trusts watchers that are silent.
 TEST(RoutesWatchGuarantees, SchedulesFindBalancersThatWaitForSilentWatchers)
 {
--- a/src/libsimulation/routes_watch_simulation.cpp
+++ b/src/libsimulation/routes_watch_simulation.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,7 +21,6 @@
 using std::chrono::seconds;
 
 constexpr duration kStep = milliseconds(10);
-constexpr duration kCallDeadline = kStoreCallDeadline;
 constexpr duration kFetchDeadline = milliseconds(500);
 constexpr duration kFetchTime = milliseconds(10);
 constexpr int kMaxStoreDelayMs = 20;
@@ -115,7 +115,9 @@
                 confirmVersion();
                 nextChange = m_now + milliseconds(200) + within(4000);
             }
-            if (m_schedule.hasFaults && m_now >= nextFault) {
+            if (m_schedule.hasOnlyMissedChanges)
+                injectMissedChange();
+            else if (m_schedule.hasFaults && m_now >= nextFault) {
                 injectFault();
                 nextFault = m_now + milliseconds(100) + within(2500);
             }
@@ -196,6 +198,30 @@
         }
     }
 
+    void injectMissedChange()
+    {
+        if (m_now < m_nextMissedChange)
+            return;
+        ++m_outcome.faults;
+        m_store.historyDroppedAt = m_now;
+        confirmVersion();
+        m_nextMissedChange = m_now + 2 * m_schedule.limit + within(4000);
+    }
+
+    time_point *anyFaultOf(simulated_balancer *balancer)
+    {
+        time_point *const faults[] = {&balancer->pausedUntil, &balancer->storeCutUntil, &balancer->muteUntil,
+                                      &balancer->downUntil};
+        return faults[std::uniform_int_distribution<std::size_t>(0, std::size(faults) - 1)(m_random)];
+    }
+
+    /// The balancer fails as soon as its watch has ended without the change that it missed.
+    void failAfterMissedChange(simulated_balancer *balancer, const store_call &call)
+    {
+        if (!call.isList && call.sentAt < m_store.historyDroppedAt && call.version == balancer->core->routesVersion())
+            *anyFaultOf(balancer) = m_now + m_schedule.limit;
+    }
+
     /// All balancers that watch fail in the same way at once, right before a change.
     void failWatchers()
     {
@@ -286,7 +312,7 @@
         store_call &call = *balancer->call;
         const duration wait = call.isList ? duration(0) : m_timing.wait;
         if (!reachesStore(*balancer)) {
-            call.isDone = m_now - call.sentAt >= wait + kCallDeadline;
+            call.isDone = m_now - call.sentAt >= wait + m_timing.callDeadline;
             return;
         }
         if (call.isList) {
@@ -322,9 +348,10 @@
         balancer->cursor = *call.version;
         packet_actions actions;
         balancer->core->applyRoutes(routesOfVersion(*call.version), m_now, &actions);
-        const duration wait = call.isList ? duration(0) : m_timing.wait;
-        balancer->core->storeConfirmedRoutes(std::max(m_now - call.sentAt - wait, duration(0)), m_now, &actions);
+        balancer->core->storeConfirmedRoutes(call.sentAt, m_now, &actions);
         send(*balancer, &actions);
+        if (m_schedule.hasOnlyMissedChanges)
+            failAfterMissedChange(balancer, call);
     }
 
     void startCallIfDue(simulated_balancer *balancer)
@@ -388,6 +415,7 @@
     time_point m_now = m_startedAt;
     store_state m_store;
     std::vector<simulated_balancer> m_balancers;
+    time_point m_nextMissedChange = m_startedAt + seconds(10);
     std::multimap<time_point, datagram> m_datagrams;
     routes_watch_outcome m_outcome;
 };
--- a/src/libsimulation/routes_watch_simulation_pvt.h
+++ b/src/libsimulation/routes_watch_simulation_pvt.h
@@ -20,6 +20,9 @@
     std::size_t balancers = 8; ///< All in one failure domain.
     double loss = 0;           ///< Probability that a datagram is lost.
     bool hasFaults = true;     ///< Kills, pauses, cuts, and a store that fails or drops its history.
+    /// Each fault is a change that all watches miss, since the store drops its history. A watcher fails as soon as such a
+    /// watch of it has ended.
+    bool hasOnlyMissedChanges = false;
     /// Within which a change must be in force at a balancer that had no fault for as long.
     duration limit = std::chrono::seconds(5);
     std::size_t watchers = routes_watch_settings{}.watchers;
