--- a/src/standin-packet-upstream/main.cpp
+++ b/src/standin-packet-upstream/main.cpp
@@ -85,8 +85,8 @@
         socket.flush();
         for (const std::string &id : upstream.takeStarted()) {
             if (settings.isPrintingRuns)
-                std::cout << "standin-packet-upstream: run, request=" << id << " service=" << settings.service
-                          << std::endl;
+                std::cout << "standin-packet-upstream: run, request=" + id + " service=" + settings.service + "\n"
+                          << std::flush;
         }
     });
     loop.catchSignals([&] { sender.drain(); }, [] {});
