packet balancer: a flow is named after its owner's service, not after its route's

Cause: a balancer filled the unknown service of a flow from the routes in force, which may name another one than the flow was opened at: for an owner that was handed over before it had reported, and for packets that joined a search. A restarted agent takes the name of another service as proof that its upstream does not hold the flow; all others deny it truly, and the flow is reset. Class: a fact (the service of an open flow) taken from configuration that may have changed since. Change: the service of a flow with an owner comes from that owner's report, or stays empty, which is no evidence. Also for copies of an opening packet of a flow that was handed over.

--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -162,6 +162,7 @@
                            bool isLastAgent, time_point now);
     void expireTimeRefusals(time_point now);
     void continueFlow(packet arrived, time_point now, packet_actions *out);
+    void takeServiceOfOwner(balancer_flow *flow) const;
     bool isInPlannedRestart(const host_address &agent) const;
     void releaseHeldForRestart(const host_address &agent, time_point now, packet_actions *out);
     void searchOwner(packet arrived, balancer_flow *flow, std::optional<host_address> except, time_point now,
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -172,8 +172,9 @@
     const auto known = m_flows.find(key);
     if (known == m_flows.end())
         return placeNewFlow(key, route, service, now);
-    const balancer_flow &flow = known->second;
+    balancer_flow &flow = known->second;
     const agent_record *const agent = m_agents.find(flow.owner);
+    takeServiceOfOwner(&flow);
     if (agent != nullptr && m_agents.stateAvailability(*agent, now) < agent_availability::failing)
         return {flow.service, {flow.owner}};
     if (agent != nullptr && agent->report.state == agent_state::draining && m_agents.isFresh(*agent, now))
@@ -239,6 +240,15 @@
         out);
 }
 
+// A restarted agent denies a flow of another service. The routes may have changed since the flow opened, so only its owner
+// tells the service. An empty one is no evidence.
+void packet_balancer::takeServiceOfOwner(balancer_flow *flow) const
+{
+    const agent_record *const owner = m_agents.find(flow->owner);
+    if (flow->service.empty() && owner != nullptr)
+        flow->service = owner->report.service;
+}
+
 void packet_balancer::continueFlow(packet arrived, time_point now, packet_actions *out)
 {
     const flow_key key = flowFromCaller(arrived.header);
@@ -256,7 +266,9 @@
     }
     balancer_flow &flow = found->second;
     // The owner may have been received from another balancer before its agent reported here.
-    if (flow.service.empty())
+    if (flow.isOwnerKnown)
+        takeServiceOfOwner(&flow);
+    else if (flow.service.empty())
         flow.service = chooseService(*m_routes->find(key.service), key);
     flow.lastSeen = now;
     flow.isOpening = false;
--- a/src/libpacket/packet_balancer_owners.cpp
+++ b/src/libpacket/packet_balancer_owners.cpp
@@ -255,12 +255,12 @@
     entry.owner = agent;
     entry.isOwnerKnown = true;
     entry.rejectedBy.clear();
+    entry.service.clear();
+    takeServiceOfOwner(&entry);
     if (const auto search = std::exchange(entry.search, nullptr)) {
         for (std::string &waiting : search->takePackets(agent, now))
             forward(agent, forward_purpose::to_owner, entry.service, flow, std::move(waiting), {}, out);
     }
-    if (const agent_record *const record = m_agents.find(agent))
-        entry.service = record->report.service;
     log(log_class::owner, absl::StrCat("learned owner, flow=", toString(flow), " agent=", toString(agent)), out);
 }
 
--- a/src/libpacket/packet_balancer_owners_test.cpp
+++ b/src/libpacket/packet_balancer_owners_test.cpp
@@ -457,3 +457,33 @@
     EXPECT_LE(queries, kFlows * kMostLikelyOwners + 8000U) << "two seconds' allowance";
     EXPECT_GE(queries, 7000U) << "the search goes on";
 }
+
+// Guards against resets of open flows (review/6): their owner was handed over before it had reported here, their route has got
+// another service since, and a restarted agent denies a packet that names this one.
+TEST_F(PacketBalancer, AFlowThatWasHandedOverIsNotNamedAfterItsRoute)
+{
+    core.applyRoutes(makeRoutes(6, "receipts"), now, &actions);
+    core.message(kOtherBalancer, flow_owner_list{{{kFlow, kAgentC}}}, now, &actions);
+    actions.clear();
+    fromCaller(callerPacket(201, "GET"));
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_EQ(forwarded().back().first, kAgentC);
+    EXPECT_EQ(forwarded().back().second.service, "") << "not known, which is no evidence";
+    core.message(kAgentC, makeReport(1), now, &actions);
+    actions.clear();
+    fromCaller(callerPacket(201, "GET", 104));
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_EQ(forwarded().back().second.service, kService);
+}
+
+// Guards against the same denial by the owner that a search has just found.
+TEST_F(PacketBalancer, PacketsForAnOwnerThatWasSearchedAreNotNamedAfterTheRoute)
+{
+    core.applyRoutes(makeRoutes(6, "receipts"), now, &actions);
+    actions.clear();
+    fromCaller(callerPacket(201, "GET"));
+    core.message(kAgentA, owner_notice{kFlow}, now, &actions);
+    ASSERT_FALSE(forwarded().empty());
+    for (const auto &[agent, sent] : forwarded())
+        EXPECT_EQ(sent.service, kService) << toString(agent);
+}
