--- a/src/include/citroncrank/http_endpoint.h
+++ b/src/include/citroncrank/http_endpoint.h
@@ -54,6 +54,8 @@
     std::size_t maxBodyBytes = 1024 * 1024;        ///< Larger bodies result in status 413.
     std::size_t maxConnections = 64;               ///< Connections above the limit are closed at once and counted.
     duration timeout = std::chrono::seconds(10);   ///< For receiving a request, for sending a response, and while idle.
+    /// How long stop() waits for requests that have been received at least in part, and for their responses.
+    duration stopTimeout = std::chrono::seconds(30);
 };
 
 /// Why the endpoint cannot listen.
@@ -88,8 +90,8 @@
     /// Bound address, with the port that the system chose if port 0 was requested. Valid after start().
     host_address address() const;
 
-    /// Stops listening, closes idle connections, completes requests that have been received at least in part (which
-    /// takes at most three times the timeout) and joins the thread. Must not be called from a handler.
+    /// Stops listening, closes idle connections, completes requests that have been received at least in part, closes
+    /// their connections after stopTimeout and joins the thread. Must not be called from a handler.
     void stop();
 
 private:
--- a/src/libruntime/http_endpoint.cpp
+++ b/src/libruntime/http_endpoint.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <future>
 #include <thread>
 #include <utility>
 
@@ -74,7 +75,10 @@
         for (const auto &source : m_listeners)
             accept(source.get());
         const signal_block_guard blockSignals;
-        m_thread = std::thread([this] { m_loop.run(); });
+        m_thread = std::thread([this] {
+            m_loop.run();
+            m_ended.set_value();
+        });
         return std::nullopt;
     }
 
@@ -83,6 +87,9 @@
         if (!m_thread.joinable())
             return;
         asio::post(m_loop, [this] { closeAll(); });
+        // A client that has gone silent in the middle of a request would delay the end of the process.
+        if (m_ended.get_future().wait_for(m_context.settings.stopTimeout) == std::future_status::timeout)
+            asio::post(m_loop, [this] { abortAll(); });
         m_thread.join();
     }
 
@@ -179,6 +186,14 @@
         }
     }
 
+    void abortAll()
+    {
+        for (const auto &weak : m_sessions) {
+            if (const auto session = weak.lock())
+                session->abort();
+        }
+    }
+
     http_context m_context;
     metrics_registry &m_registry;
     metric_counter &m_rejectedConnections = m_registry.counter(
@@ -187,6 +202,7 @@
     asio::io_context m_loop{1};
     std::vector<std::unique_ptr<listener>> m_listeners;
     std::vector<std::weak_ptr<http_session>> m_sessions;
+    std::promise<void> m_ended;
     std::thread m_thread;
 };
 
--- a/src/libruntime/http_endpoint_test.cpp
+++ b/src/libruntime/http_endpoint_test.cpp
@@ -229,6 +229,30 @@
     EXPECT_EQ(idle.readUntilClosed(), "");
 }
 
+// Guards against a process that does not end on SIGTERM because a client has gone silent in the middle of its request, and
+// against a request that is lost although the rest of it arrives in time.
+TEST_F(HttpEndpointTest, StopWaitsForAPartialRequestUntilItsTimeoutOnly)
+{
+    constexpr std::chrono::milliseconds kStopTimeout{300};
+    start({.timeout = std::chrono::minutes(5), .stopTimeout = kStopTimeout});
+    const std::string head = "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n";
+    raw_caller silent(endpoint->address());
+    silent.send(head + "ab");
+    raw_caller late(endpoint->address());
+    late.send(head + "ab");
+    EXPECT_TRUE(startsWith(get("/health"), "200")) << "the parts before have been received";
+    const auto begin = std::chrono::steady_clock::now();
+    std::thread stopper([this] { endpoint->stop(); });
+    std::this_thread::sleep_for(kStopTimeout / 3);
+    late.send("cd");
+    EXPECT_TRUE(late.readUntilClosed().ends_with("/echo||abcd"));
+    stopper.join();
+    const auto taken = std::chrono::steady_clock::now() - begin;
+    EXPECT_GE(taken, kStopTimeout);
+    EXPECT_LT(taken, std::chrono::seconds(10));
+    EXPECT_EQ(silent.readUntilClosed(), "");
+}
+
 // Guards against requests that are lost when the endpoint stops under load: while it serves another request, their
 // connections are still in the backlog, or are accepted but not read yet.
 TEST_F(HttpEndpointTest, StopAnswersTheRequestsThatWait)
--- a/src/libruntime/http_session.cpp
+++ b/src/libruntime/http_session.cpp
@@ -63,6 +63,12 @@
         m_stream.cancel();
 }
 
+// The operation in progress fails, and its handler ends the session.
+void http_session::abort()
+{
+    m_stream.close();
+}
+
 void http_session::readRequest()
 {
     m_parser.emplace();
--- a/src/libruntime/http_session_pvt.h
+++ b/src/libruntime/http_session_pvt.h
@@ -33,6 +33,8 @@
 
     /// Closes the connection if it is idle, otherwise after the request in progress.
     void stop();
+    /// Closes the connection at once, also within a request.
+    void abort();
 
 private:
     using string_response = boost::beast::http::response<boost::beast::http::string_body>;
