--- a/src/include/citroncrank/object_store.h
+++ b/src/include/citroncrank/object_store.h
@@ -111,6 +111,7 @@
 {
     std::vector<object_change> changes; ///< Ordered by version.
     object_version version;             ///< Version from which the next watch starts.
+    std::size_t unreadable = 0;         ///< Changes that were left out, since they cannot be read.
     auto operator<=>(const watch_result &) const = default;
 };
 
--- a/src/include/citroncrank/standin_platform.h
+++ b/src/include/citroncrank/standin_platform.h
@@ -40,6 +40,8 @@
 
     /// Drops the changes so far: waiting watches of the metadata store end without them, and later ones from before get
     /// status 410.
+    /// Call after a change that a test has made to objects() itself.
+    void answerWatches(const std::string &changedKey);
     void dropHistory() { m_historyFrom = m_objects.version(); }
 
 private:
@@ -61,7 +63,6 @@
     void waitForChanges(const std::shared_ptr<waiting_watch> &watch, std::uint64_t waitMs);
     void answerWrite(const exchange_pointer &exchange, const std::string &key,
                      const std::optional<write_number> &version, platform_failure failure);
-    void answerWatches(const std::string &changedKey);
     void endWatches();
     void answerWatch(const std::shared_ptr<waiting_watch> &watch);
     void countCall(const std::string &name);
--- a/src/libpacketnode/node_registry_worker.cpp
+++ b/src/libpacketnode/node_registry_worker.cpp
@@ -57,22 +57,16 @@
     platform::document_fault ignored;
     std::optional<listed_node> result;
     const auto read = [&result](const json::object &entry) {
-        const std::string address = platform::textAt(entry, "address");
-        const auto parsedAddress = parseHostAddress(address);
-        if (!parsedAddress)
-            platform::throwFault(platform::document_fault_kind::unknown_value, "address",
-                                 absl::StrCat("invalid address ", address));
+        const host_address address = platform::addressAt(entry, "address");
         const std::string role = platform::textAt(entry, "role");
         if (role != "agent" && role != "balancer")
             platform::throwFault(platform::document_fault_kind::unknown_value, "role",
                                  absl::StrCat("unknown role ", role));
-        listed_node node{.address = *parsedAddress,
-                         .isAgent = role == "agent",
-                         .service = {},
-                         .domain = platform::textAt(entry, "domain")};
+        listed_node node{
+            .address = address, .isAgent = role == "agent", .service = {}, .domain = platform::textAt(entry, "domain")};
         if (node.isAgent) {
             node.service = platform::textAt(entry, "service");
-            node.slots = platform::number32At(entry, "slots");
+            node.slots = platform::number16At(entry, "slots");
         }
         result = std::move(node);
     };
--- a/src/libpacketnode/store_worker.cpp
+++ b/src/libpacketnode/store_worker.cpp
@@ -26,10 +26,11 @@
     , m_cursor(std::make_unique<watch_cursor>())
     , m_random(std::random_device{}())
 {
-    m_store.setMalformedObserver([this](const platform::document_fault &fault) {
-        log(absl::StrCat("answer of the store cannot be read, kind=", platform::toString(fault.kind),
-                         " reason=", fault.what));
-        countMalformed("store_answer");
+    m_store.setMalformedObserver([this](platform::malformed_document document, const platform::document_fault &fault) {
+        const bool isEntry = document == platform::malformed_document::entry;
+        log(absl::StrCat(isEntry ? "entry of the store" : "answer of the store",
+                         " cannot be read, kind=", platform::toString(fault.kind), " reason=", fault.what));
+        countMalformed(isEntry ? "store_entry" : "store_answer");
     });
     m_eras->subscribe(this, [this] { onLaterEra(); });
 }
--- a/src/libpacketnode/watch_cursor_pvt.h
+++ b/src/libpacketnode/watch_cursor_pvt.h
@@ -24,10 +24,10 @@
 
     /// Call after a watch returned. A result without changes does not advance the cursor: a store that has dropped its
     /// history returns such a result although an object changed, and a new watch from the old version then fails with
-    /// history_gone.
+    /// history_gone. One with unreadable changes does, since a new watch from the old version would return them again.
     void recordWatch(const watch_result &answer)
     {
-        if (!answer.changes.empty())
+        if (!answer.changes.empty() || answer.unreadable > 0)
             m_from = answer.version;
     }
 
--- a/src/libpacketnode/watch_cursor_test.cpp
+++ b/src/libpacketnode/watch_cursor_test.cpp
@@ -19,6 +19,15 @@
     EXPECT_FALSE(cursor.from());
 }
 
+// Guards against a watch that returns the same unreadable change again and again, without a pause.
+TEST(WatchCursor, UnreadableChangesAdvance)
+{
+    watch_cursor cursor;
+    cursor.recordListing({1, 40});
+    cursor.recordWatch({.changes = {}, .version = {1, 55}, .unreadable = 1});
+    EXPECT_EQ(cursor.from(), (object_version{1, 55}));
+}
+
 // Guards against one store call per balancer and node when all nodes start (fleetbench run ofnbokun-grown trouble-1:
 // 734 of 2,760 store calls before the traffic), and against a pause that stays long after the changes have ended.
 TEST(ChangePacing, PauseGrowsWithConsecutiveChanges)
