logs: how long a process takes to end after its event loop, and requests left unfinished

An upgrade in place of a stream agent rests in the same call, without any line. Change: 'ended, workers_ms= http_ms= unfinished_requests=' (packet programs), 'operators' HTTP endpoint stopped, took_ms= unfinished_requests=' (stream daemons); http_endpoint::stop() returns how many connections it closed within a request. No logic changes.

--- a/src/include/citroncrank/http_endpoint.h
+++ b/src/include/citroncrank/http_endpoint.h
@@ -91,8 +91,9 @@
     host_address address() const;
 
     /// Stops listening, closes idle connections, completes requests that have been received at least in part, closes
-    /// their connections after stopTimeout and joins the thread. Must not be called from a handler.
-    void stop();
+    /// their connections after stopTimeout and joins the thread. Returns how many were closed so. Must not be called from
+    /// a handler.
+    std::size_t stop();
 
 private:
     std::unique_ptr<http_server> m_server;
--- a/src/include/citroncrank/node_process.h
+++ b/src/include/citroncrank/node_process.h
@@ -62,7 +62,8 @@
     void recordDecision(const flow_id &flow, trail_entry entry);
     /// Handles the events that are in the ring, without waiting for more.
     void dispatchPendingEvents(time_point now);
-    void stopEndpoint() { m_endpoint.reset(); }
+    /// Stops the operators' HTTP endpoint, and logs how long that took.
+    void stopEndpoint();
     void restartEndpoint();
 
     node_settings m_settings;
--- a/src/include/citroncrank/packet_node.h
+++ b/src/include/citroncrank/packet_node.h
@@ -54,6 +54,9 @@
     virtual void flush();
 
     void log(log_class kind, const std::string &text);
+    /// Stops the endpoint and logs how long the process has taken to end since its loop did. Packets that arrive in that
+    /// time are lost.
+    void endEndpoint(http_endpoint *endpoint, time_point loopEndedAt);
     /// Publishes the refused openings by cause.
     void setRefusalCounts(const refusal_counts &counts);
     /// Thread-safe log function for the store workers.
--- a/src/libpacketnode/packet_agent_node.cpp
+++ b/src/libpacketnode/packet_agent_node.cpp
@@ -126,6 +126,7 @@
     m_timers.push_back(m_loop.timers().subscribe(kAgentTick, [this](time_point now) { tick(now); }));
     tick(monotonicNow());
     m_loop.run();
+    const time_point loopEndedAt = monotonicNow();
     // Announcements that wait for the loop, and later ones, are answered at once: their upstream repeats them to the next
     // start of the agent.
     m_calls.close();
@@ -139,7 +140,7 @@
     m_snapshots.stop();
     if (m_core.state() == agent_state::left && m_nodeRegistry.removeOwnEntry())
         m_snapshots.removeOwnSnapshot();
-    m_http.stop();
+    endEndpoint(&m_http, loopEndedAt);
 }
 
 // After a power loss an agent may start on a host whose upstream does not run. Without this probe the agent would learn
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -129,12 +129,13 @@
     m_timers.push_back(m_loop.timers().subscribe(kBalancerTick, [this](time_point now) { tick(now); }));
     tick(monotonicNow());
     m_loop.run();
+    const time_point loopEndedAt = monotonicNow();
     log(log_class::lifecycle, absl::StrCat("stopped, flows=", m_core.flowCount()));
     m_routesWorker.stop();
     m_evacuations.stop();
     m_nodeRegistry.stop();
     m_peerRoutes.stop();
-    m_http.stop();
+    endEndpoint(&m_http, loopEndedAt);
 }
 
 void packet_balancer_node::applySettings(const settings_values &values)
--- a/src/libpacketnode/packet_node.cpp
+++ b/src/libpacketnode/packet_node.cpp
@@ -109,6 +109,15 @@
     m_log.write(std::size_t(kind), text);
 }
 
+void packet_node::endEndpoint(http_endpoint *endpoint, time_point loopEndedAt)
+{
+    const time_point workersEndedAt = monotonicNow();
+    const std::size_t unfinished = endpoint->stop();
+    log(log_class::lifecycle, absl::StrCat("ended, workers_ms=", wholeMilliseconds(workersEndedAt - loopEndedAt),
+                                           " http_ms=", wholeMilliseconds(monotonicNow() - workersEndedAt),
+                                           " unfinished_requests=", unfinished));
+}
+
 store_era packet_node::storeEra()
 {
     const store_era latest = m_storeEras->latest();
--- a/src/libruntime/http_endpoint.cpp
+++ b/src/libruntime/http_endpoint.cpp
@@ -82,15 +82,16 @@
         return std::nullopt;
     }
 
-    void stop()
+    std::size_t stop()
     {
         if (!m_thread.joinable())
-            return;
+            return 0;
         asio::post(m_loop, [this] { closeAll(); });
         // A client that has gone silent in the middle of a request would delay the end of the process.
         if (m_ended.get_future().wait_for(m_context.settings.stopTimeout) == std::future_status::timeout)
             asio::post(m_loop, [this] { abortAll(); });
         m_thread.join();
+        return m_abortedSessions;
     }
 
 private:
@@ -189,8 +190,10 @@
     void abortAll()
     {
         for (const auto &weak : m_sessions) {
-            if (const auto session = weak.lock())
+            if (const auto session = weak.lock()) {
                 session->abort();
+                ++m_abortedSessions;
+            }
         }
     }
 
@@ -202,6 +205,7 @@
     asio::io_context m_loop{1};
     std::vector<std::unique_ptr<listener>> m_listeners;
     std::vector<std::weak_ptr<http_session>> m_sessions;
+    std::size_t m_abortedSessions = 0; ///< Used by m_thread, and once it has ended.
     std::promise<void> m_ended;
     std::thread m_thread;
 };
@@ -233,9 +237,9 @@
     return m_server->address();
 }
 
-void http_endpoint::stop()
+std::size_t http_endpoint::stop()
 {
-    m_server->stop();
+    return m_server->stop();
 }
 
 } // namespace citroncrank
--- a/src/libruntime/http_endpoint_test.cpp
+++ b/src/libruntime/http_endpoint_test.cpp
@@ -242,7 +242,8 @@
     late.send(head + "ab");
     EXPECT_TRUE(startsWith(get("/health"), "200")) << "the parts before have been received";
     const auto begin = std::chrono::steady_clock::now();
-    std::thread stopper([this] { endpoint->stop(); });
+    std::size_t unfinished = 0;
+    std::thread stopper([&] { unfinished = endpoint->stop(); });
     std::this_thread::sleep_for(kStopTimeout / 3);
     late.send("cd");
     EXPECT_TRUE(late.readUntilClosed().ends_with("/echo||abcd"));
@@ -251,6 +252,7 @@
     EXPECT_GE(taken, kStopTimeout);
     EXPECT_LT(taken, std::chrono::seconds(10));
     EXPECT_EQ(silent.readUntilClosed(), "");
+    EXPECT_EQ(unfinished, 1);
 }
 
 // Guards against requests that are lost when the endpoint stops under load: while it serves another request, their
--- a/src/libstreamnode/node_process.cpp
+++ b/src/libstreamnode/node_process.cpp
@@ -124,7 +124,7 @@
         }
         handleEvents(now);
     }
-    m_endpoint.reset();
+    stopEndpoint();
     m_fleet.reset();
     m_network.stop();
     m_log.info("stopped");
@@ -145,6 +145,15 @@
     dispatchEvents(now);
 }
 
+void node_process::stopEndpoint()
+{
+    const auto begin = monotonicNow();
+    const std::size_t unfinished = m_endpoint->stop();
+    m_endpoint.reset();
+    m_log.info(absl::StrCat("operators' HTTP endpoint stopped, took_ms=", wholeMilliseconds(monotonicNow() - begin),
+                            " unfinished_requests=", unfinished));
+}
+
 void node_process::restartEndpoint()
 {
     std::error_code reason;
