http endpoint: each stop is bounded by 0.2 s, also of the stream daemons

Callers would see: all streams of an agent rest for up to 10 s during an upgrade in place, and a process that does not end, while one operator's request to its HTTP endpoint has been received in part. Cause: the end of one thing waits for another party, with the read's time-out of 10 s as the only bound. Change: the default is 0.2 s, so that no user of the endpoint is without it; the packet programs' own constant has left. Two tests that are about completing requests keep the 30 s that they had.

--- a/src/include/citroncrank/http_endpoint.h
+++ b/src/include/citroncrank/http_endpoint.h
@@ -54,8 +54,9 @@
     std::size_t maxBodyBytes = 1024 * 1024;        ///< Larger bodies result in status 413.
     std::size_t maxConnections = 64;               ///< Connections above the limit are closed at once and counted.
     duration timeout = std::chrono::seconds(10);   ///< For receiving a request, for sending a response, and while idle.
-    /// How long stop() waits for requests that have been received at least in part, and for their responses.
-    duration stopTimeout = std::chrono::seconds(30);
+    /// How long stop() waits for requests that have been received at least in part, and for their responses. Its caller
+    /// carries no traffic meanwhile, so this is far below the silence that other nodes bear (0.7 s).
+    duration stopTimeout = std::chrono::milliseconds(200);
 };
 
 /// Why the endpoint cannot listen.
--- a/src/include/citroncrank/packet_node.h
+++ b/src/include/citroncrank/packet_node.h
@@ -25,9 +25,6 @@
 
 namespace citroncrank {
 
-/// How long a packet program that stops waits for a request which it has received in part. It carries no packets meanwhile.
-constexpr duration kHttpStopTimeout = std::chrono::milliseconds(200);
-
 /// Base of the two packet programs. Derived classes own the decision core, which is used only in the loop's thread.
 class packet_node
 {
--- a/src/libpacketnode/packet_agent_node.cpp
+++ b/src/libpacketnode/packet_agent_node.cpp
@@ -60,10 +60,8 @@
     , m_core(coreSettings(m_fileSettings, m_incarnation), platform::decodePacketHeader, platform::readRequestHead,
              monotonicNow())
     , m_calls([this](std::function<void()> work) { return m_loop.post(std::move(work)); })
-    , m_http({.address = m_fileSettings.announcements,
-              .additionalAddresses = {m_settings.http},
-              .stopTimeout = kHttpStopTimeout},
-             m_metrics, [] { return std::vector<std::string>(); })
+    , m_http({.address = m_fileSettings.announcements, .additionalAddresses = {m_settings.http}}, m_metrics,
+             [] { return std::vector<std::string>(); })
     , m_nodeRegistry(storeAccess(), m_settings.name, makeOwnEntry(m_fileSettings), false,
                      [this](const std::vector<listed_node> &nodes) {
                          std::vector<host_address> balancers;
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -53,8 +53,7 @@
     : packet_node(std::move(settingsFile), "balancer")
     , m_fileSettings(parsePacketBalancerNodeSettings(m_settingsFile.values()))
     , m_core(coreSettings(m_fileSettings, m_incarnation), platform::decodePacketHeader, monotonicNow())
-    , m_http({.address = m_settings.http, .stopTimeout = kHttpStopTimeout}, m_metrics,
-             [this] { return notReadyReasons(); })
+    , m_http({.address = m_settings.http}, m_metrics, [this] { return notReadyReasons(); })
     , m_routesWorker(
           storeAccess(),
           [this](std::shared_ptr<const route_set> routes, std::string text) {
--- a/src/libruntime/http_endpoint_test.cpp
+++ b/src/libruntime/http_endpoint_test.cpp
@@ -21,6 +21,8 @@
 namespace asio = boost::asio;
 
 constexpr std::uint32_t kLoopback = 0x7F000001;
+// For requests that are completed however busy the machine is.
+constexpr std::chrono::seconds kUnlimitedStopTimeout{30};
 
 // HTTP client that sends raw bytes.
 class raw_caller
@@ -210,7 +212,9 @@
 {
     std::promise<void> entered;
     std::promise<void> release;
-    http_endpoint slow({.address = {kLoopback, 0}, .timeout = std::chrono::minutes(5)}, registry, {});
+    http_endpoint slow(
+        {.address = {kLoopback, 0}, .timeout = std::chrono::minutes(5), .stopTimeout = kUnlimitedStopTimeout}, registry,
+        {});
     slow.handle("GET", "/slow", [&entered, &release](const http_request &) {
         entered.set_value();
         release.get_future().wait();
@@ -262,7 +266,7 @@
     constexpr int kWaiting = 8;
     std::promise<void> entered;
     std::promise<void> release;
-    http_endpoint busy({.address = {kLoopback, 0}}, registry, {});
+    http_endpoint busy({.address = {kLoopback, 0}, .stopTimeout = kUnlimitedStopTimeout}, registry, {});
     busy.handle("GET", "/slow", [&](const http_request &) {
         entered.set_value();
         release.get_future().wait();
