stream daemons: operators' requests do not hold up an upgrade in place or an end

Callers would see: all streams of an agent rest for seconds, once for a minute, during an upgrade in place while operators ask for /status. Requests that come meanwhile wait one after the other, so the bound of the endpoint's stop does not help. A request that was refused so is not handled after an upgrade that has failed.

--- a/src/include/citroncrank/loop_call_gate.h
+++ b/src/include/citroncrank/loop_call_gate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Calls from other threads into the thread of an event loop, which end when the loop does.
+/// Calls from other threads into the thread of an event loop, which fail at once while the loop does not run.
 
 #include "citroncrank/time.h"
 
@@ -18,11 +18,11 @@
 enum class loop_call_failure : std::uint8_t {
     none,
     overloaded, ///< The loop did not run the call in time, or its queue is full.
-    stopping    ///< The loop has ended.
+    stopping    ///< The loop has ended, or rests for an upgrade.
 };
 
 /// Runs functions in the loop's thread for threads that wait for them. close() fails the calls that wait, since a loop
-/// that has ended runs none of them. Thread safe.
+/// that does not run executes none of them. Thread safe.
 class loop_call_gate
 {
 public:
@@ -36,14 +36,20 @@
     /// Runs `work` in the loop's thread and waits until it has returned, for `timeout` at most. After a timeout the loop may
     /// still run `work`, so it must own what it uses.
     loop_call_failure call(std::function<void()> work, duration timeout);
-    /// Fails all calls from now on. Call it in the loop's thread, or after the loop has ended.
+    /// Fails the calls that wait, and later ones until open(). The loop does not run the failed ones any more. Call it in
+    /// the loop's thread, or after the loop has ended.
     void close();
+    /// Admits calls again.
+    void open();
 
 private:
+    enum class call_phase : std::uint8_t { waiting, done, abandoned };
+
     poster m_post;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     bool m_isClosed = false;
+    std::uint64_t m_closings = 0; ///< A call that misses close() and open() would wait for its time-out.
 };
 
 } // namespace citroncrank
--- a/src/include/citroncrank/operator_api.h
+++ b/src/include/citroncrank/operator_api.h
@@ -6,11 +6,10 @@
 #include "citroncrank/bounded_ring.h"
 #include "citroncrank/decision_trail.h"
 #include "citroncrank/fleet_node.h"
+#include "citroncrank/loop_call_gate.h"
 
 #include <boost/json/value.hpp>
 #include <functional>
-#include <future>
-#include <memory>
 #include <string>
 
 namespace citroncrank {
@@ -26,23 +25,31 @@
     std::string method;
     std::string path; ///< Without the query.
     std::string body;
-    std::shared_ptr<std::promise<operator_reply>> reply;
 };
 
 /// Queues requests of HTTP threads for the decision thread.
 class operator_requests
 {
 public:
-    /// `wake` is called when a request is queued; it must be cheap and thread safe.
-    explicit operator_requests(std::function<void()> wake);
+    using request_handler = std::function<operator_reply(const operator_request &)>;
 
-    /// Queues a request and waits for the decision thread's reply. Replies 503 after 2 s or when the queue is full.
-    operator_reply submit(std::string method, std::string path, std::string body);
-    /// Called by the decision thread: answers all queued requests with `handler`.
-    void serve(const std::function<operator_reply(const operator_request &)> &handler);
+    /// `wake` is called when a request is queued; it must be cheap and thread safe. `handle` is called in serve().
+    operator_requests(std::function<void()> wake, request_handler handle);
+
+    /// Queues a request and waits for the decision thread's reply. Replies 503 after 2 s, when the queue is full, and while
+    /// closed.
+    operator_reply submit(operator_request request);
+    /// Called by the decision thread: answers all queued requests.
+    void serve();
+    /// Called by the decision thread before it stops to call serve(): replies 503 to the requests that wait, and to later
+    /// ones until open().
+    void close() { m_calls.close(); }
+    void open() { m_calls.open(); }
 
 private:
-    bounded_ring<operator_request> m_ring{64};
+    request_handler m_handle;
+    bounded_ring<std::function<void()>> m_ring{64};
+    loop_call_gate m_calls;
 };
 
 /// Error reply with a JSON body.
--- a/src/libstreamnode/node_process.cpp
+++ b/src/libstreamnode/node_process.cpp
@@ -47,7 +47,8 @@
     , m_network(netSettings(m_settings))
     , m_trail(kTrailCapacity)
     , m_log(component)
-    , m_operators([this] { m_network.events().tryPush(wake_up{}); })
+    , m_operators([this] { m_network.events().tryPush(wake_up{}); },
+                  [this](const operator_request &request) { return answerOperator(request, monotonicNow()); })
 {
     m_local.name = m_settings.name;
     m_local.region = m_settings.region;
@@ -79,7 +80,7 @@
         return m_notReadyReasons;
     });
     const auto submit = [this](const http_request &request) {
-        auto reply = m_operators.submit(request.method, request.path, request.body);
+        auto reply = m_operators.submit({request.method, request.path, request.body});
         return http_reply{reply.status, "application/json", std::move(reply.body), {}};
     };
     for (const char *path : {"/status", "/explain", "/flows"})
@@ -145,9 +146,11 @@
     dispatchEvents(now);
 }
 
+// The endpoint's thread may wait for replies of this thread, which gives none meanwhile.
 void node_process::stopEndpoint()
 {
     const auto begin = monotonicNow();
+    m_operators.close();
     const std::size_t unfinished = m_endpoint->stop();
     m_endpoint.reset();
     m_log.info(absl::StrCat("operators' HTTP endpoint stopped, took_ms=", wholeMilliseconds(monotonicNow() - begin),
@@ -156,6 +159,7 @@
 
 void node_process::restartEndpoint()
 {
+    m_operators.open();
     std::error_code reason;
     if (!startEndpoint(&reason))
         m_log.error(absl::StrCat("cannot restart the operators' HTTP endpoint: ", reason.message()));
@@ -171,7 +175,7 @@
     onTick(wakeTime);
     applyFleetChanges(wakeTime);
     m_timers.runDue(wakeTime);
-    m_operators.serve([this, wakeTime](const operator_request &request) { return answerOperator(request, wakeTime); });
+    m_operators.serve();
     runActions(wakeTime);
     publishReadiness();
     afterEvents(wakeTime);
--- a/src/libstreamnode/operator_api.cpp
+++ b/src/libstreamnode/operator_api.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/json/serialize.hpp>
 #include <chrono>
+#include <memory>
 
 namespace citroncrank {
 
@@ -59,28 +60,35 @@
 
 } // namespace
 
-operator_requests::operator_requests(std::function<void()> wake)
+operator_requests::operator_requests(std::function<void()> wake, request_handler handle)
+    : m_handle(std::move(handle))
+    , m_calls([this](std::function<void()> work) { return m_ring.tryPush(std::move(work)); })
 {
     m_ring.setNotify(std::move(wake));
 }
 
-operator_reply operator_requests::submit(std::string method, std::string path, std::string body)
+operator_reply operator_requests::submit(operator_request request)
 {
-    auto promise = std::make_shared<std::promise<operator_reply>>();
-    auto answer = promise->get_future();
-    if (!m_ring.tryPush({std::move(method), std::move(path), std::move(body), promise}))
-        return errorReply(503, "unavailable", "the queue of operator requests is full");
-    if (answer.wait_for(kReplyTimeout) != std::future_status::ready)
-        return errorReply(503, "unavailable", "the decision thread did not reply within 2 s");
-    return answer.get();
+    const auto reply = std::make_shared<operator_reply>();
+    const loop_call_failure failure =
+        m_calls.call([this, request = std::move(request), reply] { *reply = m_handle(request); }, kReplyTimeout);
+    switch (failure) {
+    case loop_call_failure::none:
+        return *reply;
+    case loop_call_failure::stopping:
+        return errorReply(503, "unavailable", "the process ends or is being upgraded");
+    case loop_call_failure::overloaded:
+        break;
+    }
+    return errorReply(503, "unavailable", "the decision thread did not reply within 2 s, or has too many requests");
 }
 
-void operator_requests::serve(const std::function<operator_reply(const operator_request &)> &handler)
+void operator_requests::serve()
 {
-    std::vector<operator_request> waiting;
+    std::vector<std::function<void()>> waiting;
     m_ring.drain(&waiting, time_point());
     for (const auto &request : waiting)
-        request.reply->set_value(handler(request));
+        request();
 }
 
 operator_reply errorReply(int status, const std::string &code, const std::string &message)
