agent: a SIGTERM that comes during an upgrade in place is not lost

Cause: the signal sets a flag of the program that is about to be replaced; the new program starts without it. A POST /upgrade during a graceful shutdown lost it in the same way. Change: the upgrade is given up if SIGTERM has come by the time the program would be replaced, POST /upgrade answers 503 after it. The operators' endpoint, which may take 0.2 s, is stopped before that check. Before: e2e_silent-operator, 'a2 to end after a SIGTERM during its upgrade' timed out after 20 s. After: passed; e2e_agent-upgrade and e2e_graceful-stop pass. What remains: a signal within the few system calls before execve, and one before the new program has installed its handlers, which ends it (as at any start).

--- a/src/citroncrank-agent/agent_process.cpp
+++ b/src/citroncrank-agent/agent_process.cpp
@@ -362,6 +362,8 @@
         return jsonReply(boost::json::object{{"state", "draining"}, {"open_flows", m_core->boundFlows()}});
     }
     if (request.method == "POST" && request.path == "/upgrade") {
+        if (isStopRequested())
+            return errorReply(503, "unavailable", "the process is stopping");
         m_upgradeRequested = true;
         return {202, R"({"upgrade":"started"})"};
     }
--- a/src/citroncrank-agent/agent_upgrade.cpp
+++ b/src/citroncrank-agent/agent_upgrade.cpp
@@ -23,6 +23,7 @@
     upgrade(now);
 }
 
+// The new program would not know of a SIGTERM that this one has received, and would not end.
 void agent_process::upgrade(time_point now)
 {
     m_log.info(absl::StrCat("upgrade in place begins, open_flows=", m_core->boundFlows()));
@@ -36,13 +37,13 @@
     std::vector<int> streams;
     for (const auto &item : state.streams)
         streams.push_back(item.stream.descriptor);
-    std::error_code reason;
-    const auto pipes = writeToPipes(encodeUpgradeState(state), &reason);
-    if (pipes) {
-        stopEndpoint();
-        reason = replaceProgram(m_options.program, m_options.settingsFile, *pipes, streams);
-        restartEndpoint();
+    stopEndpoint();
+    std::error_code reason = std::make_error_code(std::errc::operation_canceled);
+    if (!isStopRequested()) {
+        if (const auto pipes = writeToPipes(encodeUpgradeState(state), &reason))
+            reason = replaceProgram(m_options.program, m_options.settingsFile, *pipes, streams);
     }
+    restartEndpoint();
     m_log.error(absl::StrCat("upgrade failed, going on with the present program: ", reason.message()));
     m_network.resume();
 }
--- a/src/include/citroncrank/node_process.h
+++ b/src/include/citroncrank/node_process.h
@@ -99,5 +99,7 @@
 
 /// Installs the signal handlers of a daemon: SIGTERM and SIGINT set the returned flag, SIGPIPE is ignored.
 const std::atomic<bool> &stopOnSignals();
+/// Whether SIGTERM or SIGINT has arrived.
+bool isStopRequested();
 
 } // namespace citroncrank
--- a/src/libstreamnode/node_process.cpp
+++ b/src/libstreamnode/node_process.cpp
@@ -41,6 +41,11 @@
     return stopFlag();
 }
 
+bool isStopRequested()
+{
+    return stopFlag();
+}
+
 node_process::node_process(node_settings settings, member_record local, const std::string &component)
     : m_settings(std::move(settings))
     , m_local(std::move(local))
