balancer: its threads end together, and the longest end is below the margin that is kept for it

Change: worker_thread::requestStop(); both threads are asked before one is joined; the sum is checked when it is compiled.

--- a/src/include/citroncrank/http_endpoint.h
+++ b/src/include/citroncrank/http_endpoint.h
@@ -45,6 +45,10 @@
 /// Returns why the process is not ready; empty means ready. Called in the endpoint's thread.
 using readiness_check = std::function<std::vector<std::string>()>;
 
+/// Default of http_endpoint_settings::stopTimeout. The caller of stop() carries no traffic meanwhile, so this is far below
+/// the silence that other nodes bear (0.7 s).
+constexpr duration kHttpStopTimeout = std::chrono::milliseconds(200);
+
 /// Limits of an endpoint.
 struct http_endpoint_settings
 {
@@ -54,9 +58,8 @@
     std::size_t maxBodyBytes = 1024 * 1024;        ///< Larger bodies result in status 413.
     std::size_t maxConnections = 64;               ///< Connections above the limit are closed at once and counted.
     duration timeout = std::chrono::seconds(10);   ///< For receiving a request, for sending a response, and while idle.
-    /// How long stop() waits for requests that have been received at least in part, and for their responses. Its caller
-    /// carries no traffic meanwhile, so this is far below the silence that other nodes bear (0.7 s).
-    duration stopTimeout = std::chrono::milliseconds(200);
+    /// How long stop() waits for requests that have been received at least in part, and for their responses.
+    duration stopTimeout = kHttpStopTimeout;
 };
 
 /// Why the endpoint cannot listen.
--- a/src/include/citroncrank/packet_balancer_node.h
+++ b/src/include/citroncrank/packet_balancer_node.h
@@ -39,6 +39,7 @@
     void updateWatch(time_point now);
     void beginStop();
     bool isDoneStopping(time_point now) const;
+    void stopWorkers();
     std::vector<std::string> notReadyReasons() const;
     peer_routes_access peerRoutesAccess();
     std::optional<routes_source> newerRoutes() const;
--- a/src/include/citroncrank/routes_worker.h
+++ b/src/include/citroncrank/routes_worker.h
@@ -21,6 +21,9 @@
 /// another time.
 constexpr std::chrono::milliseconds kDefaultConfigurationTime{3000};
 
+/// Deadline of a call that reads routes from another balancer. A stop does not interrupt it.
+constexpr std::chrono::milliseconds kPeerCallDeadline{500};
+
 /// How the workers read routes from other balancers.
 struct peer_routes_access
 {
--- a/src/include/citroncrank/worker_thread.h
+++ b/src/include/citroncrank/worker_thread.h
@@ -23,7 +23,10 @@
     worker_thread &operator=(const worker_thread &) = delete;
 
     void start();
-    /// Interrupts the step in progress, if it can be interrupted, and joins the thread.
+    /// Makes the thread end after the step in progress, and interrupts that step if it can be interrupted. Does not wait,
+    /// so that several threads end at the same time.
+    void requestStop();
+    /// Requests the stop and joins the thread.
     void stop();
     /// Ends the current pause, or skips the next one if a step is in progress. Thread safe.
     void wake();
@@ -31,7 +34,7 @@
 protected:
     /// Returns how long to pause before the next step, or nullopt when the work is done.
     virtual std::optional<duration> step() = 0;
-    /// Ends a step that waits for another process. Called in the thread that calls stop().
+    /// Ends a step that waits for another process. Called in the thread that calls requestStop().
     virtual void interrupt() {}
 
 private:
--- a/src/libpacketnode/packet_agent_stop_test.cpp
+++ b/src/libpacketnode/packet_agent_stop_test.cpp
@@ -1,23 +1,15 @@
-#include "citroncrank/event_loop.h"
 #include "citroncrank/http_connection.h"
 #include "citroncrank/packet_agent_node.h"
 #include "citroncrank/packet_node_settings.h"
 
 #include "names.h"
+#include "node_stop_fixture_test.h"
 
 #include <atomic>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <chrono>
-#include <csignal>
-#include <filesystem>
-#include <fstream>
 #include <gtest/gtest.h>
-#include <iostream>
-#include <memory>
+#include <string>
 #include <thread>
-#include <unistd.h>
 #include <vector>
 
 using namespace citroncrank;
@@ -47,41 +39,10 @@
 constexpr duration kMaxStopTime = milliseconds(750);
 
 /// An agent without an upstream.
-class PacketAgentStop : public ::testing::Test
+class PacketAgentStop : public node_stop_fixture<packet_agent_node>
 {
 protected:
-    void SetUp() override
-    {
-        event_loop::installSignalHandlers();
-        const std::filesystem::path file =
-            std::filesystem::temp_directory_path() / ("packet-agent-stop-test-" + std::to_string(::getpid()) + ".yaml");
-        std::ofstream(file) << kSettings;
-        std::vector<settings_fault> faults;
-        auto settings = settings_watch::open(file.string(), packetAgentTable(), &faults);
-        std::filesystem::remove(file);
-        ASSERT_TRUE(settings) << faults.size() << " faults";
-        m_node = std::make_unique<packet_agent_node>(std::move(*settings));
-        std::error_code reason;
-        ASSERT_TRUE(m_node->listen(&reason)) << reason.message();
-    }
-
-    /// Runs the agent and returns the time between SIGTERM and its end.
-    duration runUntilStopped()
-    {
-        std::atomic<time_point> stoppedAt{};
-        std::thread stopper([&] {
-            std::this_thread::sleep_for(milliseconds(300));
-            stoppedAt = monotonicNow();
-            std::raise(SIGTERM);
-        });
-        m_node->run();
-        const duration stopTime = monotonicNow() - stoppedAt.load();
-        stopper.join();
-        std::cout << "stop_ms=" << wholeMilliseconds(stopTime) << "\n";
-        return stopTime;
-    }
-
-    std::unique_ptr<packet_agent_node> m_node;
+    void SetUp() override { openNode(kSettings, packetAgentTable()); }
 };
 
 } // namespace
@@ -116,14 +77,10 @@
 // an announcement (review/7): its flows were reset while their upstream served.
 TEST_F(PacketAgentStop, AHalfReceivedAnnouncementDoesNotDelayIt)
 {
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::socket silent(context);
-    const host_address address = *parseHostAddress(kAnnouncements);
-    silent.connect({boost::asio::ip::address_v4(address.ip), address.port});
     const std::string body = kAnnouncement;
-    const std::string request = std::string("POST ") + platform::kAnnouncementPath
-                                + "/i-1 HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size())
-                                + "\r\n\r\n" + body.substr(0, body.size() / 2);
-    boost::asio::write(silent, boost::asio::buffer(request));
+    const silent_client silent(kAnnouncements,
+                               std::string("POST ") + platform::kAnnouncementPath
+                                   + "/i-1 HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size())
+                                   + "\r\n\r\n" + body.substr(0, body.size() / 2));
     EXPECT_LT(runUntilStopped(), kMaxStopTime);
 }
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -26,6 +26,7 @@
 constexpr duration kFetchPeriod = milliseconds(100);
 // Part of the stop time that is reserved for the end of the process itself.
 constexpr duration kStopMargin = milliseconds(1000);
+static_assert(kBalancerTick + kPeerCallDeadline + kHttpStopTimeout < kStopMargin);
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusUnavailable = 503;
 
@@ -130,11 +131,19 @@
     m_loop.run();
     const time_point loopEndedAt = monotonicNow();
     log(log_class::lifecycle, absl::StrCat("stopped, flows=", m_core.flowCount()));
-    m_routesWorker.stop();
+    stopWorkers();
+    endEndpoint(&m_http, loopEndedAt);
+}
+
+// One after the other, two of them could each wait for a balancer that does not answer.
+void packet_balancer_node::stopWorkers()
+{
+    m_routesWorker.requestStop();
+    m_peerRoutes.requestStop();
     m_evacuations.stop();
     m_nodeRegistry.stop();
+    m_routesWorker.stop();
     m_peerRoutes.stop();
-    endEndpoint(&m_http, loopEndedAt);
 }
 
 void packet_balancer_node::applySettings(const settings_values &values)
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -29,7 +29,6 @@
 constexpr duration kPeerCheckPeriod = milliseconds(250);
 // Gives the own watch time to return a new version before it is fetched from another balancer.
 constexpr duration kPeerDelay = milliseconds(300);
-constexpr milliseconds kPeerCallDeadline{500};
 constexpr const char *kRoutesPath = "/routes";
 
 std::optional<std::string> fetchRoutes(const host_address &peer)
--- a/src/libpacketnode/worker_thread.cpp
+++ b/src/libpacketnode/worker_thread.cpp
@@ -20,7 +20,7 @@
     m_thread = std::thread([this] { run(); });
 }
 
-void worker_thread::stop()
+void worker_thread::requestStop()
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -28,6 +28,11 @@
     }
     m_wake.notify_all();
     interrupt();
+}
+
+void worker_thread::stop()
+{
+    requestStop();
     if (m_thread.joinable())
         m_thread.join();
 }
