--- a/src/libstreamnode/operator_api_test.cpp
+++ b/src/libstreamnode/operator_api_test.cpp
@@ -23,28 +23,28 @@
 protected:
     std::future<operator_reply> submitInThread()
     {
-        return std::async(std::launch::async, [this] { return requests.submit({"GET", "/status", ""}); });
+        return std::async(std::launch::async, [this] { return m_requests.submit({"GET", "/status", ""}); });
     }
     void awaitQueued(int count)
     {
-        while (queued < count)
+        while (m_queued < count)
             std::this_thread::sleep_for(milliseconds(1));
     }
 
-    std::atomic<int> queued = 0;
-    int handled = 0;
-    operator_requests requests{[this] { ++queued; },
-                               [this](const operator_request &request) {
-                                   ++handled;
-                                   return operator_reply{200, request.path};
-                               }};
+    std::atomic<int> m_queued = 0;
+    int m_handled = 0;
+    operator_requests m_requests{[this] { ++m_queued; },
+                                 [this](const operator_request &request) {
+                                     ++m_handled;
+                                     return operator_reply{200, request.path};
+                                 }};
 };
 
 TEST_F(OperatorRequests, ARequestIsAnsweredByServe)
 {
     auto reply = submitInThread();
     awaitQueued(1);
-    requests.serve();
+    m_requests.serve();
     const operator_reply answered = reply.get();
     EXPECT_EQ(answered.status, 200);
     EXPECT_EQ(answered.body, "/status");
@@ -57,9 +57,9 @@
     auto reply = submitInThread();
     awaitQueued(1);
     const time_point begin = monotonicNow();
-    requests.close();
+    m_requests.close();
     EXPECT_EQ(reply.get().status, 503);
-    EXPECT_EQ(requests.submit({"GET", "/status", ""}).status, 503);
+    EXPECT_EQ(m_requests.submit({"GET", "/status", ""}).status, 503);
     EXPECT_LT(monotonicNow() - begin, kBound);
 }
 
@@ -68,16 +68,16 @@
 {
     auto refused = submitInThread();
     awaitQueued(1);
-    requests.close();
+    m_requests.close();
     EXPECT_EQ(refused.get().status, 503);
-    requests.open();
-    requests.serve();
-    EXPECT_EQ(handled, 0);
+    m_requests.open();
+    m_requests.serve();
+    EXPECT_EQ(m_handled, 0);
     auto reply = submitInThread();
     awaitQueued(2);
-    requests.serve();
+    m_requests.serve();
     EXPECT_EQ(reply.get().status, 200);
-    EXPECT_EQ(handled, 1);
+    EXPECT_EQ(m_handled, 1);
 }
 
 } // namespace
