operators' requests: a full queue and a late reply are told apart again

Change: loop_call_failure::queue_full. The comment on kPlannedRestartTimeout names the present wait of the HTTP endpoint. operator_api_test, loop_call_gate_test, packet_agent_stop_test pass.

--- a/src/include/citroncrank/loop_call_gate.h
+++ b/src/include/citroncrank/loop_call_gate.h
@@ -17,7 +17,8 @@
 /// Why a call has no result.
 enum class loop_call_failure : std::uint8_t {
     none,
-    overloaded, ///< The loop did not run the call in time, or its queue is full.
+    queue_full, ///< The loop's queue is full.
+    overloaded, ///< The loop did not run the call in time.
     stopping    ///< The loop has ended, or rests for an upgrade.
 };
 
--- a/src/libpacket/agent_directory.cpp
+++ b/src/libpacket/agent_directory.cpp
@@ -21,8 +21,8 @@
 // A restarting agent reports again sooner than this. An agent that is silent for longer does not serve its flows, so it
 // no longer keeps them from being reset.
 constexpr duration kOwnerSilenceTimeout = std::chrono::milliseconds(1500);
-// An agent that announced its restart answers requests in progress, may wait for its own HTTP endpoint (0.8 s) and starts
-// again. Together that can exceed kOwnerSilenceTimeout.
+// An agent that announced its restart falls silent once its requests in progress are answered. It may wait for its HTTP
+// endpoint (kHttpStopTimeout), is started again and reports. Together that can exceed kOwnerSilenceTimeout.
 constexpr duration kPlannedRestartTimeout = 2 * kOwnerSilenceTimeout;
 // Overdue reports and unanswered queries together. At 5 % loss, that many messages of a running agent are lost in a row
 // once in three million cases.
--- a/src/libruntime/loop_call_gate.cpp
+++ b/src/libruntime/loop_call_gate.cpp
@@ -21,7 +21,7 @@
         m_changed.notify_all();
     });
     if (!isPosted)
-        return loop_call_failure::overloaded;
+        return loop_call_failure::queue_full;
     lock.lock();
     const auto isClosed = [&] { return m_closings != closings; };
     m_changed.wait_for(lock, timeout, [&] { return *phase == call_phase::done || isClosed(); });
--- a/src/libstreamnode/operator_api.cpp
+++ b/src/libstreamnode/operator_api.cpp
@@ -77,10 +77,12 @@
         return *reply;
     case loop_call_failure::stopping:
         return errorReply(503, "unavailable", "the process ends or is being upgraded");
+    case loop_call_failure::queue_full:
+        return errorReply(503, "unavailable", "the queue of operator requests is full");
     case loop_call_failure::overloaded:
         break;
     }
-    return errorReply(503, "unavailable", "the decision thread did not reply within 2 s, or has too many requests");
+    return errorReply(503, "unavailable", "the decision thread did not reply within 2 s");
 }
 
 void operator_requests::serve()
