--- a/src/soak/soak_fleet.cpp
+++ b/src/soak/soak_fleet.cpp
@@ -150,7 +150,7 @@
                          absl::StrCat(own, ":", kUpstreamPort), "--agent-packets",
                          absl::StrCat(own, ":", kUpstreamPacketsPort), "--announce-to",
                          absl::StrCat(own, ":", kAnnouncementPort), "--service", serviceOf(index), "--id", id,
-                         "--slots", "2", "--work-ms", "5", "--late-every", "4", "--print-runs"},
+                         "--slots", "2", "--work-ms", "5", "--late-every=4", "--silent-every=5", "--print-runs"},
                         id, lastReason);
 }
 
--- a/src/standin-packet-upstream/main.cpp
+++ b/src/standin-packet-upstream/main.cpp
@@ -30,6 +30,7 @@
     std::uint32_t slots = 2;
     std::uint32_t workMs = 5;
     std::uint32_t lateEvery = 0;
+    std::uint32_t silentEvery = 0;
     bool isPrintingRuns = false;
 };
 
@@ -66,7 +67,8 @@
          .domain = settings.domain,
          .slots = settings.slots,
          .startedAtMs = std::chrono::duration_cast<milliseconds>(wallNow().time_since_epoch()).count(),
-         .lateEvery = settings.lateEvery},
+         .lateEvery = settings.lateEvery,
+         .silentEvery = settings.silentEvery},
         *announcements);
     std::thread announcerThread([&] {
         sender.run();
@@ -118,6 +120,9 @@
     app.add_option("--late-every", settings.lateEvery,
                    "Follow each of this many announcements by late messages of an earlier start; 0: none")
         ->capture_default_str();
+    app.add_option("--silent-every", settings.silentEvery,
+                   "Send each of this many announcements once more in part, on a connection that goes silent; 0: none")
+        ->capture_default_str();
     app.add_flag("--print-runs", settings.isPrintingRuns, "Print the id of each request that it starts");
     CLI11_PARSE(app, argumentCount, arguments);
     return serve(settings);
