balancer: logs tell what bound an opening, and which routes go elsewhere

Change: bound_by= in 'placed flow'; moved= in 'routes in force' (routes that name other services than before, four at most). Not changed: what is decided.

--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -140,7 +140,8 @@
     {
         std::string service;
         std::vector<host_address> agents;
-        bool isTrial = false; ///< The first agent is failing and gets the flow as a trial.
+        bool isTrial = false;      ///< The first agent is failing and gets the flow as a trial.
+        bool isFromRecord = false; ///< The agent is the recorded owner of the flow.
     };
 
     bool isTrialAllowed(const packet_route &route, const std::string &service) const;
--- a/src/include/citroncrank/route_set.h
+++ b/src/include/citroncrank/route_set.h
@@ -8,6 +8,7 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -51,6 +52,12 @@
     const packet_route *find(const host_address &address) const;
 };
 
+/// Routes that are in both versions and name other services, for the log: ` moved=NAME:a+b;NAME:c`, at most
+/// kMaxMovedRoutesLogged of them. Empty if there are none.
+std::string movedRoutesText(const route_set &before, const route_set &after);
+
+constexpr std::size_t kMaxMovedRoutesLogged = 4;
+
 /// Service of a new flow, chosen in proportion to the weights. Every balancer chooses the same service for the same
 /// flow.
 const std::string &chooseService(const packet_route &route, const flow_key &flow);
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -176,9 +176,9 @@
     const agent_record *const agent = m_agents.find(flow.owner);
     takeServiceOfOwner(&flow);
     if (agent != nullptr && m_agents.stateAvailability(*agent, now) < agent_availability::failing)
-        return {flow.service, {flow.owner}};
+        return {flow.service, {flow.owner}, false, true};
     if (agent != nullptr && agent->report.state == agent_state::draining && m_agents.isFresh(*agent, now))
-        return {flow.service, {flow.owner}};
+        return {flow.service, {flow.owner}, false, true};
     return {service, placementCandidates(key, service, std::vector{flow.owner}, now)};
 }
 
@@ -233,7 +233,7 @@
     log(log_class::placement,
         absl::StrCat("placed flow, flow=", toString(flowFromCaller(header)), " copy=", header.acknowledged,
                      " service=", chosen.service, " route=", route.name, " agent=", toString(chosen.agents.front()),
-                     " trial=", chosen.isTrial, " load_percent=", isHeard ? int(100 * expectedLoad(load)) : 0,
+                     " bound_by=", chosen.isFromRecord ? "record" : "routes", " trial=", chosen.isTrial, " load_percent=", isHeard ? int(100 * expectedLoad(load)) : 0,
                      " relative_percent=", int(100 * load.relative), " pace_percent=", int(100 * load.pace),
                      " report_age_ms=", isHeard ? wholeMilliseconds(now - *agent->lastHeardAt) : -1,
                      " routes=", routesVersion()),
@@ -405,7 +405,7 @@
     absl::erase_if(m_droppedRoutes, [this](const host_address &address) { return m_routes->find(address) != nullptr; });
     log(log_class::belief,
         absl::StrCat("routes in force, version=", m_routes->version, " before=", earlier ? earlier->version : 0,
-                     " routes=", m_routes->routes.size()),
+                     " routes=", m_routes->routes.size(), earlier ? movedRoutesText(*earlier, *m_routes) : ""),
         out);
     confirmStore(now, out);
     replayHeld(now, out);
