balancer, agent: an opening is bound by the routes in force, a record only by its own flow

Seen by callers: an opening with the key of an earlier flow ran at the service that an older version of the configuration named, as long as a balancer remembered that key; a copy of an opening whose first packet was lost did so after a change in between; an opening that an agent had rejected was moved to a further agent of the old service. Cause: placeFlow answered from the record of the key without the routes, onOpeningRejected went on with the record's service, and an agent took each opening of a flow that it knew for a copy, whatever its sequence number and service. Change: a record keeps the sequence number of its opening packet, and another one is another flow. A copy goes to the agent of the first packet, as before, but names the service in force; the agent takes it under another name only if it holds that flow, and else rejects it, and the balancer places it by the routes in force. An agent drops the state of an earlier flow with the same key, and what its upstream still sends. No message has changed. Why it holds: a service is chosen from the routes in force at each opening packet, and only an agent that has delivered the same opening before can take it for another service, which opens nothing anew.

--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -254,7 +254,9 @@
     void checkEvacuations(time_point now, packet_actions *out);
     bool deliverCopy(const flow_key &key, agent_flow *flow, const packet &content, time_point now, packet_actions *out);
     void withdrawOpening(const flow_key &key, time_point now);
-    bool isRefusedAgain(const agent_flow &flow, const packet_header &opening) const;
+    bool isCopy(const agent_flow &flow, const packet_header &opening, const std::string &service) const;
+    static bool isLaterFlow(const agent_flow &flow, const packet_header &opening);
+    bool isRefusedAgain(const agent_flow &flow) const;
     bool isWithdrawn(const flow_key &key, const packet_header &header) const;
     bool isColdOpeningAllowed(const request_limits &limits, time_point now);
     void recordOpening(const flow_key &key, time_point now);
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -123,10 +123,12 @@
     {
         host_address owner;
         std::string service;
-        bool isOwnerKnown = false;               ///< False while the owner is searched for.
-        bool isOpening = false;                  ///< Only opening packets were seen.
-        bool hasAlternates = false;              ///< The last opening packet was sent with alternates.
-        std::vector<host_address> rejectedBy;    ///< Agents that rejected the opening packet.
+        bool isOwnerKnown = false;            ///< False while the owner is searched for.
+        bool isOpening = false;               ///< Only opening packets were seen.
+        bool hasAlternates = false;           ///< The last opening packet was sent with alternates.
+        std::vector<host_address> rejectedBy; ///< Agents that rejected the opening packet.
+        /// Of the opening packet, which its copies share. Nullopt: not seen here.
+        std::optional<std::uint32_t> openingSequence;
         std::unique_ptr<owner_search> search;    ///< Null unless the owner is searched for.
         std::vector<held_packet> heldForRestart; ///< Data packets held during a planned restart of the owner.
         std::optional<time_point> searchedAt;    ///< Start of the last search for the owner.
@@ -144,6 +146,7 @@
         bool isFromRecord = false; ///< The agent is the recorded owner of the flow.
     };
 
+    void forgetEarlierFlow(const flow_key &key, const packet_header &opening);
     bool isTrialAllowed(const packet_route &route, const std::string &service) const;
     placement placeNewFlow(const flow_key &key, const packet_route &route, const std::string &service, time_point now);
     placement placeFlow(const flow_key &key, const packet_route &route, time_point now);
--- a/src/libpacket/packet_agent_evacuation.cpp
+++ b/src/libpacket/packet_agent_evacuation.cpp
@@ -44,17 +44,14 @@
     m_areEvacuationsMissed = isMissed;
 }
 
-// In an evacuated domain, whether an opening packet of a known flow is refused like one of a new flow: unless the flow is
-// open and the packet is a copy of the one that opened it. The caller may use the key of an earlier flow again.
-bool packet_agent::isRefusedAgain(const agent_flow &flow, const packet_header &opening) const
+// In an evacuated domain, whether a copy of an opening packet is refused like one of a new flow: unless the flow is open.
+// One whose opening packet this agent has not seen may have ended, and the caller may use its key again.
+bool packet_agent::isRefusedAgain(const agent_flow &flow) const
 {
     if (!isEvacuated())
         return false;
-    if (flow.phase != flow_phase::open)
-        return true;
-    if (flow.callerInitialSequence)
-        return *flow.callerInitialSequence != opening.sequence;
-    return flow.callerFinished && flow.upstreamFinished;
+    const bool isFinished = flow.callerFinished && flow.upstreamFinished;
+    return flow.phase != flow_phase::open || (!flow.callerInitialSequence && isFinished);
 }
 
 // The upstream may have accepted the first packet, and its answer may be on the way. The caller is told that the flow
--- a/src/libpacket/packet_agent_opening.cpp
+++ b/src/libpacket/packet_agent_opening.cpp
@@ -102,19 +102,34 @@
     out->emplace_back(send_to_node{next, std::move(arrived)});
 }
 
+// An agent that has not seen the opening packet of a flow, for instance since it has restarted, takes the service for
+// evidence: a balancer names the one that is in force for a new flow.
+bool packet_agent::isCopy(const agent_flow &flow, const packet_header &opening, const std::string &service) const
+{
+    if (flow.phase != flow_phase::opening && flow.phase != flow_phase::open)
+        return false;
+    return flow.callerInitialSequence ? !isLaterFlow(flow, opening) : !isOtherService(service);
+}
+
+// A caller may use the key of an earlier flow again.
+bool packet_agent::isLaterFlow(const agent_flow &flow, const packet_header &opening)
+{
+    return flow.callerInitialSequence && *flow.callerInitialSequence != opening.sequence;
+}
+
 void packet_agent::handleOpening(forwarded_packet arrived, packet content, time_point now, packet_actions *out)
 {
     const flow_key key = flowFromCaller(content.header);
     const auto known = m_flows.find(key);
-    const bool isDuplicate = known != m_flows.end()
-                             && (known->second.phase == flow_phase::opening || known->second.phase == flow_phase::open);
-    if (isDuplicate && !isRefusedAgain(known->second, content.header)) {
+    const bool isDuplicate = known != m_flows.end() && isCopy(known->second, content.header, arrived.service);
+    if (isDuplicate && !isRefusedAgain(known->second)) {
         known->second.origin = arrived.origin;
         if (deliverCopy(key, &known->second, content, now, out))
             deliver(key, &known->second, std::move(content), now, out);
         return;
     }
-    if (isDuplicate)
+    // The caller has given up the earlier flow, so what its upstream still sends must not reach the later one.
+    if (isDuplicate || (known != m_flows.end() && isLaterFlow(known->second, content.header)))
         withdrawOpening(key, now);
     if (const auto rejection = openingRejectionReason(arrived.service)) {
         log(log_class::refusal,
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -164,8 +164,20 @@
     return chosen;
 }
 
+// A caller may use the key of an earlier flow again, whose end this balancer need not have seen.
+void packet_balancer::forgetEarlierFlow(const flow_key &key, const packet_header &opening)
+{
+    const auto known = m_flows.find(key);
+    if (known == m_flows.end())
+        return;
+    const auto &sequence = known->second.openingSequence;
+    if (sequence && *sequence != opening.sequence)
+        m_flows.erase(known);
+}
+
 // A copy of an opening packet goes to the agent of the first one while that agent is alive and its upstream serves, so
-// that the flow opens at one upstream only.
+// that the flow opens at one upstream only. It names the service of the routes in force, and the agent takes it under
+// another one only if it holds the flow: the first packet may be lost, and then the routes may have changed since.
 packet_balancer::placement packet_balancer::placeFlow(const flow_key &key, const packet_route &route, time_point now)
 {
     const std::string &service = chooseService(route, key);
@@ -176,15 +188,16 @@
     const agent_record *const agent = m_agents.find(flow.owner);
     takeServiceOfOwner(&flow);
     if (agent != nullptr && m_agents.stateAvailability(*agent, now) < agent_availability::failing)
-        return {flow.service, {flow.owner}, false, true};
+        return {service, {flow.owner}, false, true};
     if (agent != nullptr && agent->report.state == agent_state::draining && m_agents.isFresh(*agent, now))
-        return {flow.service, {flow.owner}, false, true};
+        return {service, {flow.owner}, false, true};
     return {service, placementCandidates(key, service, std::vector{flow.owner}, now)};
 }
 
 void packet_balancer::openFlow(packet arrived, const packet_route &route, time_point now, packet_actions *out)
 {
     const flow_key key = flowFromCaller(arrived.header);
+    forgetEarlierFlow(key, arrived.header);
     placement chosen = placeFlow(key, route, now);
     if (chosen.agents.empty()) {
         const bool isEvacuated = m_isListingKnown && m_agents.hasEvacuatedAgents(chosen.service, now);
@@ -208,7 +221,9 @@
         if (isNew)
             flow.firstSeen = now;
         flow.owner = agent;
-        flow.service = chosen.service;
+        if (!chosen.isFromRecord)
+            flow.service = chosen.service;
+        flow.openingSequence = arrived.header.sequence;
         flow.isOwnerKnown = true;
         flow.search = nullptr; // A search for an earlier flow with the same key must not end this one.
         flow.searchedAt = std::nullopt;
@@ -233,7 +248,8 @@
     log(log_class::placement,
         absl::StrCat("placed flow, flow=", toString(flowFromCaller(header)), " copy=", header.acknowledged,
                      " service=", chosen.service, " route=", route.name, " agent=", toString(chosen.agents.front()),
-                     " bound_by=", chosen.isFromRecord ? "record" : "routes", " trial=", chosen.isTrial, " load_percent=", isHeard ? int(100 * expectedLoad(load)) : 0,
+                     " bound_by=", chosen.isFromRecord ? "record" : "routes", " trial=", chosen.isTrial,
+                     " load_percent=", isHeard ? int(100 * expectedLoad(load)) : 0,
                      " relative_percent=", int(100 * load.relative), " pace_percent=", int(100 * load.pace),
                      " report_age_ms=", isHeard ? wholeMilliseconds(now - *agent->lastHeardAt) : -1,
                      " routes=", routesVersion()),
--- a/src/libpacket/packet_balancer_admission.cpp
+++ b/src/libpacket/packet_balancer_admission.cpp
@@ -102,7 +102,14 @@
     const auto found = m_flows.find(flowFromCaller(returned.header));
     if (found == m_flows.end() || !found->second.isOpening)
         return; // Another agent has opened the flow.
+    const packet_route *const route = m_routes ? m_routes->find(found->first.service) : nullptr;
+    if (route == nullptr) {
+        onUnroutedPacket(returned, out);
+        return;
+    }
     balancer_flow &flow = found->second;
+    // The routes may have changed since the opening was placed.
+    flow.service = chooseService(*route, found->first);
     addUnique(agent, &flow.rejectedBy);
     addUnique(flow.owner, &flow.rejectedBy);
     auto order = placementCandidates(found->first, flow.service, flow.rejectedBy, now);
