balancer: a confirmation vouches only for what the store's answer held and is in force

Seen by callers: nothing yet; a confirmed change could stay out of force in a whole failure domain. Evidence, with the old logic put back: RoutesWatch.AConfigurationThatCannotBeReadConfirmsNothing and PacketBalancer.AnAnswerOfTheStoreWithRoutesThatAreNotInForceConfirmsNothing failed. Change: the answer's version goes with the confirmation. An unreadable configuration confirms nothing; a version that is not in force is logged ('routes not confirmed, stored= in_force=') and not vouched for; an older one than in force is no fault (a late write). After an unreadable change the objects are listed.

--- a/src/include/citroncrank/object_store.h
+++ b/src/include/citroncrank/object_store.h
@@ -86,6 +86,7 @@
     bool more = false; ///< Further entries follow the last one.
     /// Latest write of the store when the list was made; a watch from this version reports all later changes.
     object_version version;
+    std::size_t unreadable = 0; ///< Entries that were left out.
     auto operator<=>(const object_list &) const = default;
 };
 
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -68,8 +68,8 @@
     void applyRoutes(std::shared_ptr<const route_set> routes, time_point now, packet_actions *out);
     /// Processes the complete list of nodes in the object store.
     void applyListing(const std::vector<listed_node> &nodes, time_point now, packet_actions *out);
-    /// Call when the object store has shown that at `confirmedAt` it held no newer routes than those in force.
-    void storeConfirmedRoutes(time_point confirmedAt, time_point now, packet_actions *out);
+    /// Call after each answer of the object store about the routes, once those that it held have been applied.
+    void storeConfirmedRoutes(const routes_confirmation &answer, time_point now, packet_actions *out);
     /// Whether this balancer watches the operator's configuration in the object store itself.
     bool watchesRoutes(time_point now) const { return routesWatchReason(now) != watch_reason::none; }
     watch_reason routesWatchReason(time_point now) const;
@@ -254,12 +254,8 @@
     std::vector<held_packet> m_held;
     routes_sources m_routesSources;
     routes_watch_role m_watchRole;
-    struct own_confirmation
-    {
-        std::uint64_t version = 0;
-        time_point at;
-    };
-    own_confirmation m_ownConfirmation; ///< The latest answer of the object store to this balancer.
+    routes_confirmation
+        m_ownConfirmation; ///< Of the routes in force, by the object store's latest answer to this balancer.
     balancer_evacuations m_evacuations;
     absl::btree_map<host_address, time_point> m_listedBalancers; ///< Other balancers and when they became listed.
     bool m_isListingKnown = false;
--- a/src/include/citroncrank/routes_watch_role.h
+++ b/src/include/citroncrank/routes_watch_role.h
@@ -22,6 +22,14 @@
     auto operator<=>(const routes_watch_settings &) const = default;
 };
 
+/// What an answer of the object store has shown about the routes.
+struct routes_confirmation
+{
+    time_point at;             ///< The store held no newer version at this moment.
+    std::uint64_t version = 0; ///< Of the routes that it held. 0: none.
+    auto operator<=>(const routes_confirmation &) const = default;
+};
+
 /// Why a balancer watches the object store itself, or that it does not.
 enum class watch_reason : std::uint8_t {
     none,            ///< It does not watch.
--- a/src/include/citroncrank/routes_worker.h
+++ b/src/include/citroncrank/routes_worker.h
@@ -39,9 +39,9 @@
 public:
     /// Called in the worker's thread. The text is the document as stored.
     using receiver = std::function<void(std::shared_ptr<const route_set> routes, std::string text)>;
-    /// Called in the worker's thread when the store has shown that at `confirmedAt` it held no newer configuration than
-    /// the ones received.
-    using confirmation_receiver = std::function<void(time_point confirmedAt)>;
+    /// Called in the worker's thread after each answer of the store whose configuration could be read, and after that was
+    /// received.
+    using confirmation_receiver = std::function<void(const routes_confirmation &answer)>;
 
     /// `peers`: read while the store does not answer.
     routes_worker(const store_access &access, receiver receive, confirmation_receiver confirm, peer_routes_access peers,
@@ -58,13 +58,15 @@
 private:
     std::optional<duration> listConfig();
     std::optional<duration> watchConfig();
-    /// Returns the version that it has passed on, 0 if the document cannot be read.
-    std::uint64_t applyDocument(const std::string &text);
+    /// Returns the version that it has passed on. Nullopt: the document cannot be read.
+    std::optional<std::uint64_t> applyDocument(const std::string &text);
+    void confirm(time_point at) const;
 
     receiver m_receive;
     confirmation_receiver m_confirm;
     peer_routes_access m_peers;
     std::chrono::milliseconds m_wait;
+    std::optional<std::uint64_t> m_storedVersion; ///< That the store holds, 0: none. Nullopt: unknown or unreadable.
     std::atomic<bool> m_isWatching = true;
     bool m_wasIdle = false; ///< The last step did not call the store.
 };
--- a/src/libpacket/packet_balancer_nodes.cpp
+++ b/src/libpacket/packet_balancer_nodes.cpp
@@ -200,15 +200,21 @@
     return result;
 }
 
-// The other balancers of the failure domain learn of newer routes so, and that there are none otherwise.
-void packet_balancer::storeConfirmedRoutes(time_point confirmedAt, time_point now, packet_actions *out)
+// The other balancers of the failure domain learn of newer routes so, and that there are none otherwise. An answer whose
+// routes are not in force here, since they were lost on the way to this thread, would vouch for older ones.
+void packet_balancer::storeConfirmedRoutes(const routes_confirmation &answer, time_point now, packet_actions *out)
 {
-    m_ownConfirmation = {routesVersion(), confirmedAt};
+    if (answer.version > routesVersion()) {
+        log(log_class::belief,
+            absl::StrCat("routes not confirmed, stored=", answer.version, " in_force=", routesVersion()), out);
+        return;
+    }
+    m_ownConfirmation = {answer.at, routesVersion()};
     if (!watchesRoutes(now))
         return;
     balancer_hello confirmation = helloWithoutLists();
     confirmation.areRoutesConfirmed = true;
-    confirmation.confirmationAgeMilliseconds = std::uint32_t(wholeMilliseconds(now - confirmedAt));
+    confirmation.confirmationAgeMilliseconds = std::uint32_t(wholeMilliseconds(now - answer.at));
     sendToOwnDomain(confirmation, out);
 }
 
--- a/src/libpacket/packet_balancer_nodes_test.cpp
+++ b/src/libpacket/packet_balancer_nodes_test.cpp
@@ -305,7 +305,7 @@
     core.message(far, balancer_hello{.domain = "nbi-east", .routesVersion = 5}, now, &actions);
     actions.clear();
     EXPECT_EQ(core.routesConfirmationAge(now), std::nullopt);
-    core.storeConfirmedRoutes(now - milliseconds(40), now, &actions);
+    core.storeConfirmedRoutes({now - milliseconds(40), 5}, now, &actions);
     EXPECT_EQ(core.routesConfirmationAge(now + seconds(1)), milliseconds(1040)) << "its own answer of the store";
     const auto sent = messagesOf<balancer_hello>(actions);
     ASSERT_EQ(sent.size(), 1U);
@@ -328,3 +328,16 @@
     EXPECT_TRUE(core.needsNewerRoutes(now));
     EXPECT_TRUE(core.watchesRoutes(now + seconds(2) + milliseconds(1))) << "they could not be read";
 }
+
+// Guards against older routes that are vouched for, since the newer ones of the store's answer were lost on the way to the
+// balancer's thread.
+TEST_F(PacketBalancer, AnAnswerOfTheStoreWithRoutesThatAreNotInForceConfirmsNothing)
+{
+    core.message(kOtherBalancer, balancer_hello{.domain = "nbi-west", .routesVersion = 5}, now, &actions);
+    actions.clear();
+    core.storeConfirmedRoutes({now, 6}, now, &actions);
+    EXPECT_TRUE(messagesOf<balancer_hello>(actions).empty());
+    EXPECT_EQ(core.routesConfirmationAge(now), std::nullopt);
+    core.storeConfirmedRoutes({now, 4}, now, &actions);
+    EXPECT_EQ(messagesOf<balancer_hello>(actions).size(), 1U) << "the operator's write of an older version came late";
+}
--- a/src/libpacketnode/odd_entries_test.cpp
+++ b/src/libpacketnode/odd_entries_test.cpp
@@ -127,7 +127,7 @@
     routes_worker worker(
         access(),
         [&](const std::shared_ptr<const route_set> &routes, const std::string &) { version = routes->version; },
-        [](time_point) {}, {});
+        [](const routes_confirmation &) {}, {});
     worker.start();
     EXPECT_TRUE(waitFor(kFollowLimit, [&] { return version == 5; }));
     write("config/odd", nested(100'000));
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -60,9 +60,9 @@
           [this](std::shared_ptr<const route_set> routes, std::string text) {
               receiveRoutes(std::move(routes), std::move(text));
           },
-          [this](time_point confirmedAt) {
-              m_loop.post([this, confirmedAt] {
-                  m_core.storeConfirmedRoutes(confirmedAt, monotonicNow(), &m_actions);
+          [this](const routes_confirmation &answer) {
+              m_loop.post([this, answer] {
+                  m_core.storeConfirmedRoutes(answer, monotonicNow(), &m_actions);
                   perform(&m_actions);
               });
           },
--- a/src/libpacketnode/routes_after_restore_test.cpp
+++ b/src/libpacketnode/routes_after_restore_test.cpp
@@ -29,7 +29,7 @@
     routes_worker m_worker{
         access(),
         [this](const std::shared_ptr<const route_set> &routes, const std::string &) { m_version = routes->version; },
-        [](time_point) {},
+        [](const routes_confirmation &) {},
         {}};
 };
 
--- a/src/libpacketnode/routes_watch_test.cpp
+++ b/src/libpacketnode/routes_watch_test.cpp
@@ -52,10 +52,10 @@
     routes_worker m_worker{
         access(),
         [this](const std::shared_ptr<const route_set> &routes, const std::string &) { m_version = routes->version; },
-        [this](time_point confirmedAt) {
+        [this](const routes_confirmation &answer) {
             ++m_confirmations;
             const std::lock_guard lock(m_mutex);
-            m_lastConfirmedAt[m_version] = confirmedAt;
+            m_lastConfirmedAt[answer.version] = answer.at;
         },
         {}};
 };
@@ -113,3 +113,16 @@
     const std::lock_guard lock(m_mutex);
     EXPECT_LT(m_lastConfirmedAt[5], before);
 }
+
+// Guards against a configuration that cannot be read here while its predecessor is vouched for in the whole failure domain.
+TEST_F(RoutesWatch, AConfigurationThatCannotBeReadConfirmsNothing)
+{
+    ASSERT_TRUE(waitFor(kWatchTime, [&] { return m_confirmations > 1; })) << "a watch is in progress";
+    change([](standin_platform &store) { writeObject(store, "config/main", R"({"version":7})"); });
+    ASSERT_TRUE(waitFor(kConfigApplyLimit, [&] { return m_malformed > 0; }));
+    const int before = m_confirmations;
+    std::this_thread::sleep_for(kWatchTime);
+    EXPECT_EQ(m_confirmations, before);
+    write(9);
+    EXPECT_TRUE(waitFor(kConfigApplyLimit, [&] { return m_version == 9 && m_confirmations > before; }));
+}
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -130,14 +130,15 @@
         readFromBalancer(m_peers, m_receive, [this](const std::string &text) { log(text); });
         return pause;
     }
-    std::uint64_t version = 0;
+    m_storedVersion = list->unreadable == 0 ? std::optional(std::uint64_t(0)) : std::nullopt;
     for (const object_entry &entry : list->entries) {
         if (entry.key == platform::kConfigKey && entry.value)
-            version = applyDocument(*entry.value);
+            m_storedVersion = applyDocument(*entry.value);
     }
     cursor().recordListing(list->version);
-    log(absl::StrCat("configuration read, revision=", toString(list->version), " version=", version));
-    m_confirm(calledAt);
+    log(absl::StrCat("configuration read, revision=", toString(list->version),
+                     " version=", m_storedVersion.value_or(0)));
+    confirm(calledAt);
     return duration(0);
 }
 
@@ -150,25 +151,36 @@
     const auto result = awaitChanges(platform::kConfigPrefix, m_wait, &pause);
     if (!result)
         return pause;
+    if (result->unreadable > 0) { // Perhaps the configuration, which a list shows.
+        m_storedVersion = std::nullopt;
+        cursor().invalidate();
+    }
     for (const object_change &change : result->changes) {
         if (change.key != platform::kConfigKey || !change.value)
             continue;
-        const std::uint64_t version = applyDocument(*change.value);
-        log(absl::StrCat("configuration changed, revision=", toString(change.version), " version=", version,
-                         " waited_ms=", wholeMilliseconds(monotonicNow() - calledAt)));
+        m_storedVersion = applyDocument(*change.value);
+        log(absl::StrCat("configuration changed, revision=", toString(change.version), " version=",
+                         m_storedVersion.value_or(0), " waited_ms=", wholeMilliseconds(monotonicNow() - calledAt)));
     }
-    m_confirm(calledAt);
+    confirm(calledAt);
     return duration(0);
 }
 
-std::uint64_t routes_worker::applyDocument(const std::string &text)
+// A configuration that cannot be read may be newer than the one in force.
+void routes_worker::confirm(time_point at) const
+{
+    if (m_storedVersion)
+        m_confirm({at, *m_storedVersion});
+}
+
+std::optional<std::uint64_t> routes_worker::applyDocument(const std::string &text)
 {
     platform::document_fault fault;
     auto routes = platform::parseRoutes(text, &fault);
     if (!routes) {
         log(absl::StrCat("configuration is invalid, kind=", platform::toString(fault.kind), " reason=", fault.what));
         countMalformed("configuration");
-        return 0;
+        return std::nullopt;
     }
     const std::uint64_t version = routes->version;
     m_receive(std::move(routes), text);
--- a/src/libsimulation/routes_watch_simulation.cpp
+++ b/src/libsimulation/routes_watch_simulation.cpp
@@ -348,7 +348,7 @@
         balancer->cursor = *call.version;
         packet_actions actions;
         balancer->core->applyRoutes(routesOfVersion(*call.version), m_now, &actions);
-        balancer->core->storeConfirmedRoutes(call.sentAt, m_now, &actions);
+        balancer->core->storeConfirmedRoutes({call.sentAt, *call.version}, m_now, &actions);
         send(*balancer, &actions);
         if (m_schedule.hasOnlyMissedChanges)
             failAfterMissedChange(balancer, call);
