balancer: a configuration that the event loop cannot take is read again

The worker's cursor had moved on, so the change was lost until the next one. Evidence: RoutesWatch.AChangeThatWasNotTakenIsReadAgainAndNotConfirmedBefore fails with the result ignored. The set of evacuations is sent with each answer anyway; a list of nodes that is lost so is not sent again before the next change (open).

--- a/src/include/citroncrank/packet_balancer_node.h
+++ b/src/include/citroncrank/packet_balancer_node.h
@@ -32,7 +32,7 @@
     void onDeliver(std::string packetBytes) override;
     void applySettings(const settings_values &values) override;
     void onCallerDatagram(std::string_view datagram);
-    void receiveRoutes(std::shared_ptr<const route_set> routes, std::string text);
+    bool receiveRoutes(std::shared_ptr<const route_set> routes, std::string text);
     void applyRoutes(const std::shared_ptr<const route_set> &routes, const std::string &text);
     void tick(time_point now);
     void fetchNeededRoutes(time_point now);
--- a/src/include/citroncrank/routes_worker.h
+++ b/src/include/citroncrank/routes_worker.h
@@ -37,8 +37,9 @@
 class routes_worker : public store_worker
 {
 public:
-    /// Called in the worker's thread. The text is the document as stored.
-    using receiver = std::function<void(std::shared_ptr<const route_set> routes, std::string text)>;
+    /// Called in the worker's thread. The text is the document as stored. Returns false if it cannot take them now; the
+    /// worker then reads them again.
+    using receiver = std::function<bool(std::shared_ptr<const route_set> routes, std::string text)>;
     /// Called in the worker's thread after each answer of the store whose configuration could be read, and after that was
     /// received.
     using confirmation_receiver = std::function<void(const routes_confirmation &answer)>;
@@ -58,15 +59,17 @@
 private:
     std::optional<duration> listConfig();
     std::optional<duration> watchConfig();
-    /// Returns the version that it has passed on. Nullopt: the document cannot be read.
+    /// Returns the version that it has passed on. Nullopt: the document cannot be read, or the receiver cannot take it.
     std::optional<std::uint64_t> applyDocument(const std::string &text);
     void confirm(time_point at) const;
+    duration pauseAfterRefusal();
 
     receiver m_receive;
     confirmation_receiver m_confirm;
     peer_routes_access m_peers;
     std::chrono::milliseconds m_wait;
-    std::optional<std::uint64_t> m_storedVersion; ///< That the store holds, 0: none. Nullopt: unknown or unreadable.
+    std::optional<std::uint64_t> m_storedVersion; ///< That the store holds, 0: none. Nullopt: unknown or not passed on.
+    bool m_isRefused = false;                     ///< The receiver could not take the last document.
     std::atomic<bool> m_isWatching = true;
     bool m_wasIdle = false; ///< The last step did not call the store.
 };
--- a/src/libpacketnode/odd_entries_test.cpp
+++ b/src/libpacketnode/odd_entries_test.cpp
@@ -126,7 +126,10 @@
     std::atomic<std::uint64_t> version = 0;
     routes_worker worker(
         access(),
-        [&](const std::shared_ptr<const route_set> &routes, const std::string &) { version = routes->version; },
+        [&](const std::shared_ptr<const route_set> &routes, const std::string &) {
+            version = routes->version;
+            return true;
+        },
         [](const routes_confirmation &) {}, {});
     worker.start();
     EXPECT_TRUE(waitFor(kFollowLimit, [&] { return version == 5; }));
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -58,7 +58,7 @@
     , m_routesWorker(
           storeAccess(),
           [this](std::shared_ptr<const route_set> routes, std::string text) {
-              receiveRoutes(std::move(routes), std::move(text));
+              return receiveRoutes(std::move(routes), std::move(text));
           },
           [this](const routes_confirmation &answer) {
               m_loop.post([this, answer] {
@@ -77,7 +77,7 @@
           },
           storeAccess())
     , m_peerRoutes([this](std::shared_ptr<const route_set> routes,
-                          std::string text) { receiveRoutes(std::move(routes), std::move(text)); },
+                          std::string text) { return receiveRoutes(std::move(routes), std::move(text)); },
                    peerRoutesAccess(), storeLog())
     , m_nodeRegistry(storeAccess(), m_settings.name, listed_node{m_settings.nodeAddress, false, {}, m_settings.domain},
                      true,
@@ -205,9 +205,9 @@
     perform(&m_actions);
 }
 
-void packet_balancer_node::receiveRoutes(std::shared_ptr<const route_set> routes, std::string text)
+bool packet_balancer_node::receiveRoutes(std::shared_ptr<const route_set> routes, std::string text)
 {
-    m_loop.post([this, routes = std::move(routes), text = std::move(text)] { applyRoutes(routes, text); });
+    return m_loop.post([this, routes = std::move(routes), text = std::move(text)] { applyRoutes(routes, text); });
 }
 
 void packet_balancer_node::applyRoutes(const std::shared_ptr<const route_set> &routes, const std::string &text)
--- a/src/libpacketnode/peer_routes_worker_test.cpp
+++ b/src/libpacketnode/peer_routes_worker_test.cpp
@@ -71,15 +71,17 @@
     routes_sources m_sources;
     std::vector<routes_source> m_failures;
     std::atomic<std::uint64_t> m_version = 5;
-    peer_routes_worker m_worker{
-        [this](const std::shared_ptr<const route_set> &routes, const std::string &) { m_version = routes->version; },
-        {.source =
-             [this] {
-                 const std::lock_guard lock(m_mutex);
-                 return m_sources.latest(m_version);
-             },
-         .fail = [this](const routes_source &source) { recordFailure(source); }},
-        [](const std::string &) {}};
+    peer_routes_worker m_worker{[this](const std::shared_ptr<const route_set> &routes, const std::string &) {
+                                    m_version = routes->version;
+                                    return true;
+                                },
+                                {.source =
+                                     [this] {
+                                         const std::lock_guard lock(m_mutex);
+                                         return m_sources.latest(m_version);
+                                     },
+                                 .fail = [this](const routes_source &source) { recordFailure(source); }},
+                                [](const std::string &) {}};
 };
 
 } // namespace
--- a/src/libpacketnode/routes_after_restore_test.cpp
+++ b/src/libpacketnode/routes_after_restore_test.cpp
@@ -26,11 +26,13 @@
     }
 
     std::atomic<std::uint64_t> m_version = 0;
-    routes_worker m_worker{
-        access(),
-        [this](const std::shared_ptr<const route_set> &routes, const std::string &) { m_version = routes->version; },
-        [](const routes_confirmation &) {},
-        {}};
+    routes_worker m_worker{access(),
+                           [this](const std::shared_ptr<const route_set> &routes, const std::string &) {
+                               m_version = routes->version;
+                               return true;
+                           },
+                           [](const routes_confirmation &) {},
+                           {}};
 };
 
 } // namespace
--- a/src/libpacketnode/routes_watch_test.cpp
+++ b/src/libpacketnode/routes_watch_test.cpp
@@ -47,17 +47,22 @@
 
     std::atomic<std::uint64_t> m_version = 0;
     std::atomic<int> m_confirmations = 0;
+    std::atomic<bool> m_isBusy = false; ///< Routes are not taken.
     std::mutex m_mutex;
     std::map<std::uint64_t, time_point> m_lastConfirmedAt; ///< By the version that was confirmed.
-    routes_worker m_worker{
-        access(),
-        [this](const std::shared_ptr<const route_set> &routes, const std::string &) { m_version = routes->version; },
-        [this](const routes_confirmation &answer) {
-            ++m_confirmations;
-            const std::lock_guard lock(m_mutex);
-            m_lastConfirmedAt[answer.version] = answer.at;
-        },
-        {}};
+    routes_worker m_worker{access(),
+                           [this](const std::shared_ptr<const route_set> &routes, const std::string &) {
+                               if (m_isBusy)
+                                   return false;
+                               m_version = routes->version;
+                               return true;
+                           },
+                           [this](const routes_confirmation &answer) {
+                               ++m_confirmations;
+                               const std::lock_guard lock(m_mutex);
+                               m_lastConfirmedAt[answer.version] = answer.at;
+                           },
+                           {}};
 };
 
 } // namespace
@@ -126,3 +131,17 @@
     write(9);
     EXPECT_TRUE(waitFor(kConfigApplyLimit, [&] { return m_version == 9 && m_confirmations > before; }));
 }
+
+// Guards against a change that is lost, since the event loop could not take it, and whose predecessor is vouched for.
+TEST_F(RoutesWatch, AChangeThatWasNotTakenIsReadAgainAndNotConfirmedBefore)
+{
+    ASSERT_TRUE(waitFor(kWatchTime, [&] { return m_confirmations > 1; })) << "a watch is in progress";
+    m_isBusy = true;
+    write(9);
+    std::this_thread::sleep_for(milliseconds(100));
+    const int before = m_confirmations;
+    std::this_thread::sleep_for(kWatchTime);
+    EXPECT_EQ(m_confirmations, before);
+    m_isBusy = false;
+    EXPECT_TRUE(waitForVersion(9));
+}
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -139,7 +139,7 @@
     log(absl::StrCat("configuration read, revision=", toString(list->version),
                      " version=", m_storedVersion.value_or(0)));
     confirm(calledAt);
-    return duration(0);
+    return pauseAfterRefusal();
 }
 
 // A watch may end without a change that came while it waited, so it shows only what the store held when it began: an
@@ -163,7 +163,16 @@
                          m_storedVersion.value_or(0), " waited_ms=", wholeMilliseconds(monotonicNow() - calledAt)));
     }
     confirm(calledAt);
-    return duration(0);
+    return pauseAfterRefusal();
+}
+
+// The store would not report the same change again.
+duration routes_worker::pauseAfterRefusal()
+{
+    if (!std::exchange(m_isRefused, false))
+        return duration(0);
+    cursor().invalidate();
+    return kFirstStoreRetryDelay;
 }
 
 // A configuration that cannot be read may be newer than the one in force.
@@ -183,8 +192,11 @@
         return std::nullopt;
     }
     const std::uint64_t version = routes->version;
-    m_receive(std::move(routes), text);
-    return version;
+    if (m_receive(std::move(routes), text))
+        return version;
+    log(absl::StrCat("configuration not taken over, the event loop is busy, version=", version));
+    m_isRefused = true;
+    return std::nullopt;
 }
 
 peer_routes_worker::peer_routes_worker(routes_worker::receiver receive, peer_routes_access peers, store_log log)
