routes_watch_simulation: what a deployment has beside failures of processes

Change: three failure domains with 12 to 45 balancers, suspensions that a balancer's clock does not count, event loops that are up to 100 ms late, a store that is slow, turns a third away or stores an older version after a newer one, paths that work one way only (with the store, or between two domains), restarts in series, calls and reads from balancers that take the time of a slow link.

--- a/src/libsimulation/routes_watch_guarantees_test.cpp
+++ b/src/libsimulation/routes_watch_guarantees_test.cpp
@@ -28,7 +28,7 @@
     routes_watch_outcome total;
     for (std::uint64_t seed = 1; seed <= scheduleCount(); ++seed) {
         schedule.seed = seed;
-        schedule.balancers = 4 + seed % 12;
+        schedule.balancers = schedule.domains * (4 + seed % 12);
         const routes_watch_outcome outcome = runRoutesWatchSchedule(schedule);
         total.changes += outcome.changes;
         total.faults += outcome.faults;
@@ -53,6 +53,17 @@
     }
 }
 
+// The same with what a deployment has beside failures of processes, in several failure domains of different sizes.
+TEST(RoutesWatchGuarantees, ChangesAreInForceInTimeInDeployments)
+{
+    for (const std::chrono::seconds limit : kLimits) {
+        const routes_watch_outcome total =
+            runAll({.domains = 3, .loss = 0.01, .hasDeploymentFaults = true, .limit = limit, .length = 8 * limit});
+        EXPECT_GT(total.faults, 10 * scheduleCount());
+        EXPECT_EQ(total.staleRoutes, 0U) << "limit of " << limit.count() << " s";
+    }
+}
+
 // Guards against times that are each below the bound and pass one after the other: a watch that ends without the change,
 // the time-out of its confirmation at a balancer that does not watch, and that balancer's own call.
 TEST(RoutesWatchGuarantees, ChangesThatTheWatchesMissedAreInForceInTime)
--- a/src/libsimulation/routes_watch_simulation_pvt.h
+++ b/src/libsimulation/routes_watch_simulation_pvt.h
@@ -17,12 +17,17 @@
 struct routes_watch_schedule
 {
     std::uint64_t seed = 1;
-    std::size_t balancers = 8; ///< All in one failure domain.
-    double loss = 0;           ///< Probability that a datagram is lost.
-    bool hasFaults = true;     ///< Kills, pauses, cuts, and a store that fails or drops its history.
+    std::size_t balancers = 8; ///< In all failure domains together.
+    std::size_t domains = 1;
+    double loss = 0;       ///< Probability that a datagram is lost.
+    bool hasFaults = true; ///< Kills, pauses, cuts, and a store that fails or drops its history.
     /// Each fault is a change that all watches miss, since the store drops its history. A watcher fails as soon as such a
     /// watch of it has ended.
     bool hasOnlyMissedChanges = false;
+    /// Also what deployments have beside failures of processes: suspensions, event loops that are late, a store that is slow,
+    /// turns some balancers away or stores an older version after a newer one, paths that work one way only, restarts in
+    /// series, and calls that take the time of a slow link.
+    bool hasDeploymentFaults = false;
     /// Within which a change must be in force at a balancer that had no fault for as long.
     duration limit = std::chrono::seconds(5);
     std::size_t watchers = routes_watch_settings{}.watchers;
