--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -254,8 +254,7 @@
     std::vector<held_packet> m_held;
     routes_sources m_routesSources;
     routes_watch_role m_watchRole;
-    routes_confirmation
-        m_ownConfirmation; ///< Of the routes in force, by the object store's latest answer to this balancer.
+    routes_confirmation m_ownConfirmation; ///< Of the routes in force, by the store's latest answer to this balancer.
     balancer_evacuations m_evacuations;
     absl::btree_map<host_address, time_point> m_listedBalancers; ///< Other balancers and when they became listed.
     bool m_isListingKnown = false;
--- a/src/include/citroncrank/routes_worker.h
+++ b/src/include/citroncrank/routes_worker.h
@@ -40,8 +40,7 @@
     /// Called in the worker's thread. The text is the document as stored. Returns false if it cannot take them now; the
     /// worker then reads them again.
     using receiver = std::function<bool(std::shared_ptr<const route_set> routes, std::string text)>;
-    /// Called in the worker's thread after each answer of the store whose configuration could be read, and after that was
-    /// received.
+    /// Called in the worker's thread after each answer of the store, unless its configuration could not be read or received.
     using confirmation_receiver = std::function<void(const routes_confirmation &answer)>;
 
     /// `peers`: read while the store does not answer.
--- a/src/libpacket/packet_agent_opening.cpp
+++ b/src/libpacket/packet_agent_opening.cpp
@@ -128,7 +128,8 @@
             deliver(key, &known->second, std::move(content), now, out);
         return;
     }
-    // The caller has given up the earlier flow, so what its upstream still sends must not reach the later one.
+    // The caller has given up the earlier flow, so what its upstream still sends must not reach it while the later one is
+    // not open here.
     if (isDuplicate || (known != m_flows.end() && isLaterFlow(known->second, content.header)))
         withdrawOpening(key, now);
     if (const auto rejection = openingRejectionReason(arrived.service)) {
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -188,9 +188,9 @@
     const agent_record *const agent = m_agents.find(flow.owner);
     takeServiceOfOwner(&flow);
     if (agent != nullptr && m_agents.stateAvailability(*agent, now) < agent_availability::failing)
-        return {service, {flow.owner}, false, true};
+        return {.service = service, .agents = {flow.owner}, .isFromRecord = true};
     if (agent != nullptr && agent->report.state == agent_state::draining && m_agents.isFresh(*agent, now))
-        return {service, {flow.owner}, false, true};
+        return {.service = service, .agents = {flow.owner}, .isFromRecord = true};
     return {service, placementCandidates(key, service, std::vector{flow.owner}, now)};
 }
 
