routes_watch_simulation: a restored store, configurations that are not taken, and a count of what is judged

Why: the schedules left out a store that comes back from an older copy and a configuration that a balancer cannot take, and nothing showed that the check judges anybody between so many faults. Change: both faults, as the programs handle them (era in answers and hellos, a new list after 100 ms, no confirmation); each run must judge ten pairs of a version and a balancer a schedule; two tests that must find late balancers.

--- a/src/libsimulation/routes_watch_faults.cpp
+++ b/src/libsimulation/routes_watch_faults.cpp
@@ -11,6 +11,8 @@
 constexpr duration kMinWriteLateness = milliseconds(500);
 constexpr double kTurnedAwayShare = 0.35;
 constexpr double kSuspendedShare = 0.3;
+constexpr double kBusyShare = 0.3;
+constexpr std::size_t kMaxLostWrites = 3;
 
 } // namespace
 
@@ -49,7 +51,7 @@
 void routes_watch_run::injectDeploymentFault()
 {
     ++m_outcome.faults;
-    switch (std::uniform_int_distribution<int>(0, 6)(m_random)) {
+    switch (std::uniform_int_distribution<int>(0, 8)(m_random)) {
     case 0:
         for (simulated_balancer &balancer : m_balancers) {
             if (occurs(kSuspendedShare))
@@ -73,6 +75,12 @@
         m_rollNext = 0;
         m_rollAt = m_now;
         break;
+    case 6:
+        restoreStore();
+        break;
+    case 7:
+        keepSomeBusy();
+        break;
     default:
         failWatchers();
     }
@@ -102,6 +110,41 @@
     }
 }
 
+// Any balancers, or all that watch, take no configuration.
+void routes_watch_run::keepSomeBusy()
+{
+    const bool isOfWatchers = occurs(0.5);
+    const duration length = within(9000);
+    for (simulated_balancer &balancer : m_balancers) {
+        const bool isWatcher = balancer.core && balancer.core->watchesRoutes(localTime(balancer));
+        if (isOfWatchers ? isWatcher : occurs(kBusyShare))
+            balancer.busyUntil = m_now + length;
+    }
+    confirmVersion();
+}
+
+// The store loses its latest writes. The operator writes the latest version again a little later.
+void routes_watch_run::restoreStore()
+{
+    const std::size_t lost = std::uniform_int_distribution<std::size_t>(1, kMaxLostWrites)(m_random);
+    if (m_store.writes.size() <= lost || m_now < m_store.rewrittenAt)
+        return;
+    m_store.writes.resize(m_store.writes.size() - lost);
+    ++m_store.era;
+    m_store.downUntil = m_now + within(2000);
+    m_store.rewrittenAt = m_store.downUntil + within(1500);
+    m_isRewriteDue = true;
+}
+
+void routes_watch_run::rewriteIfDue()
+{
+    if (!m_isRewriteDue || m_now < m_store.rewrittenAt)
+        return;
+    m_isRewriteDue = false;
+    if (m_store.stored() != m_store.latest())
+        m_store.writes.push_back(m_store.latest());
+}
+
 // Nothing passes from one failure domain to another one, or into one at all.
 void routes_watch_run::blockPaths()
 {
--- a/src/libsimulation/routes_watch_guarantees_test.cpp
+++ b/src/libsimulation/routes_watch_guarantees_test.cpp
@@ -31,6 +31,7 @@
         schedule.balancers = schedule.domains * (4 + seed % 12);
         const routes_watch_outcome outcome = runRoutesWatchSchedule(schedule);
         total.changes += outcome.changes;
+        total.judged += outcome.judged;
         total.faults += outcome.faults;
         total.storeCalls += outcome.storeCalls;
         total.staleRoutes += outcome.staleRoutes;
@@ -60,10 +61,25 @@
         const routes_watch_outcome total =
             runAll({.domains = 3, .loss = 0.01, .hasDeploymentFaults = true, .limit = limit, .length = 8 * limit});
         EXPECT_GT(total.faults, 10 * scheduleCount());
+        EXPECT_GT(total.judged, 10 * scheduleCount()) << "balancers without a fault are rare";
         EXPECT_EQ(total.staleRoutes, 0U) << "limit of " << limit.count() << " s";
     }
 }
 
+// The schedules of deployments find balancers with old routes as well.
+TEST(RoutesWatchGuarantees, SchedulesOfDeploymentsFindBalancersThatWaitForSilentWatchers)
+{
+    EXPECT_GT(
+        runAll({.domains = 3, .hasDeploymentFaults = true, .confirmationTimeout = std::chrono::hours(1)}).staleRoutes,
+        0U);
+}
+
+// Guards against balancers that vouch for routes which they have not taken from the store's answer.
+TEST(RoutesWatchGuarantees, SchedulesFindConfirmationsOfWhatWasNotTaken)
+{
+    EXPECT_GT(runAll({.domains = 3, .hasDeploymentFaults = true, .confirmsWhatWasNotTaken = true}).staleRoutes, 0U);
+}
+
 // Guards against times that are each below the bound and pass one after the other: a watch that ends without the change,
 // the time-out of its confirmation at a balancer that does not watch, and that balancer's own call.
 TEST(RoutesWatchGuarantees, ChangesThatTheWatchesMissedAreInForceInTime)
--- a/src/libsimulation/routes_watch_run_pvt.h
+++ b/src/libsimulation/routes_watch_run_pvt.h
@@ -32,6 +32,8 @@
     std::vector<std::uint64_t> writes;       ///< Version of each write. The last one may be older after a late write.
     time_point downUntil;
     time_point slowUntil;
+    time_point rewrittenAt;      ///< The operator writes the latest version again after the return from an older copy.
+    std::uint64_t era = 1;       ///< Rises with each return from an older copy.
     time_point historyDroppedAt; ///< Watches that waited then report no later change.
 
     std::uint64_t latest() const { return versions.empty() ? 0 : versions.back().version; }
@@ -42,7 +44,7 @@
     {
         return *std::max_element(writes.begin() + std::ptrdiff_t(after), writes.end());
     }
-    time_point faultEnd() const { return std::max(downUntil, slowUntil); }
+    time_point faultEnd() const { return std::max({downUntil, slowUntil, rewrittenAt}); }
     std::uint64_t confirmedBefore(time_point when) const
     {
         std::uint64_t result = 0;
@@ -65,6 +67,7 @@
     bool isDone = false;
     std::optional<std::uint64_t> version; ///< Nullopt: failed.
     std::uint64_t revision = 0;
+    std::uint64_t era = 0; ///< That the answer tells.
     bool isHistoryGone = false;
 };
 
@@ -86,6 +89,8 @@
 
     std::optional<store_call> call;
     std::uint64_t cursor = 0; ///< Revision after which it watches. 0: it has to list first.
+    std::uint64_t era = 0;    ///< Of the cursor.
+    time_point busyUntil;     ///< It takes no configuration: its event loop is full, or it cannot read them.
     time_point cursorAt;
     std::uint64_t storedVersion = 0; ///< Of the store's last answer.
     bool wasIdle = false;
@@ -93,11 +98,12 @@
     time_point nextFetchAt;
     time_point behindSince;                   ///< Since when another balancer has newer routes.
     std::optional<routes_source> failedFetch; ///< Known to the balancer at nextFetchAt.
+    std::uint64_t judgedVersion = 0;          ///< Latest version that was required here.
     std::uint64_t staleVersion = 0;           ///< Version whose absence has been counted.
 
     time_point faultEnd() const
     {
-        return std::max({downUntil, pausedUntil, storeCutUntil, turnedAwayUntil, muteUntil, deafUntil});
+        return std::max({downUntil, pausedUntil, storeCutUntil, turnedAwayUntil, muteUntil, deafUntil, busyUntil});
     }
 };
 
@@ -147,6 +153,7 @@
     void processCall(simulated_balancer *balancer);
     void startCallIfDue(simulated_balancer *balancer);
     duration answerDelay();
+    void hearEra(simulated_balancer *balancer, std::uint64_t era);
     void fetchIfNeeded(simulated_balancer *balancer);
     void check(simulated_balancer *balancer);
 
@@ -156,6 +163,11 @@
     void writeLate();
     void suspend(simulated_balancer *balancer, duration length);
     void turnSomeAway();
+    /// Any balancers, or all that watch, take no configuration.
+    void keepSomeBusy();
+    /// The store loses its latest writes. The operator writes the latest version again a little later.
+    void restoreStore();
+    void rewriteIfDue();
     /// Nothing passes from one failure domain to another one, or into one at all.
     void blockPaths();
     void restartNext();
@@ -175,6 +187,7 @@
     std::vector<simulated_balancer> m_balancers;
     blocked_path m_blocked;
     time_point m_blockedUntil;
+    bool m_isRewriteDue = false;
     std::size_t m_rollNext = SIZE_MAX; ///< Balancer that is restarted next.
     time_point m_rollAt;
     time_point m_nextMissedChange = m_startedAt + std::chrono::seconds(10);
--- a/src/libsimulation/routes_watch_simulation.cpp
+++ b/src/libsimulation/routes_watch_simulation.cpp
@@ -65,6 +65,7 @@
             nextFault = m_now + milliseconds(100) + within(2500);
         }
         restartNext();
+        rewriteIfDue();
         deliverDue();
         for (simulated_balancer &balancer : m_balancers)
             advance(&balancer, step);
@@ -94,6 +95,7 @@
     balancer->call.reset();
     balancer->failedFetch.reset();
     balancer->cursor = 0;
+    balancer->era = 0;
     balancer->wasIdle = false;
     std::vector<listed_node> nodes;
     for (std::size_t i = 0; i < m_schedule.balancers; ++i)
@@ -149,6 +151,8 @@
             m_datagrams.emplace(target->nextLoopAt, std::move(arrived));
             continue;
         }
+        if (const auto *const hello = std::get_if<balancer_hello>(&arrived.message))
+            hearEra(target, hello->storeEra);
         packet_actions actions;
         target->core->message(arrived.from, std::move(arrived.message), localTime(*target), &actions);
         send(*target, &actions);
@@ -200,16 +204,18 @@
     }
     if (m_now < call.answeredAfter)
         return;
+    call.era = m_store.era;
     if (call.isList) {
         call.isDone = true;
         call.version = m_store.stored();
         call.revision = m_store.revision();
         return;
     }
-    const bool isHistoryGone = m_store.historyDroppedAt > balancer->cursorAt;
+    const bool isCursorUnknown = balancer->cursor > m_store.revision();
+    const bool isHistoryGone = isCursorUnknown || m_store.historyDroppedAt > balancer->cursorAt;
     const bool wasWaiting = m_store.historyDroppedAt > call.sentAt;
     const bool isOver = m_now - call.sentAt >= m_timing.wait;
-    call.isHistoryGone = isHistoryGone && !wasWaiting;
+    call.isHistoryGone = isCursorUnknown || (isHistoryGone && !wasWaiting);
     const bool hasChange = !isHistoryGone && m_store.revision() > balancer->cursor;
     call.isDone = isOver || hasChange || call.isHistoryGone;
     if (!call.isDone || call.isHistoryGone)
@@ -223,7 +229,9 @@
     if (!balancer->call || !balancer->call->isDone)
         return;
     const store_call call = *std::exchange(balancer->call, std::nullopt);
-    if (call.isHistoryGone) {
+    const bool isOfLaterEra = !call.isList && call.era > balancer->era;
+    hearEra(balancer, call.era);
+    if (call.isHistoryGone || (call.version && isOfLaterEra)) {
         balancer->cursor = 0;
         return;
     }
@@ -237,6 +245,14 @@
     balancer->storedVersion = *call.version;
     packet_actions actions;
     const time_point now = localTime(*balancer);
+    if (m_now < balancer->busyUntil) {
+        balancer->cursor = 0;
+        balancer->nextCallAt = m_now + kFirstStoreRetryDelay;
+        if (m_schedule.confirmsWhatWasNotTaken)
+            balancer->core->storeConfirmedRoutes({call.sentAtLocally, 0}, now, &actions);
+        send(*balancer, &actions);
+        return;
+    }
     balancer->core->applyRoutes(routesOfVersion(*call.version), now, &actions);
     balancer->core->storeConfirmedRoutes({call.sentAtLocally, *call.version}, now, &actions);
     send(*balancer, &actions);
@@ -261,6 +277,18 @@
                                 .isTurnedAway = m_now < balancer->turnedAwayUntil};
 }
 
+// A later era that another balancer tells ends the watch in progress, and the worker lists again.
+void routes_watch_run::hearEra(simulated_balancer *balancer, std::uint64_t era)
+{
+    if (era <= balancer->era)
+        return;
+    balancer->era = era;
+    balancer->cursor = 0;
+    balancer->core->applyStoreEra(era, localTime(*balancer));
+    if (balancer->call && !balancer->call->isDone)
+        balancer->call.reset();
+}
+
 duration routes_watch_run::answerDelay()
 {
     duration delay = within(kMaxStoreDelayMs);
@@ -300,7 +328,11 @@
     const bool isCalm =
         m_now - balancer->faultEnd() >= m_schedule.limit && m_now - m_store.faultEnd() >= m_schedule.limit;
     const std::uint64_t required = m_store.confirmedBefore(m_now - m_schedule.limit);
-    if (!isCalm || balancer->core->routesVersion() >= required || balancer->staleVersion == required)
+    if (!isCalm)
+        return;
+    if (std::exchange(balancer->judgedVersion, required) != required)
+        ++m_outcome.judged;
+    if (balancer->core->routesVersion() >= required || balancer->staleVersion == required)
         return;
     balancer->staleVersion = required;
     ++m_outcome.staleRoutes;
