nodes: a list that the event loop cannot take is passed on again

Evidence: OddEntries.AListThatWasNotTakenIsPassedOnAgain fails with the result ignored. Change: the receiver tells whether it has taken the list; if not, the worker passes it on again after 100 ms, without a call to the store.

--- a/src/include/citroncrank/node_registry_worker.h
+++ b/src/include/citroncrank/node_registry_worker.h
@@ -25,7 +25,8 @@
 class node_registry_worker : public store_worker
 {
 public:
-    using receiver = std::function<void(std::vector<listed_node> nodes)>;
+    /// Called in the worker's thread. Returns false if it cannot take the list now; the worker then passes it on again.
+    using receiver = std::function<bool(std::vector<listed_node> nodes)>;
     /// Returns the nodes whose entries are to be removed.
     using stale_nodes_source = std::function<std::vector<host_address>()>;
 
@@ -62,6 +63,7 @@
     bool isReadable(const std::string &key, const std::optional<std::string> &value);
     void keepReadableEntries(std::map<std::string, object_entry> *entries);
     void publish();
+    std::vector<listed_node> readNodes() const;
 
     std::string m_key;
     listed_node m_self;
@@ -70,6 +72,7 @@
     receiver m_receive;
     stale_nodes_source m_staleNodes;
     std::map<std::string, object_entry> m_entries;
+    bool m_isPublished = true; ///< The receiver has taken the entries.
     std::atomic<bool> m_isEntryAllowed = false;
     std::atomic<bool> m_isRenewalRequested = false;
     std::atomic<std::uint32_t> m_slots = 0;
--- a/src/libpacketnode/entries_after_restore_test.cpp
+++ b/src/libpacketnode/entries_after_restore_test.cpp
@@ -24,6 +24,7 @@
             !isAgent, [this](std::vector<listed_node> nodes) {
                 const std::lock_guard lock(m_mutex);
                 m_received = std::move(nodes);
+                return true;
             });
         worker->allowEntry(2);
         worker->start();
--- a/src/libpacketnode/node_registry_worker.cpp
+++ b/src/libpacketnode/node_registry_worker.cpp
@@ -25,6 +25,7 @@
 // Delay before the entries are listed again after a failed write.
 constexpr duration kRelistDelay = milliseconds(100);
 constexpr milliseconds kRemoveTimeout{500};
+constexpr duration kRepublishDelay = milliseconds(100);
 
 } // namespace
 
@@ -92,6 +93,11 @@
 
 std::optional<duration> node_registry_worker::step()
 {
+    if (!m_isPublished) {
+        publish();
+        if (!m_isPublished)
+            return kRepublishDelay;
+    }
     if (m_isRenewalRequested.exchange(false) || takeLaterEra())
         cursor().invalidate();
     if (!cursor().from())
@@ -271,8 +277,15 @@
     }
 }
 
-// If several entries name an address, the host of the one that was written last has it.
 void node_registry_worker::publish()
+{
+    m_isPublished = m_receive(readNodes());
+    if (!m_isPublished)
+        log(absl::StrCat("entries not taken over, the event loop is busy, count=", m_entries.size()));
+}
+
+// If several entries name an address, the host of the one that was written last has it.
+std::vector<listed_node> node_registry_worker::readNodes() const
 {
     struct latest_entry
     {
@@ -292,7 +305,7 @@
     nodes.reserve(latest.size());
     for (const auto &[address, entry] : latest)
         nodes.push_back(entry.node);
-    m_receive(std::move(nodes));
+    return nodes;
 }
 
 } // namespace citroncrank
--- a/src/libpacketnode/odd_entries_test.cpp
+++ b/src/libpacketnode/odd_entries_test.cpp
@@ -69,10 +69,14 @@
 
     std::mutex m_mutex;
     std::vector<listed_node> m_received;
+    std::atomic<bool> m_isBusy = false; ///< The list is not taken.
     node_registry_worker m_worker{access(), "self", listed_node{*parseHostAddress("10.0.0.1:7000"), false, {}, "za"},
                                   true, [this](std::vector<listed_node> nodes) {
                                       const std::lock_guard lock(m_mutex);
+                                      if (m_isBusy)
+                                          return false;
                                       m_received = std::move(nodes);
+                                      return true;
                                   }};
 };
 
@@ -94,6 +98,19 @@
     EXPECT_GE(m_malformed, count);
 }
 
+// Guards against a list of nodes that is lost until the next change, since the event loop could not take it.
+TEST_F(OddEntries, AListThatWasNotTakenIsPassedOnAgain)
+{
+    m_worker.allowEntry(0);
+    m_worker.start();
+    ASSERT_TRUE(waitForNodes({"10.0.0.1:7000"}));
+    m_isBusy = true;
+    writeEntry("agent2", agentEntry("10.0.0.2:7000"));
+    std::this_thread::sleep_for(milliseconds(600));
+    m_isBusy = false;
+    EXPECT_TRUE(waitForNodes({"10.0.0.1:7000", "10.0.0.2:7000"}));
+}
+
 // Guards against a watch that cannot pass an odd entry, and against an agent that is lost because another writer has replaced
 // its entry by an odd one.
 TEST_F(OddEntries, TheListIsFollowedAfterOneIsWritten)
--- a/src/libpacketnode/packet_agent_node.cpp
+++ b/src/libpacketnode/packet_agent_node.cpp
@@ -73,7 +73,7 @@
                                       && node.service == m_fileSettings.service)
                                  ownSlots = node.slots;
                          }
-                         m_loop.post([this, ownSlots, balancers = std::move(balancers)] {
+                         return m_loop.post([this, ownSlots, balancers = std::move(balancers)] {
                              m_core.assumeSlots(ownSlots);
                              m_core.applyBalancers(balancers, monotonicNow(), &m_actions);
                              perform(&m_actions);
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -82,7 +82,7 @@
     , m_nodeRegistry(storeAccess(), m_settings.name, listed_node{m_settings.nodeAddress, false, {}, m_settings.domain},
                      true,
                      [this](std::vector<listed_node> nodes) {
-                         m_loop.post([this, nodes = std::move(nodes)] {
+                         return m_loop.post([this, nodes = std::move(nodes)] {
                              m_core.applyListing(nodes, monotonicNow(), &m_actions);
                              perform(&m_actions);
                          });
