--- a/src/libpacket/packet_agent_opening_test.cpp
+++ b/src/libpacket/packet_agent_opening_test.cpp
@@ -3,19 +3,6 @@
 using namespace citroncrank;
 using namespace citroncrank::packet_fixture;
 
-namespace {
-
-const std::string kOtherService = "receipts";
-
-packet openingWithSequence(std::uint32_t sequence)
-{
-    packet_header header = openingPacket().header;
-    header.sequence = sequence;
-    return makePacket(header);
-}
-
-} // namespace
-
 // Guards against an opening of a caller that uses a port again and is taken for a copy, although the routes in force name
 // another service.
 TEST_F(PacketAgent, AnOpeningWithTheKeyOfAnEarlierFlowIsNoCopy)
--- a/src/libpacket/packet_balancer_opening_test.cpp
+++ b/src/libpacket/packet_balancer_opening_test.cpp
@@ -5,8 +5,6 @@
 
 namespace {
 
-const std::string kOtherService = "receipts";
-
 agent_report makeReportOf(const std::string &service, std::uint64_t number)
 {
     agent_report report = makeReport(number);
@@ -52,13 +50,6 @@
     }
 };
 
-packet openingWithSequence(std::uint32_t sequence)
-{
-    packet_header header = openingPacket().header;
-    header.sequence = sequence;
-    return makePacket(header);
-}
-
 } // namespace
 
 // Guards against an opening that goes to the service of an older version because its caller uses a port again.
--- a/src/libpacket/packet_fixture_test.h
+++ b/src/libpacket/packet_fixture_test.h
@@ -93,6 +93,7 @@
 inline constexpr host_address kServiceAddress{0xC6120001, 443};
 inline constexpr host_address kCaller{0x64400007, 40001};
 inline const std::string kService = "returns-desk";
+inline const std::string kOtherService = "receipts";
 inline constexpr flow_key kFlow{kCaller, kServiceAddress};
 
 inline packet openingPacket(std::uint32_t copy = 0)
@@ -101,6 +102,14 @@
         {.source = kCaller, .destination = kServiceAddress, .open = true, .sequence = 100, .acknowledged = copy});
 }
 
+/// The opening packet of a later flow with the same key.
+inline packet openingWithSequence(std::uint32_t sequence)
+{
+    packet_header header = openingPacket().header;
+    header.sequence = sequence;
+    return makePacket(header);
+}
+
 inline packet callerPacket(std::uint32_t acknowledged, const std::string &data = {}, std::uint32_t sequence = 101)
 {
     return makePacket({.source = kCaller,
