--- a/src/libsimulation/routes_watch_faults.cpp
+++ b/src/libsimulation/routes_watch_faults.cpp
@@ -86,7 +86,6 @@
     }
 }
 
-// A write that was not answered is done after its successor was confirmed.
 void routes_watch_run::writeLate()
 {
     if (m_store.latest() > 1 && m_now - m_store.versions.back().at > kMinWriteLateness)
@@ -110,7 +109,6 @@
     }
 }
 
-// Any balancers, or all that watch, take no configuration.
 void routes_watch_run::keepSomeBusy()
 {
     const bool isOfWatchers = occurs(0.5);
@@ -123,7 +121,6 @@
     confirmVersion();
 }
 
-// The store loses its latest writes. The operator writes the latest version again a little later.
 void routes_watch_run::restoreStore()
 {
     const std::size_t lost = std::uniform_int_distribution<std::size_t>(1, kMaxLostWrites)(m_random);
@@ -145,7 +142,6 @@
         m_store.write(m_store.latest(), m_now);
 }
 
-// Nothing passes from one failure domain to another one, or into one at all.
 void routes_watch_run::blockPaths()
 {
     const std::size_t to = std::uniform_int_distribution<std::size_t>(0, m_schedule.domains - 1)(m_random);
@@ -184,14 +180,12 @@
     return faults[std::uniform_int_distribution<std::size_t>(0, std::size(faults) - 1)(m_random)];
 }
 
-// The balancer fails as soon as its watch has ended without the change that it missed.
 void routes_watch_run::failAfterMissedChange(simulated_balancer *balancer, const store_call &call)
 {
     if (!call.isList && call.sentAt < m_store.historyDroppedAt && call.version == balancer->core->routesVersion())
         *anyFaultOf(balancer) = m_now + m_schedule.limit;
 }
 
-// All balancers that watch fail in the same way at once, right before a change.
 void routes_watch_run::failWatchers()
 {
     const int kind = std::uniform_int_distribution<int>(0, 3)(m_random);
