balancer: logs and a metric tell that its routes are replaced elsewhere

Change: a balancer remembers which versions other balancers have in force and since when (routes_history). It logs 'routes are replaced' once a version, with the age of its last confirmation, its role in the watch and the source; 'placed flow' tells for how long newer routes are known; a metric. Logic of routes and placements is as before.

--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -10,6 +10,7 @@
 #include "citroncrank/refusal.h"
 #include "citroncrank/retry_budget.h"
 #include "citroncrank/route_set.h"
+#include "citroncrank/routes_history.h"
 #include "citroncrank/routes_sources.h"
 #include "citroncrank/routes_watch_role.h"
 #include "citroncrank/time.h"
@@ -76,6 +77,11 @@
     /// How long ago the object store held no newer routes than those in force, as far as this balancer or another one of
     /// the failure domain knows. Nullopt: unknown.
     std::optional<duration> routesConfirmationAge(time_point now) const;
+    /// For how long other balancers are known to have newer routes in force. Nullopt: none is known to.
+    std::optional<duration> routesReplacedFor(time_point now) const
+    {
+        return m_routesHistory.replacedFor(routesVersion(), now);
+    }
     /// Call after each answer of the object store about evacuations, with all that it held at `listedAt`.
     void storeListedEvacuations(const evacuation_set &listed, time_point listedAt, time_point now, packet_actions *out);
     /// Whether this balancer watches the evacuations in the object store itself.
@@ -186,6 +192,7 @@
     void advanceDueSearches(time_point now, packet_actions *out);
     void rejectFlowWithoutOwner(const flow_key &key, packet_actions *out);
     void onUnroutedPacket(const packet &arrived, packet_actions *out);
+    void logReplacedRoutes(time_point now, packet_actions *out);
     void hold(packet arrived, time_point now, packet_actions *out);
     void replayHeld(time_point now, packet_actions *out);
     void rejectPacket(const packet &rejected, const char *reason, packet_actions *out);
@@ -253,6 +260,8 @@
     refusal_counts m_refusals{};
     std::vector<held_packet> m_held;
     routes_sources m_routesSources;
+    routes_history m_routesHistory;        ///< Of other balancers.
+    std::uint64_t m_lateVersionLogged = 0; ///< Version in force when it was last logged that it is replaced.
     routes_watch_role m_watchRole;
     routes_confirmation m_ownConfirmation; ///< Of the routes in force, by the store's latest answer to this balancer.
     balancer_evacuations m_evacuations;
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -31,6 +31,13 @@
 constexpr duration kIdleMargin = seconds(5);
 constexpr duration kSweepPeriod = seconds(1);
 constexpr duration kAgentExpiry = seconds(30);
+// Routes usually spread within half a second.
+constexpr duration kLateRoutesLogged = seconds(1);
+
+std::string replacedText(std::optional<duration> replacedFor)
+{
+    return replacedFor ? absl::StrCat(" replaced_ms=", wholeMilliseconds(*replacedFor)) : std::string();
+}
 
 } // namespace
 
@@ -252,7 +259,7 @@
                      " load_percent=", isHeard ? int(100 * expectedLoad(load)) : 0,
                      " relative_percent=", int(100 * load.relative), " pace_percent=", int(100 * load.pace),
                      " report_age_ms=", isHeard ? wholeMilliseconds(now - *agent->lastHeardAt) : -1,
-                     " routes=", routesVersion()),
+                     " routes=", routesVersion(), replacedText(routesReplacedFor(now))),
         out);
 }
 
@@ -427,8 +434,25 @@
     replayHeld(now, out);
 }
 
+void packet_balancer::logReplacedRoutes(time_point now, packet_actions *out)
+{
+    const auto replaced = routesReplacedFor(now);
+    if (routesVersion() == m_lateVersionLogged || !replaced || *replaced < kLateRoutesLogged)
+        return;
+    m_lateVersionLogged = routesVersion();
+    const auto age = routesConfirmationAge(now);
+    const auto source = newerRoutes();
+    log(log_class::belief,
+        absl::StrCat("routes are replaced, in_force=", routesVersion(), " newest=", m_routesHistory.newest(),
+                     " replaced_ms=", wholeMilliseconds(*replaced),
+                     " confirmed_ms=", age ? wholeMilliseconds(*age) : -1, " watch=", toString(routesWatchReason(now)),
+                     " source=", source ? toString(source->http) : std::string("none")),
+        out);
+}
+
 void packet_balancer::advance(time_point now, packet_actions *out)
 {
+    logReplacedRoutes(now, out);
     if (!m_nextHello || now >= *m_nextHello) {
         sendHellos(now, out);
         m_nextHello = now + kHelloPeriod;
--- a/src/libpacket/packet_balancer_nodes.cpp
+++ b/src/libpacket/packet_balancer_nodes.cpp
@@ -73,6 +73,7 @@
         if (m_agents.markNamed(agent, now))
             out->emplace_back(send_to_node{agent, this->hello()});
     }
+    m_routesHistory.record(hello.routesVersion, now);
     if (hello.routesVersion > routesVersion())
         m_routesSources.recordAnnouncement({hello.http, hello.routesVersion});
     m_isNeighbourHeard = m_isNeighbourHeard || hello.routesVersion > 0;
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -93,6 +93,9 @@
     , m_confirmationAge(m_metrics.gauge(
           "citroncrank_balancer_configuration_confirmed_age_seconds",
           "Time since the platform's store held no newer configuration than the one in force, -1: unknown."))
+    , m_routesReplacedFor(
+          m_metrics.gauge("citroncrank_balancer_routes_replaced_seconds",
+                          "For how long other balancers are known to have newer routes in force, 0: none is known to."))
     , m_watchesRoutes(m_metrics.gauge("citroncrank_balancer_watches_configuration",
                                       "1 if this balancer watches the configuration in the platform's store itself."))
 {}
@@ -185,6 +188,7 @@
                          " version=", m_core.routesVersion(), " confirmed_ms=", age ? wholeMilliseconds(*age) : -1));
     m_watchesRoutes.set(isWatching ? 1 : 0);
     m_confirmationAge.set(age ? std::chrono::duration<double>(*age).count() : -1);
+    m_routesReplacedFor.set(std::chrono::duration<double>(m_core.routesReplacedFor(now).value_or(duration(0))).count());
     m_routesWorker.setWatching(isWatching);
 }
 
