http connection: an answer that keeps arriving is read past the deadline

Cause: the deadline of a call, 0.5 s for a balancer and 0.8 s for the store, held for the whole answer. An answer that takes longer over the link was thrown away and requested anew, which loaded the link further. The same holds for each list of the store at a large fleet. Change: the deadline holds until the answer begins and for each pause within it; 30 s for the whole answer. A stop now ends a call to another balancer. The log tells how long it was waited, and how many bytes came. Before: HttpConnection.AResponseThatKeepsArrivingIsReadPastTheDeadline fails. After: it passes, with AResponseThatStopsArrivingFails, AResponseThatArrivesForTooLongFails, PeerRoutes.AStopEndsACallInProgress.

--- a/src/include/citroncrank/http_connection.h
+++ b/src/include/citroncrank/http_connection.h
@@ -19,7 +19,10 @@
 struct http_connection_settings
 {
     host_address address;
-    std::chrono::milliseconds callDeadline{5000}; ///< Per call; http_call::wait is added to it.
+    /// Longest time until the response begins, and longest pause within it. http_call::wait is added to the former.
+    std::chrono::milliseconds callDeadline{5000};
+    /// Longest time of a response that keeps arriving, from its beginning.
+    std::chrono::milliseconds transferDeadline{30'000};
     std::size_t maxResponseBytes = 32 * 1024 * 1024;
 };
 
--- a/src/include/citroncrank/object_store.h
+++ b/src/include/citroncrank/object_store.h
@@ -185,7 +185,8 @@
 struct http_object_store_settings
 {
     host_address address;
-    std::chrono::milliseconds callDeadline{5000}; ///< Per call; the wait of a watch is added to it.
+    /// Until the response begins; the wait of a watch is added to it. See http_connection_settings.
+    std::chrono::milliseconds callDeadline{5000};
 };
 
 struct object_api_request;
--- a/src/include/citroncrank/routes_worker.h
+++ b/src/include/citroncrank/routes_worker.h
@@ -3,6 +3,7 @@
 /// @file
 /// Threads that update a balancer's routes when the operator's configuration changes.
 
+#include "citroncrank/http_connection.h"
 #include "citroncrank/packet_balancer.h"
 #include "citroncrank/route_set.h"
 #include "citroncrank/store_worker.h"
@@ -12,6 +13,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -21,7 +23,7 @@
 /// another time.
 constexpr std::chrono::milliseconds kDefaultConfigurationTime{3000};
 
-/// Deadline of a call that reads routes from another balancer. A stop does not interrupt it.
+/// Deadline of a call that reads routes from another balancer, until the answer begins.
 constexpr std::chrono::milliseconds kPeerCallDeadline{500};
 
 /// How the workers read routes from other balancers.
@@ -33,13 +35,44 @@
     std::function<void(const routes_source &source)> fail = [](const routes_source &) {};
 };
 
+/// Called in a worker's thread. The text is the document as stored. Returns false if it cannot take them now; the worker
+/// then reads them again.
+using routes_receiver = std::function<bool(std::shared_ptr<const route_set> routes, std::string text)>;
+
+/// Reads newer routes from other balancers, one call at a time.
+class peer_routes_reader
+{
+public:
+    peer_routes_reader(routes_receiver receive, peer_routes_access peers, store_log log);
+
+    /// Reads from the source that is known now, if there is one.
+    void read();
+    /// Ends the call in progress, and all later ones at once. May be called from any thread.
+    void interrupt();
+
+private:
+    struct fetched_routes
+    {
+        std::shared_ptr<const route_set> routes;
+        std::string text;
+    };
+
+    std::optional<std::string> fetch(const host_address &peer);
+    std::optional<fetched_routes> fetchAnnounced(const routes_source &source, std::string *lastReason);
+
+    routes_receiver m_receive;
+    peer_routes_access m_peers;
+    store_log m_log;
+    std::mutex m_mutex;
+    http_connection *m_connection = nullptr; ///< Of the call in progress.
+    bool m_isInterrupted = false;
+};
+
 /// Watches the operator's configuration in the platform's store.
 class routes_worker : public store_worker
 {
 public:
-    /// Called in the worker's thread. The text is the document as stored. Returns false if it cannot take them now; the
-    /// worker then reads them again.
-    using receiver = std::function<bool(std::shared_ptr<const route_set> routes, std::string text)>;
+    using receiver = routes_receiver;
     /// Called in the worker's thread after each answer of the store, unless its configuration could not be read or received.
     using confirmation_receiver = std::function<void(const routes_confirmation &answer)>;
 
@@ -54,6 +87,7 @@
 
 protected:
     std::optional<duration> step() override;
+    void interrupt() override;
 
 private:
     std::optional<duration> listConfig();
@@ -65,7 +99,7 @@
 
     receiver m_receive;
     confirmation_receiver m_confirm;
-    peer_routes_access m_peers;
+    peer_routes_reader m_peerReader;
     std::chrono::milliseconds m_wait;
     std::optional<std::uint64_t> m_storedVersion; ///< That the store holds, 0: none. Nullopt: unknown or not passed on.
     bool m_isRefused = false;                     ///< The receiver could not take the last document.
@@ -77,7 +111,7 @@
 class peer_routes_worker : public worker_thread
 {
 public:
-    peer_routes_worker(routes_worker::receiver receive, peer_routes_access peers, store_log log);
+    peer_routes_worker(const routes_receiver &receive, const peer_routes_access &peers, const store_log &log);
     ~peer_routes_worker() override { stop(); }
 
     /// Fetches the newer routes without delay. May be called from any thread.
@@ -85,11 +119,11 @@
 
 protected:
     std::optional<duration> step() override;
+    void interrupt() override { m_reader.interrupt(); }
 
 private:
-    routes_worker::receiver m_receive;
     peer_routes_access m_peers;
-    store_log m_log;
+    peer_routes_reader m_reader;
     bool m_wasBehind = false; ///< Another balancer had a newer version at the last step.
     std::atomic<bool> m_isUrgent = false;
 };
--- a/src/include/citroncrank/store_worker.h
+++ b/src/include/citroncrank/store_worker.h
@@ -36,8 +36,8 @@
     malformed_document_counter countMalformed = [](const char *) {};
 };
 
-/// Deadline of one call. Reads take a few milliseconds, so a store that is slower by a factor of 100 still answers
-/// within it.
+/// Deadline of one call, until its answer begins. Reads take a few milliseconds, so a store that is slower by a factor of
+/// 100 still answers within it.
 constexpr std::chrono::milliseconds kStoreCallDeadline{800};
 /// Longest pause after the first of several failed calls.
 constexpr std::chrono::milliseconds kFirstStoreRetryDelay{100};
--- a/src/include/citroncrank/watch_timing.h
+++ b/src/include/citroncrank/watch_timing.h
@@ -18,7 +18,7 @@
     std::chrono::milliseconds wait{0};
     /// A balancer that does not watch relies on a confirmation for this time, from the moment that it speaks of.
     duration confirmationTimeout{0};
-    /// Deadline of one call.
+    /// Deadline of one call. A large answer over a slow link may take longer, see http_connection_settings.
     std::chrono::milliseconds callDeadline{0};
 };
 
--- a/src/libobjectstore/http_connection.cpp
+++ b/src/libobjectstore/http_connection.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <chrono>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -169,7 +170,7 @@
         }
         http::response_parser<http::string_body> parser;
         parser.body_limit(m_settings.maxResponseBytes);
-        error = run([&](auto handler) { http::async_read(m_stream, m_buffer, parser, handler); });
+        error = readResponse(&parser);
         // Bytes after the response belong to no call; the next call must not read them as its response.
         if (error || !parser.get().keep_alive() || m_buffer.size() > 0)
             m_stream.close();
@@ -182,6 +183,18 @@
         return exchange_result::answered;
     }
 
+    // A large document takes longer than the deadline over a slow link, at each attempt. So bytes that arrive extend it.
+    error_code readResponse(http::response_parser<http::string_body> *parser)
+    {
+        error_code error = run([&](auto handler) { http::async_read_header(m_stream, m_buffer, *parser, handler); });
+        const auto end = std::chrono::steady_clock::now() + m_settings.transferDeadline;
+        while (!error && !parser->is_done()) {
+            m_stream.expires_at(std::min(end, std::chrono::steady_clock::now() + m_settings.callDeadline));
+            error = run([&](auto handler) { http::async_read_some(m_stream, m_buffer, *parser, handler); });
+        }
+        return error;
+    }
+
     http_connection_settings m_settings;
     net::io_context m_context{1};
     beast::tcp_stream m_stream;
--- a/src/libobjectstore/http_connection_test.cpp
+++ b/src/libobjectstore/http_connection_test.cpp
@@ -26,6 +26,8 @@
     std::string bytes;
     std::string delayedBytes;      ///< Sent 20 ms later, while no request is pending.
     bool closesConnection = false; ///< Closes the connection after the bytes.
+    std::size_t parts = 1;         ///< Number of parts of `bytes`, sent one after the other.
+    milliseconds partPause{0};     ///< Between two parts.
 };
 
 /// Loopback server that serves its connections one after the other and answers each request by the next script entry.
@@ -81,7 +83,12 @@
         net::read_until(*socket, net::dynamic_buffer(request), "\r\n\r\n", failure);
         if (failure)
             return false;
-        net::write(*socket, net::buffer(response.bytes), failure);
+        const std::size_t partBytes = response.bytes.size() / response.parts + 1;
+        for (std::size_t sent = 0; sent < response.bytes.size(); sent += partBytes) {
+            if (sent > 0)
+                std::this_thread::sleep_for(response.partPause);
+            net::write(*socket, net::buffer(response.bytes.substr(sent, partBytes)), failure);
+        }
         if (!response.delayedBytes.empty()) {
             std::this_thread::sleep_for(milliseconds(20));
             net::write(*socket, net::buffer(response.delayedBytes), failure);
@@ -166,3 +173,35 @@
     EXPECT_EQ(read(&connection), "second");
     EXPECT_EQ(server.connections(), 1);
 }
+
+// Guards against a response that never arrives over a slow link: it was thrown away at the deadline and requested anew.
+TEST(HttpConnection, AResponseThatKeepsArrivingIsReadPastTheDeadline)
+{
+    const std::string body(20'000, 'x');
+    scripted_server server({{.bytes = formatResponse(body), .parts = 10, .partPause = milliseconds(50)}});
+    http_connection connection({server.address(), milliseconds(200)});
+    EXPECT_EQ(read(&connection), body);
+}
+
+// Guards against a call without an end, if the server stops in the middle of its response.
+TEST(HttpConnection, AResponseThatStopsArrivingFails)
+{
+    scripted_server server(
+        {{.bytes = formatResponse(std::string(100, 'x')), .parts = 2, .partPause = milliseconds(600)}});
+    http_connection connection({server.address(), milliseconds(200)});
+    const auto before = std::chrono::steady_clock::now();
+    EXPECT_EQ(read(&connection), "-");
+    EXPECT_LT(std::chrono::steady_clock::now() - before, milliseconds(500));
+}
+
+// The same if it sends a byte now and then.
+TEST(HttpConnection, AResponseThatArrivesForTooLongFails)
+{
+    scripted_server server(
+        {{.bytes = formatResponse(std::string(100, 'x')), .parts = 30, .partPause = milliseconds(50)}});
+    http_connection connection(
+        {.address = server.address(), .callDeadline = milliseconds(200), .transferDeadline = milliseconds(500)});
+    const auto before = std::chrono::steady_clock::now();
+    EXPECT_EQ(read(&connection), "-");
+    EXPECT_LT(std::chrono::steady_clock::now() - before, milliseconds(900));
+}
--- a/src/libobjectstore/http_object_store.cpp
+++ b/src/libobjectstore/http_object_store.cpp
@@ -14,7 +14,8 @@
 {
 public:
     explicit implementation(const http_object_store_settings &settings)
-        : m_connection({settings.address, settings.callDeadline, kMaxResponseBytes})
+        : m_connection(
+            {.address = settings.address, .callDeadline = settings.callDeadline, .maxResponseBytes = kMaxResponseBytes})
     {}
 
     /// Sends a request and waits for the response. Idempotent requests are retried once on a new connection if the
--- a/src/libpacketnode/peer_routes_worker_test.cpp
+++ b/src/libpacketnode/peer_routes_worker_test.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <mutex>
 
 using namespace citroncrank;
@@ -109,3 +111,17 @@
     EXPECT_TRUE(waitForVersion(7));
     EXPECT_EQ(failures(), (std::vector<routes_source>{{older.address(), 7}}));
 }
+
+// Guards against a process whose end waits for a balancer that does not answer.
+TEST_F(PeerRoutes, AStopEndsACallInProgress)
+{
+    boost::asio::io_context context;
+    const boost::asio::ip::tcp::acceptor silent(context, {boost::asio::ip::address_v4::loopback(), 0});
+    announce({{0x7F000001, silent.local_endpoint().port()}, 7});
+    m_worker.start();
+    m_worker.fetchNow();
+    std::this_thread::sleep_for(milliseconds(100));
+    const auto before = std::chrono::steady_clock::now();
+    m_worker.stop();
+    EXPECT_LT(std::chrono::steady_clock::now() - before, milliseconds(200));
+}
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -31,67 +31,89 @@
 constexpr duration kPeerDelay = milliseconds(300);
 constexpr const char *kRoutesPath = "/routes";
 
-std::optional<std::string> fetchRoutes(const host_address &peer)
+} // namespace
+
+peer_routes_reader::peer_routes_reader(routes_receiver receive, peer_routes_access peers, store_log log)
+    : m_receive(std::move(receive))
+    , m_peers(std::move(peers))
+    , m_log(std::move(log))
+{}
+
+void peer_routes_reader::interrupt()
 {
-    http_connection connection({peer, kPeerCallDeadline});
+    const std::lock_guard lock(m_mutex);
+    m_isInterrupted = true;
+    if (m_connection != nullptr)
+        m_connection->stop();
+}
+
+std::optional<std::string> peer_routes_reader::fetch(const host_address &peer)
+{
+    http_connection connection({.address = peer, .callDeadline = kPeerCallDeadline});
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isInterrupted)
+            return std::nullopt;
+        m_connection = &connection;
+    }
     http_call_failure failure = http_call_failure::not_sent;
     auto answer = connection.call({"GET", kRoutesPath, "", {}, true}, &failure);
+    const std::lock_guard lock(m_mutex);
+    m_connection = nullptr;
     constexpr unsigned kStatusOk = 200;
     if (!answer || answer->status != kStatusOk)
         return std::nullopt;
     return std::move(answer->body);
 }
 
-struct fetched_routes
-{
-    std::shared_ptr<const route_set> routes;
-    std::string text;
-};
-
 // A balancer that has restarted may hold older routes than it announced.
-std::optional<fetched_routes> fetchAnnouncedRoutes(const routes_source &source, platform::document_fault *lastReason)
+std::optional<peer_routes_reader::fetched_routes> peer_routes_reader::fetchAnnounced(const routes_source &source,
+                                                                                     std::string *lastReason)
 {
-    auto text = fetchRoutes(source.http);
+    auto text = fetch(source.http);
     if (!text) {
-        lastReason->what = "no answer";
+        *lastReason = "no answer";
         return std::nullopt;
     }
-    auto routes = platform::parseRoutes(*text, lastReason);
-    if (!routes)
+    platform::document_fault fault;
+    auto routes = platform::parseRoutes(*text, &fault);
+    if (!routes) {
+        *lastReason = fault.what;
         return std::nullopt;
+    }
     if (routes->version < source.version) {
-        lastReason->what = absl::StrCat("older than announced, read=", routes->version);
+        *lastReason = absl::StrCat("older than announced, read=", routes->version);
         return std::nullopt;
     }
     return fetched_routes{std::move(routes), std::move(*text)};
 }
 
-void readFromBalancer(const peer_routes_access &peers, const routes_worker::receiver &receive, const store_log &log)
+void peer_routes_reader::read()
 {
-    const auto source = peers.source();
+    const auto source = m_peers.source();
     if (!source)
         return;
-    platform::document_fault fault;
-    auto fetched = fetchAnnouncedRoutes(*source, &fault);
+    const time_point calledAt = monotonicNow();
+    std::string reason;
+    auto fetched = fetchAnnounced(*source, &reason);
+    const auto waitedMs = wholeMilliseconds(monotonicNow() - calledAt);
     if (!fetched) {
-        log(absl::StrCat("cannot read routes from balancer, balancer=", toString(source->http),
-                         " version=", source->version, " reason=", fault.what));
-        peers.fail(*source);
+        m_log(absl::StrCat("cannot read routes from balancer, balancer=", toString(source->http),
+                           " version=", source->version, " reason=", reason, " waited_ms=", waitedMs));
+        m_peers.fail(*source);
         return;
     }
-    log(absl::StrCat("routes read from a balancer, balancer=", toString(source->http),
-                     " version=", fetched->routes->version));
-    receive(std::move(fetched->routes), std::move(fetched->text));
+    m_log(absl::StrCat("routes read from a balancer, balancer=", toString(source->http), " version=",
+                       fetched->routes->version, " bytes=", fetched->text.size(), " waited_ms=", waitedMs));
+    m_receive(std::move(fetched->routes), std::move(fetched->text));
 }
 
-} // namespace
-
 routes_worker::routes_worker(const store_access &access, receiver receive, confirmation_receiver confirm,
                              peer_routes_access peers, const watch_timing &timing)
     : store_worker("configuration", access, timing.callDeadline)
-    , m_receive(std::move(receive))
+    , m_receive(receive)
     , m_confirm(std::move(confirm))
-    , m_peers(std::move(peers))
+    , m_peerReader(std::move(receive), std::move(peers), [this](const std::string &text) { log(text); })
     , m_wait(timing.wait)
 {}
 
@@ -100,6 +122,12 @@
     stop();
 }
 
+void routes_worker::interrupt()
+{
+    store_worker::interrupt();
+    m_peerReader.interrupt();
+}
+
 std::optional<duration> routes_worker::step()
 {
     if (takeLaterEra())
@@ -127,7 +155,7 @@
     const auto list = store().list({.prefix = platform::kConfigPrefix, .after = {}}, &reason);
     const duration pause = recordCall(list.has_value(), reason);
     if (!list) {
-        readFromBalancer(m_peers, m_receive, [this](const std::string &text) { log(text); });
+        m_peerReader.read();
         return pause;
     }
     m_storedVersion = list->unreadable == 0 ? std::optional(std::uint64_t(0)) : std::nullopt;
@@ -199,10 +227,10 @@
     return std::nullopt;
 }
 
-peer_routes_worker::peer_routes_worker(routes_worker::receiver receive, peer_routes_access peers, store_log log)
-    : m_receive(std::move(receive))
-    , m_peers(std::move(peers))
-    , m_log(std::move(log))
+peer_routes_worker::peer_routes_worker(const routes_receiver &receive, const peer_routes_access &peers,
+                                       const store_log &log)
+    : m_peers(peers)
+    , m_reader(receive, peers, log)
 {}
 
 std::optional<duration> peer_routes_worker::step()
@@ -211,7 +239,7 @@
     const bool isUrgent = m_isUrgent.exchange(false);
     if (!std::exchange(m_wasBehind, isBehind) && !isUrgent)
         return isBehind ? kPeerDelay : kPeerCheckPeriod;
-    readFromBalancer(m_peers, m_receive, m_log);
+    m_reader.read();
     m_wasBehind = false;
     return kPeerCheckPeriod;
 }
