packet path: an opening is not bound by routes that were replaced long ago

Cause: nothing checked the routes when an opening was bound. An opening that was forwarded named no version, agents knew of none, and a balancer that had known of newer routes for minutes went on with its own. Change: the version is a fencing token. Openings name the version that bound them. Agents keep the newest versions that balancers name and since when; an opening by routes that were replaced for more than half of configuration-time goes back with the newer version and its holder. A late balancer, told so or by hellos of others, gives openings to a balancer with newer routes (its own failure domain first), which places them and tells the owner back, and watches the store itself. If no holder is known it places them as before and says so (newest_known), and the agent takes them: serving while the store is away goes on. Why it works: all openings pass an agent, so it does not matter why the balancer is late.

--- a/src/include/citroncrank/node_message.h
+++ b/src/include/citroncrank/node_message.h
@@ -61,6 +61,9 @@
     bool isTrial = false;   ///< Opens a flow at a failing upstream to test whether it has recovered.
     bool isSettled = false; ///< The receiver is the least loaded agent found; it forwards the packet to no other.
     std::vector<agent_load_sample> visited; ///< Agents that forwarded the opening packet for lack of a free slot.
+    std::uint64_t routesVersion = 0;        ///< Routes that bound the opening packet. 0: unknown.
+    bool isNewestKnown =
+        false; ///< The balancer can reach nobody with newer routes, so the agent takes them as current.
     auto operator<=>(const forwarded_packet &) const = default;
 };
 
@@ -93,17 +96,18 @@
 
 /// Why an agent rejected a packet.
 enum class rejection_reason : std::uint8_t {
-    wrong_service, ///< Its upstream belongs to another service.
-    draining,      ///< Its upstream is draining.
-    not_serving,   ///< Its upstream is silent or has left, or the agent is about to restart.
-    full,          ///< Its upstream returned the opening packet.
-    unknown_flow,  ///< Its upstream does not hold the flow.
-    ended_flow,    ///< The upstream that held the flow has ended, so the flow has no owner.
-    evacuated,     ///< Its failure domain is evacuated.
-    cold,          ///< Its cold upstream has received as many new flows as it bears.
-    no_time,       ///< The request could not be answered before its caller times out.
-};
-constexpr int kRejectionReasonCount = 9;
+    wrong_service,   ///< Its upstream belongs to another service.
+    draining,        ///< Its upstream is draining.
+    not_serving,     ///< Its upstream is silent or has left, or the agent is about to restart.
+    full,            ///< Its upstream returned the opening packet.
+    unknown_flow,    ///< Its upstream does not hold the flow.
+    ended_flow,      ///< The upstream that held the flow has ended, so the flow has no owner.
+    evacuated,       ///< Its failure domain is evacuated.
+    cold,            ///< Its cold upstream has received as many new flows as it bears.
+    no_time,         ///< The request could not be answered before its caller times out.
+    replaced_routes, ///< The balancer has bound the opening by routes that were replaced too long ago.
+};
+constexpr int kRejectionReasonCount = 10;
 const char *toString(rejection_reason reason);
 
 /// The agent did not deliver the packet, or its upstream returned it to the agent.
@@ -112,6 +116,8 @@
     rejection_reason reason = rejection_reason::unknown_flow;
     forward_purpose purpose = forward_purpose::to_owner;
     std::string packetBytes;
+    std::uint64_t newestRoutes = 0; ///< With replaced_routes: the newest version that the agent knows.
+    host_address newestHolder;      ///< The balancer that has them in force.
     auto operator<=>(const rejection_notice &) const = default;
 };
 
@@ -199,6 +205,7 @@
     std::optional<evacuation_set> evacuations;     ///< Evacuations that the sender applies; nullopt: not known.
     bool areEvacuationsConfirmed = false;          ///< The sender watches the store, which holds no newer evacuations.
     std::uint32_t evacuationsAgeMilliseconds = 0;  ///< Age of that answer of the store.
+    bool takesOpenings = false; ///< The sender places opening packets of balancers whose routes are replaced.
     auto operator<=>(const balancer_hello &) const = default;
 };
 
--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -13,6 +13,7 @@
 #include "citroncrank/refusal.h"
 #include "citroncrank/request_head.h"
 #include "citroncrank/request_queue.h"
+#include "citroncrank/routes_history.h"
 #include "citroncrank/sliding_limit.h"
 #include "citroncrank/time.h"
 #include "citroncrank/upstream_health.h"
@@ -55,6 +56,8 @@
     std::uint32_t storeWritesPerSecond = 1; ///< Write calls that the store accepts from all nodes together.
     duration evacuationTime{0};             ///< An evacuation is in force this long after its write. 0: there are none.
     std::optional<cold_opening_limit> coldLimit = std::nullopt; ///< Nullopt: none.
+    /// Openings that are bound by routes which were replaced for longer are rejected.
+    duration replacedRoutesTimeout = std::chrono::milliseconds(1500);
 };
 
 /// Announcement that an upstream sends to its agent periodically.
@@ -101,7 +104,8 @@
     std::uint64_t requests = 0;
     std::uint64_t openedEvacuated = 0; ///< Opening packets delivered while the failure domain was evacuated.
     std::uint64_t refusedEvacuated = 0;
-    std::uint64_t refusedCold = 0; ///< Opening packets over the limit of a cold upstream.
+    std::uint64_t refusedCold = 0;    ///< Opening packets over the limit of a cold upstream.
+    std::uint64_t replacedRoutes = 0; ///< Opening packets that were bound by routes replaced too long ago.
     auto operator<=>(const packet_agent_counts &) const = default;
 };
 
@@ -244,6 +248,9 @@
     void handleOpening(forwarded_packet arrived, packet content, time_point now, packet_actions *out);
     void handleFlowPacket(forwarded_packet arrived, packet content, time_point now, packet_actions *out);
     void rejectPacket(forwarded_packet arrived, rejection_reason reason, packet_actions *out);
+    void recordRoutes(const host_address &balancer, std::uint64_t version, time_point now);
+    bool isBoundByReplacedRoutes(const forwarded_packet &opening, time_point now) const;
+    void rejectReplacedRoutes(forwarded_packet arrived, const flow_key &flow, time_point now, packet_actions *out);
     agent_load_sample loadSample(time_point now) const;
     void settleOnLeastLoaded(forwarded_packet *arrived, time_point now) const;
     void forwardToAlternate(forwarded_packet arrived, const char *reason, const flow_key &flow, packet_actions *out);
@@ -384,6 +391,8 @@
     /// Flows that were refused although an opening packet had been delivered; the upstream's answers to them are dropped.
     absl::flat_hash_map<flow_key, time_point> m_withdrawnOpenings;
     sliding_limit m_openingsDelivered; ///< Opening packets, including copies.
+    routes_history m_routesHistory;    ///< Of the balancers.
+    host_address m_newestRoutesHolder; ///< Balancer that was last heard with the newest routes.
 };
 
 /// Interval between calls of packet_agent::advance().
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -42,6 +42,8 @@
     routes_watch_settings routesWatch;
     /// How the balancers of a failure domain share the watch of evacuations. Nullopt: the deployment has none.
     std::optional<routes_watch_settings> evacuationsWatch = std::nullopt;
+    /// Routes that were replaced elsewhere for longer bind no opening here, if another balancer can place it.
+    duration replacedRoutesTimeout = std::chrono::milliseconds(1500);
 };
 
 /// A node as the object store lists it.
@@ -116,6 +118,8 @@
     std::size_t flowCount() const { return m_flows.size(); }
     const agent_directory &agents() const { return m_agents; }
     std::size_t balancerCount() const { return m_balancers.size(); }
+    /// Openings that another balancer was given, since its start, as the routes here were replaced.
+    std::uint64_t openingsHandedOver() const { return m_openingsHandedOver; }
     /// Openings that this balancer has refused itself, since its start.
     const refusal_counts &refusals() const { return m_refusals; }
 
@@ -135,9 +139,10 @@
         std::vector<host_address> rejectedBy; ///< Agents that rejected the opening packet.
         /// Of the opening packet, which its copies share. Nullopt: not seen here.
         std::optional<std::uint32_t> openingSequence;
-        std::unique_ptr<owner_search> search;    ///< Null unless the owner is searched for.
-        std::vector<held_packet> heldForRestart; ///< Data packets held during a planned restart of the owner.
-        std::optional<time_point> searchedAt;    ///< Start of the last search for the owner.
+        std::unique_ptr<owner_search> search;     ///< Null unless the owner is searched for.
+        std::vector<held_packet> heldForRestart;  ///< Data packets held during a planned restart of the owner.
+        std::optional<time_point> searchedAt;     ///< Start of the last search for the owner.
+        std::optional<host_address> handedOverBy; ///< Balancer that is to be told the owner.
         bool finished = false;
         time_point lastSeen;
         time_point firstSeen;
@@ -193,6 +198,15 @@
     void rejectFlowWithoutOwner(const flow_key &key, packet_actions *out);
     void onUnroutedPacket(const packet &arrived, packet_actions *out);
     void logReplacedRoutes(time_point now, packet_actions *out);
+    bool areRoutesLate(time_point now) const;
+    std::optional<host_address> newerRoutesHolder(const packet_header &opening, time_point now);
+    bool handOverOpening(const packet &arrived, time_point now, packet_actions *out);
+    bool isOwnerKnown(const flow_key &flow) const;
+    void onHandedOverOpening(const host_address &from, const forwarded_packet &message, time_point now,
+                             packet_actions *out);
+    void passOwnerOn(const host_address &owner, const flow_key &flow, packet_actions *out);
+    void onReplacedRoutes(const host_address &agent, const rejection_notice &notice, packet returned, time_point now,
+                          packet_actions *out);
     void hold(packet arrived, time_point now, packet_actions *out);
     void replayHeld(time_point now, packet_actions *out);
     void rejectPacket(const packet &rejected, const char *reason, packet_actions *out);
@@ -246,6 +260,15 @@
     {
         time_point lastHeardAt;
         std::string domain; ///< Empty until its first hello.
+        std::uint64_t routesVersion = 0;
+        bool takesOpenings = false;
+    };
+    /// A balancer that an agent has named as holder of newer routes.
+    struct named_holder
+    {
+        host_address balancer;
+        std::uint64_t version = 0;
+        time_point namedAt;
     };
     absl::btree_map<host_address, known_balancer> m_balancers; ///< Other balancers.
     absl::flat_hash_map<flow_key, balancer_flow> m_flows;
@@ -262,6 +285,9 @@
     routes_sources m_routesSources;
     routes_history m_routesHistory;        ///< Of other balancers.
     std::uint64_t m_lateVersionLogged = 0; ///< Version in force when it was last logged that it is replaced.
+    std::uint64_t m_lateVersion = 0;       ///< Newest version that an agent has rejected as replaced.
+    std::optional<named_holder> m_namedHolder;
+    std::uint64_t m_openingsHandedOver = 0;
     routes_watch_role m_watchRole;
     routes_confirmation m_ownConfirmation; ///< Of the routes in force, by the store's latest answer to this balancer.
     balancer_evacuations m_evacuations;
--- a/src/include/citroncrank/packet_balancer_node.h
+++ b/src/include/citroncrank/packet_balancer_node.h
@@ -65,6 +65,7 @@
     metric_gauge &m_routesVersion;
     metric_gauge &m_confirmationAge;
     metric_gauge &m_routesReplacedFor;
+    metric_gauge &m_openingsHandedOver;
     metric_gauge &m_watchesRoutes;
 
     mutable std::mutex m_sharedMutex; ///< Guards the m_shared members, which other threads read.
--- a/src/include/citroncrank/packet_node_settings.h
+++ b/src/include/citroncrank/packet_node_settings.h
@@ -52,6 +52,7 @@
     duration announcementPeriod{0};
     duration minSnapshotInterval{0}; ///< Minimum time between two snapshots of the open flows. 0: none are made.
     std::optional<cold_opening_limit> coldLimit; ///< Nullopt: none.
+    duration configurationTime{0};               ///< As for balancers.
     bool operator==(const packet_agent_node_settings &) const = default;
 };
 
--- a/src/include/citroncrank/routes_watch_role.h
+++ b/src/include/citroncrank/routes_watch_role.h
@@ -35,6 +35,7 @@
     none,            ///< It does not watch.
     no_confirmation, ///< No other balancer has confirmed the routes in force within the time-out.
     fetch_failed,    ///< Newer routes exist and could not be read from the balancer that has them.
+    replaced,        ///< Other nodes have had newer routes in force for long.
     first_in_order,  ///< Fewer watchers than configured come before it.
 };
 
--- a/src/include/citroncrank/watch_timing.h
+++ b/src/include/citroncrank/watch_timing.h
@@ -66,6 +66,13 @@
     return result;
 }
 
+/// An opening is not bound by routes that were replaced for longer than this. The rest of the limit is for hearing of the
+/// newer ones and for a placement by them.
+constexpr duration replacedRoutesTimeout(duration limit)
+{
+    return limit / 2;
+}
+
 /// Whether a change is applied within the limit however the times follow each other, and whether confirmations are renewed
 /// before they expire.
 constexpr bool isWithinLimit(const watch_timing &timing, duration limit)
--- a/src/libpacket/node_message.cpp
+++ b/src/libpacket/node_message.cpp
@@ -52,6 +52,8 @@
         return rejection_reason::cold;
     case kNoTime:
         return rejection_reason::no_time;
+    case kReplacedRoutes:
+        return rejection_reason::replaced_routes;
     default:
         return rejection_reason(reason);
     }
@@ -92,7 +94,9 @@
         .packetBytes = fromWire(source.packet()),
         .isTrial = source.trial(),
         .isSettled = source.settled(),
-        .visited = fromWire(source.visited())};
+        .visited = fromWire(source.visited()),
+        .routesVersion = source.routes_version(),
+        .isNewestKnown = source.newest_known()};
 }
 
 std::optional<node_message> decodeBody(const wire::Owner &source)
@@ -109,7 +113,7 @@
         || source.packet() == nullptr)
         return std::nullopt;
     return rejection_notice{decodeReason(source.reason(), source.detail()), forward_purpose(source.purpose()),
-                            fromWire(source.packet())};
+                            fromWire(source.packet()), source.newest_routes(), fromWire(source.newest_holder())};
 }
 
 std::optional<agent_report> decodeReport(const wire::Report *source)
@@ -157,7 +161,8 @@
                           .confirmationAgeMilliseconds = source.confirmation_age_ms(),
                           .evacuations = fromWire(source.evacuations()),
                           .areEvacuationsConfirmed = source.evacuations_confirmed(),
-                          .evacuationsAgeMilliseconds = source.evacuations_age_ms()};
+                          .evacuationsAgeMilliseconds = source.evacuations_age_ms(),
+                          .takesOpenings = source.takes_openings()};
 }
 
 std::optional<node_message> decodeBody(const wire::AgentHello &source)
@@ -240,6 +245,8 @@
         return "cold";
     case rejection_reason::no_time:
         return "no_time";
+    case rejection_reason::replaced_routes:
+        return "replaced_routes";
     }
     return "unknown";
 }
--- a/src/libpacket/node_message_encoding.cpp
+++ b/src/libpacket/node_message_encoding.cpp
@@ -53,6 +53,8 @@
         return {rejection_reason::full, kCold};
     case rejection_reason::no_time:
         return {rejection_reason::full, kNoTime};
+    case rejection_reason::replaced_routes:
+        return {rejection_reason::wrong_service, kReplacedRoutes};
     default:
         return {reason, kNoDetail};
     }
@@ -80,7 +82,8 @@
     const auto visited = toWire(out, message.visited);
     return wire::CreateForward(*out, std::uint8_t(message.purpose), service, &origin, alternates, bytes,
                                message.limits.priority, message.limits.latencyTargetMs, message.limits.timeoutMs,
-                               message.isTrial, message.isSettled, visited, message.limits.coldRateMilli)
+                               message.isTrial, message.isSettled, visited, message.limits.coldRateMilli,
+                               message.routesVersion, message.isNewestKnown)
         .Union();
 }
 
@@ -94,7 +97,10 @@
 {
     const auto bytes = toWire(out, message.packetBytes);
     const auto [reason, detail] = encodeReason(message.reason);
-    return wire::CreateNotTaken(*out, std::uint8_t(reason), std::uint8_t(message.purpose), bytes, detail).Union();
+    const auto holder = toWire(message.newestHolder);
+    return wire::CreateNotTaken(*out, std::uint8_t(reason), std::uint8_t(message.purpose), bytes, detail,
+                                message.newestRoutes, &holder)
+        .Union();
 }
 
 flatbuffers::Offset<wire::Report> encodeReport(builder *out, const agent_report &report)
@@ -123,7 +129,8 @@
     return wire::CreateBalancerHello(*out, domain, message.incarnation, message.routesVersion, &http, balancers,
                                      message.agents, message.isEntryMissing, message.storeEra, unlisted,
                                      message.areRoutesConfirmed, message.confirmationAgeMilliseconds, evacuations,
-                                     message.areEvacuationsConfirmed, message.evacuationsAgeMilliseconds)
+                                     message.areEvacuationsConfirmed, message.evacuationsAgeMilliseconds,
+                                     message.takesOpenings)
         .Union();
 }
 
--- a/src/libpacket/node_message_pvt.h
+++ b/src/libpacket/node_message_pvt.h
@@ -22,5 +22,6 @@
 constexpr std::uint8_t kEvacuated = 1;
 constexpr std::uint8_t kCold = 2;
 constexpr std::uint8_t kNoTime = 3;
+constexpr std::uint8_t kReplacedRoutes = 4;
 
 } // namespace citroncrank
--- a/src/libpacket/packet_agent.cpp
+++ b/src/libpacket/packet_agent.cpp
@@ -94,6 +94,8 @@
     }
     const bool isNew = !m_balancers.contains(from);
     m_balancers[from] = now;
+    if (hello->takesOpenings)
+        recordRoutes(from, hello->routesVersion, now);
     m_fleetAgents = std::max<std::size_t>(1, hello->agents);
     applyEvacuations(from, *hello, now, out);
     m_isEntryMissing = m_isEntryMissing || (hello->isEntryMissing && m_upstream);
@@ -116,6 +118,7 @@
     }
     if (const auto known = m_balancers.find(arrived.origin); known != m_balancers.end())
         known->second = now;
+    recordRoutes(arrived.origin, arrived.routesVersion, now);
     packet content{*header, std::move(arrived.packetBytes)};
     arrived.packetBytes.clear();
     if (content.header.open)
--- a/src/libpacket/packet_agent_opening.cpp
+++ b/src/libpacket/packet_agent_opening.cpp
@@ -37,6 +37,41 @@
     return std::nullopt;
 }
 
+// The agents are where all openings pass, so they hold a late balancer to the newest routes whatever made it late. Agents
+// hear of versions from every balancer that sends them packets.
+void packet_agent::recordRoutes(const host_address &balancer, std::uint64_t version, time_point now)
+{
+    m_routesHistory.record(version, now);
+    if (version > 0 && version == m_routesHistory.newest())
+        m_newestRoutesHolder = balancer;
+}
+
+// A balancer that can reach nobody with newer routes goes on serving, as it does while the store is away.
+bool packet_agent::isBoundByReplacedRoutes(const forwarded_packet &opening, time_point now) const
+{
+    if (opening.routesVersion == 0 || opening.isNewestKnown)
+        return false;
+    const auto replaced = m_routesHistory.replacedFor(opening.routesVersion, now);
+    return replaced && *replaced > m_settings.replacedRoutesTimeout;
+}
+
+void packet_agent::rejectReplacedRoutes(forwarded_packet arrived, const flow_key &flow, time_point now,
+                                        packet_actions *out)
+{
+    const auto replaced = m_routesHistory.replacedFor(arrived.routesVersion, now);
+    log(log_class::refusal,
+        absl::StrCat("turned flow away, flow=", toString(flow), " reason=", toString(rejection_reason::replaced_routes),
+                     " balancer=", toString(arrived.origin), " routes=", arrived.routesVersion,
+                     " newest=", m_routesHistory.newest(), " holder=", toString(m_newestRoutesHolder),
+                     " replaced_ms=", replaced ? wholeMilliseconds(*replaced) : 0),
+        out);
+    ++m_counts.rejected;
+    ++m_counts.replacedRoutes;
+    out->emplace_back(send_to_node{arrived.origin, rejection_notice{rejection_reason::replaced_routes, arrived.purpose,
+                                                                    std::move(arrived.packetBytes),
+                                                                    m_routesHistory.newest(), m_newestRoutesHolder}});
+}
+
 const char *toString(forwarding_reason reason)
 {
     switch (reason) {
@@ -132,6 +167,11 @@
     // not open here.
     if (isDuplicate || (known != m_flows.end() && isLaterFlow(known->second, content.header)))
         withdrawOpening(key, now);
+    if (isBoundByReplacedRoutes(arrived, now)) {
+        arrived.packetBytes = std::move(content.bytes);
+        rejectReplacedRoutes(std::move(arrived), key, now, out);
+        return;
+    }
     if (const auto rejection = openingRejectionReason(arrived.service)) {
         log(log_class::refusal,
             absl::StrCat("turned flow away, flow=", toString(key), " reason=", toString(*rejection),
@@ -194,7 +234,8 @@
         m_health.recordTrial(now);
     log(log_class::placement,
         absl::StrCat("took flow, flow=", toString(key), " busy=", busy(), " flows=", m_flows.size(),
-                     " state=", toString(m_state), " announcement=", m_upstream ? m_upstream->number : 0),
+                     " state=", toString(m_state), " announcement=", m_upstream ? m_upstream->number : 0,
+                     " routes=", arrived.routesVersion),
         out);
     arrived.visited.push_back(loadSample(now));
     out->emplace_back(send_to_node{flow.origin, owner_notice{key, std::move(arrived.visited)}});
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -31,8 +31,6 @@
 constexpr duration kIdleMargin = seconds(5);
 constexpr duration kSweepPeriod = seconds(1);
 constexpr duration kAgentExpiry = seconds(30);
-// Routes usually spread within half a second.
-constexpr duration kLateRoutesLogged = seconds(1);
 
 std::string replacedText(std::optional<duration> replacedFor)
 {
@@ -75,13 +73,18 @@
 
 void packet_balancer::callerPacket(packet arrived, time_point now, packet_actions *out)
 {
+    if (arrived.header.open && areRoutesLate(now) && handOverOpening(arrived, now, out))
+        return;
     const packet_route *const route = m_routes ? m_routes->find(arrived.header.destination) : nullptr;
     const bool dependsOnRoutes = route == nullptr || arrived.header.open;
     if (!m_routes || (dependsOnRoutes && !m_isStoreConfirmed)) {
         hold(std::move(arrived), now, out);
         return;
     }
-    if (route == nullptr)
+    // Another balancer has placed the flow by newer routes, which may have a route that is missing here.
+    const bool isPlacedElsewhere =
+        route == nullptr && !arrived.header.open && areRoutesLate(now) && isOwnerKnown(flowFromCaller(arrived.header));
+    if (route == nullptr && !isPlacedElsewhere)
         onUnroutedPacket(arrived, out);
     else if (arrived.header.open)
         openFlow(std::move(arrived), *route, now, out);
@@ -243,6 +246,7 @@
     forwarded_packet message = makeForwardedPacket(forward_purpose::open, chosen.service, key, std::move(arrived.bytes),
                                                    std::move(chosen.agents));
     message.isTrial = chosen.isTrial;
+    message.isNewestKnown = areRoutesLate(now);
     out->emplace_back(send_to_node{agent, std::move(message)});
 }
 
@@ -343,6 +347,7 @@
             for (const agent_load_sample &load : notice.loads)
                 self->m_agents.applyLoad(load, now);
             self->learnOwner(from, notice.flow, now, out);
+            self->passOwnerOn(from, notice.flow, out);
         }
         void operator()(const rejection_notice &notice) const { self->onRejection(from, notice, now, out); }
         void operator()(const agent_report &report) const { self->onAgentReport(from, report, now, out); }
@@ -365,10 +370,7 @@
             self->log(log_class::refusal, absl::StrCat("dropped owner query, from=", toString(from)), out);
         }
         void operator()(const flow_owner_list &owners) const { self->onOwnerList(owners, now); }
-        void operator()(const forwarded_packet &) const
-        {
-            self->log(log_class::refusal, absl::StrCat("dropped forwarded packet, from=", toString(from)), out);
-        }
+        void operator()(const forwarded_packet &packet) const { self->onHandedOverOpening(from, packet, now, out); }
     };
     m_agents.recordReply(from, now);
     std::visit(visitor{this, from, now, out}, arrived);
@@ -386,7 +388,10 @@
     packet returned{*header, notice.packetBytes};
     switch (notice.purpose) {
     case forward_purpose::open:
-        onOpeningRejected(agent, notice.reason, std::move(returned), now, out);
+        if (notice.reason == rejection_reason::replaced_routes)
+            onReplacedRoutes(agent, notice, std::move(returned), now, out);
+        else
+            onOpeningRejected(agent, notice.reason, std::move(returned), now, out);
         return;
     case forward_purpose::to_owner:
         onCarriedPacketRejected(agent, std::move(returned), now, out);
@@ -434,22 +439,6 @@
     replayHeld(now, out);
 }
 
-void packet_balancer::logReplacedRoutes(time_point now, packet_actions *out)
-{
-    const auto replaced = routesReplacedFor(now);
-    if (routesVersion() == m_lateVersionLogged || !replaced || *replaced < kLateRoutesLogged)
-        return;
-    m_lateVersionLogged = routesVersion();
-    const auto age = routesConfirmationAge(now);
-    const auto source = newerRoutes();
-    log(log_class::belief,
-        absl::StrCat("routes are replaced, in_force=", routesVersion(), " newest=", m_routesHistory.newest(),
-                     " replaced_ms=", wholeMilliseconds(*replaced),
-                     " confirmed_ms=", age ? wholeMilliseconds(*age) : -1, " watch=", toString(routesWatchReason(now)),
-                     " source=", source ? toString(source->http) : std::string("none")),
-        out);
-}
-
 void packet_balancer::advance(time_point now, packet_actions *out)
 {
     logReplacedRoutes(now, out);
--- a/src/libpacket/packet_balancer_admission.cpp
+++ b/src/libpacket/packet_balancer_admission.cpp
@@ -142,8 +142,10 @@
         absl::StrCat("moved opening flow, flow=", toString(flowFromCaller(returned.header)), " from=", toString(agent),
                      " reason=", toString(reason), " agent=", toString(order.front())),
         out);
-    forward(order.front(), forward_purpose::open, flow.service, flowFromCaller(returned.header),
-            std::move(returned.bytes), {order.begin() + 1, order.end()}, out);
+    forwarded_packet message = makeForwardedPacket(forward_purpose::open, flow.service, flowFromCaller(returned.header),
+                                                   std::move(returned.bytes), {order.begin() + 1, order.end()});
+    message.isNewestKnown = areRoutesLate(now);
+    out->emplace_back(send_to_node{order.front(), std::move(message)});
 }
 
 } // namespace citroncrank
--- a/src/libpacket/packet_balancer_evacuations.cpp
+++ b/src/libpacket/packet_balancer_evacuations.cpp
@@ -120,7 +120,8 @@
             .origin = m_settings.self,
             .alternates = std::move(alternates),
             .limits = limits,
-            .packetBytes = std::move(packetBytes)};
+            .packetBytes = std::move(packetBytes),
+            .routesVersion = routesVersion()};
 }
 
 void packet_balancer::forward(const host_address &agent, forward_purpose purpose, const std::string &service,
--- a/src/libpacket/packet_balancer_nodes.cpp
+++ b/src/libpacket/packet_balancer_nodes.cpp
@@ -58,7 +58,7 @@
 void packet_balancer::addBalancer(const host_address &address, time_point now)
 {
     if (address != m_settings.self)
-        m_balancers.try_emplace(address, known_balancer{now, {}});
+        m_balancers.try_emplace(address, known_balancer{.lastHeardAt = now, .domain = {}});
 }
 
 void packet_balancer::onBalancerHello(const host_address &from, const balancer_hello &hello, time_point now,
@@ -66,7 +66,7 @@
 {
     const auto known = m_balancers.find(from);
     const bool isNew = known == m_balancers.end() || known->second.domain.empty();
-    m_balancers[from] = {now, hello.domain};
+    m_balancers[from] = {now, hello.domain, hello.routesVersion, hello.takesOpenings};
     for (const host_address &other : hello.balancers)
         addBalancer(other, now);
     for (const host_address &agent : hello.unlistedAgents) {
@@ -96,6 +96,8 @@
 {
     if (m_routesSources.hasFailed(routesVersion()))
         return watch_reason::fetch_failed;
+    if (areRoutesLate(now))
+        return watch_reason::replaced;
     return m_watchRole.watchReason(routesVersion(), now);
 }
 
@@ -192,7 +194,8 @@
                           .isEntryMissing = false,
                           .storeEra = m_storeEra,
                           .unlistedAgents = {},
-                          .evacuations = m_evacuations.state().current()};
+                          .evacuations = m_evacuations.state().current(),
+                          .takesOpenings = true};
     for (const auto &[address, heard] : m_balancers) {
         if (result.balancers.size() == kMaxListedBalancers)
             break;
--- a/src/libpacket/routes_watch_role.cpp
+++ b/src/libpacket/routes_watch_role.cpp
@@ -70,6 +70,8 @@
         return "no_confirmation";
     case watch_reason::fetch_failed:
         return "fetch_failed";
+    case watch_reason::replaced:
+        return "replaced";
     case watch_reason::first_in_order:
         return "first_in_order";
     }
--- a/src/libpacketnode/packet_agent_node.cpp
+++ b/src/libpacketnode/packet_agent_node.cpp
@@ -1,6 +1,7 @@
 #include "citroncrank/packet_agent_node.h"
 
 #include "citroncrank/listener_probe.h"
+#include "citroncrank/watch_timing.h"
 
 #include "documents.h"
 #include "packet_codec.h"
@@ -44,7 +45,8 @@
             .minSnapshotInterval = file.minSnapshotInterval,
             .storeWritesPerSecond = file.node.storeWritesPerSecond,
             .evacuationTime = file.node.evacuationTime.value_or(duration(0)),
-            .coldLimit = file.coldLimit};
+            .coldLimit = file.coldLimit,
+            .replacedRoutesTimeout = replacedRoutesTimeout(file.configurationTime)};
 }
 
 listed_node makeOwnEntry(const packet_agent_node_settings &file)
@@ -251,6 +253,7 @@
     setDecisionCount("reset", counts.resets);
     setDecisionCount("turned_away_evacuated", counts.refusedEvacuated);
     setDecisionCount("turned_away_cold", counts.refusedCold);
+    setDecisionCount("turned_away_replaced_routes", counts.replacedRoutes);
     m_openedEvacuated.increment(counts.openedEvacuated
                                 - std::exchange(m_openedEvacuatedBefore, counts.openedEvacuated));
     m_evacuationMetrics.update(m_core.evacuations());
--- a/src/libpacketnode/packet_balancer_node.cpp
+++ b/src/libpacketnode/packet_balancer_node.cpp
@@ -45,7 +45,8 @@
             .randomSeed = std::random_device{}(),
             .routesWatch = {.watchers = file.routesWatchers,
                             .confirmationTimeout = watchTimingFor(file.configurationTime).confirmationTimeout},
-            .evacuationsWatch = evacuationsWatch};
+            .evacuationsWatch = evacuationsWatch,
+            .replacedRoutesTimeout = replacedRoutesTimeout(file.configurationTime)};
 }
 
 } // namespace
@@ -96,6 +97,9 @@
     , m_routesReplacedFor(
           m_metrics.gauge("citroncrank_balancer_routes_replaced_seconds",
                           "For how long other balancers are known to have newer routes in force, 0: none is known to."))
+    , m_openingsHandedOver(
+          m_metrics.gauge("citroncrank_balancer_openings_handed_over",
+                          "Openings given to a balancer with newer routes, since the start of this one."))
     , m_watchesRoutes(m_metrics.gauge("citroncrank_balancer_watches_configuration",
                                       "1 if this balancer watches the configuration in the platform's store itself."))
 {}
@@ -189,6 +193,7 @@
     m_watchesRoutes.set(isWatching ? 1 : 0);
     m_confirmationAge.set(age ? std::chrono::duration<double>(*age).count() : -1);
     m_routesReplacedFor.set(std::chrono::duration<double>(m_core.routesReplacedFor(now).value_or(duration(0))).count());
+    m_openingsHandedOver.set(double(m_core.openingsHandedOver()));
     m_routesWorker.setWatching(isWatching);
 }
 
--- a/src/libpacketnode/packet_node_settings.cpp
+++ b/src/libpacketnode/packet_node_settings.cpp
@@ -179,7 +179,8 @@
             .service = values.getText("upstream.service"),
             .announcementPeriod = values.getDuration("upstream.announcement-period"),
             .minSnapshotInterval = values.getDuration("snapshot-pause"),
-            .coldLimit = coldLimit};
+            .coldLimit = coldLimit,
+            .configurationTime = values.getDuration("configuration-time")};
 }
 
 } // namespace citroncrank
