agent: another service at the address of its upstream shows that the upstream has ended

Cause: an announcement of another service at an agent's own address was rejected as foreign and changed nothing. The agent went on as ready for three periods (2.3 s at 770 ms) and delivered openings of its service to whoever runs there now. Change: if the other start is later than that of the own upstream, or none is known, the agent is silent until its own upstream announces itself again. Before: AnUpstreamOfAnotherServiceAtItsAddressShowsThatItsOwnHasEnded and AnUnconfirmedUpstreamHasEndedIfAnotherServiceAnnouncesItself fail. After: they pass; ALateAnnouncementOfAnotherServiceChangesNothing passes before and after.

--- a/src/include/citroncrank/packet_agent.h
+++ b/src/include/citroncrank/packet_agent.h
@@ -320,6 +320,7 @@
     void evictFlows(time_point now);
     duration reportPeriod() const;
     bool isStartSeen(const known_start &start, packet_actions *out) const;
+    void recordForeign(const upstream_announcement &foreign, time_point now, packet_actions *out);
     void recordProvenStart(const std::optional<known_start> &ended, time_point now, packet_actions *out);
     void recordLeft(time_point leftAt, const std::string &cause, time_point now, packet_actions *out);
     upstream_evidence evidence() const;
--- a/src/libpacket/packet_agent_fixture_test.h
+++ b/src/libpacket/packet_agent_fixture_test.h
@@ -35,6 +35,19 @@
                              now, &actions);
     }
 
+    /// An upstream of another service announces itself at the address of this one.
+    announcement_result announceOtherService(std::uint64_t startedAtMs)
+    {
+        return core.announce({.id = "i-9",
+                              .service = kOtherService,
+                              .address = kUpstream,
+                              .version = "v1",
+                              .slots = 2,
+                              .number = 1,
+                              .startedAtMs = startedAtMs},
+                             now, &actions);
+    }
+
     void forward(const packet &content, forward_purpose purpose = forward_purpose::to_owner,
                  std::vector<host_address> alternates = {}, const std::string &service = kService, bool isTrial = false)
     {
@@ -83,18 +96,26 @@
         return reasons;
     }
 
+    /// A new process of the agent, which has heard nothing of its upstream.
+    void restart() { core = makeCore(); }
+
+    packet_agent makeCore() const
+    {
+        return {{.self = kAgentA,
+                 .service = kService,
+                 .domain = "nbi-west",
+                 .incarnation = 1,
+                 .upstream = kUpstream,
+                 .announcementPeriod = milliseconds(770),
+                 .flowLifetime = seconds(60),
+                 .evacuationTime = seconds(5)},
+                decodeTestHeader,
+                readTestHead,
+                now};
+    }
+
     time_point now{};
-    packet_agent core{{.self = kAgentA,
-                       .service = kService,
-                       .domain = "nbi-west",
-                       .incarnation = 1,
-                       .upstream = kUpstream,
-                       .announcementPeriod = milliseconds(770),
-                       .flowLifetime = seconds(60),
-                       .evacuationTime = seconds(5)},
-                      decodeTestHeader,
-                      readTestHead,
-                      now};
+    packet_agent core = makeCore();
     packet_actions actions;
 };
 
--- a/src/libpacket/packet_agent_upstream.cpp
+++ b/src/libpacket/packet_agent_upstream.cpp
@@ -33,8 +33,10 @@
 announcement_result packet_agent::announce(const upstream_announcement &announcement, time_point now,
                                            packet_actions *out)
 {
-    if (announcement.service != m_settings.service || announcement.address != m_settings.upstream)
+    if (announcement.service != m_settings.service || announcement.address != m_settings.upstream) {
+        recordForeign(announcement, now, out);
         return announcement_result::foreign;
+    }
     const bool isServing =
         m_state == agent_state::ready || m_state == agent_state::draining || m_state == agent_state::stopping;
     const std::uint64_t startedBefore = m_upstream ? m_upstream->startedAtMs : 0;
@@ -64,6 +66,21 @@
     return announcement_result::accepted;
 }
 
+// Two upstreams cannot run at one address, so a later start of another service shows that the own upstream has ended. Its
+// openings would run at that service. An announcement that was held up names an earlier start. If the own upstream runs
+// after all, its next announcement corrects this.
+void packet_agent::recordForeign(const upstream_announcement &foreign, time_point now, packet_actions *out)
+{
+    const bool isLater = !m_upstream || foreign.startedAtMs > m_upstream->startedAtMs;
+    const bool isServing =
+        m_state == agent_state::unconfirmed || m_state == agent_state::ready || m_state == agent_state::draining;
+    if (foreign.address != m_settings.upstream || !isLater || !isServing)
+        return;
+    setState(agent_state::silent,
+             absl::StrCat("another service runs at its address, service=", foreign.service, " upstream=", foreign.id),
+             now, out);
+}
+
 // Only a proven start shows that an earlier one has ended: a single announcement may be a late one of a start that
 // crashed before the living one began.
 void packet_agent::recordProvenStart(const std::optional<known_start> &ended, time_point now, packet_actions *out)
