balancer: a holder of newer routes that does not answer gets no more openings

Change: a balancer answers each hand-over at once, with an owner list without entries. A holder that has not answered for 0.25 s gets no further opening for 3 s; without another one the opening is placed here and marked newest_known. A holder that an agent names is kept like one that said hello.

--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -148,6 +148,15 @@
         time_point firstSeen;
     };
 
+    struct known_balancer
+    {
+        time_point lastHeardAt;
+        std::string domain; ///< Empty until its first hello.
+        std::uint64_t routesVersion = 0;
+        bool takesOpenings = false;
+        std::optional<time_point> unansweredSince; ///< First opening that was handed over to it since its last answer.
+        time_point handedOverAt;                   ///< The last opening that was handed over to it.
+    };
     /// Agents for an opening packet, best first.
     struct placement
     {
@@ -199,6 +208,7 @@
     void onUnroutedPacket(const packet &arrived, packet_actions *out);
     void logReplacedRoutes(time_point now, packet_actions *out);
     bool areRoutesLate(time_point now) const;
+    bool isReachableHolder(const known_balancer &balancer, time_point now) const;
     std::optional<host_address> newerRoutesHolder(const packet_header &opening, time_point now);
     bool handOverOpening(const packet &arrived, time_point now, packet_actions *out);
     bool isOwnerKnown(const flow_key &flow) const;
@@ -224,7 +234,7 @@
     void probeUncertainAgents(balancer_flow *flow, const flow_key &key, time_point now, packet_actions *out) const;
     void onAgentReport(const host_address &agent, const agent_report &report, time_point now, packet_actions *out);
     void onBalancerHello(const host_address &from, const balancer_hello &hello, time_point now, packet_actions *out);
-    void onOwnerList(const flow_owner_list &owners, time_point now);
+    void onOwnerList(const host_address &from, const flow_owner_list &owners, time_point now);
     void sendOwnerList(const host_address &balancer, packet_actions *out) const;
     void addBalancer(const host_address &address, time_point now);
     duration helloCycle() const;
@@ -256,20 +266,6 @@
     std::shared_ptr<const route_set> m_routes;
     absl::flat_hash_set<host_address> m_droppedRoutes; ///< Service addresses whose route a later version removed.
     agent_directory m_agents;
-    struct known_balancer
-    {
-        time_point lastHeardAt;
-        std::string domain; ///< Empty until its first hello.
-        std::uint64_t routesVersion = 0;
-        bool takesOpenings = false;
-    };
-    /// A balancer that an agent has named as holder of newer routes.
-    struct named_holder
-    {
-        host_address balancer;
-        std::uint64_t version = 0;
-        time_point namedAt;
-    };
     absl::btree_map<host_address, known_balancer> m_balancers; ///< Other balancers.
     absl::flat_hash_map<flow_key, balancer_flow> m_flows;
     absl::btree_set<flow_key> m_searchedFlows; ///< Flows whose owner is searched for.
@@ -286,7 +282,6 @@
     routes_history m_routesHistory;        ///< Of other balancers.
     std::uint64_t m_lateVersionLogged = 0; ///< Version in force when it was last logged that it is replaced.
     std::uint64_t m_lateVersion = 0;       ///< Newest version that an agent has rejected as replaced.
-    std::optional<named_holder> m_namedHolder;
     std::uint64_t m_openingsHandedOver = 0;
     routes_watch_role m_watchRole;
     routes_confirmation m_ownConfirmation; ///< Of the routes in force, by the store's latest answer to this balancer.
--- a/src/libpacket/packet_balancer.cpp
+++ b/src/libpacket/packet_balancer.cpp
@@ -369,7 +369,7 @@
         {
             self->log(log_class::refusal, absl::StrCat("dropped owner query, from=", toString(from)), out);
         }
-        void operator()(const flow_owner_list &owners) const { self->onOwnerList(owners, now); }
+        void operator()(const flow_owner_list &owners) const { self->onOwnerList(from, owners, now); }
         void operator()(const forwarded_packet &packet) const { self->onHandedOverOpening(from, packet, now, out); }
     };
     m_agents.recordReply(from, now);
--- a/src/libpacket/packet_balancer_late_routes.cpp
+++ b/src/libpacket/packet_balancer_late_routes.cpp
@@ -14,6 +14,10 @@
 constexpr duration kLateRoutesLogged = seconds(1);
 // Added to two cycles of hellos, after which a balancer that is running has been heard.
 constexpr duration kHolderMargin = seconds(2);
+// A balancer answers a hand-over at once; a round trip between failure domains takes about 9 ms.
+constexpr duration kHandOverTimeout = std::chrono::milliseconds(250);
+// A balancer that has not answered is tried again after this time.
+constexpr duration kSilentHolderPause = seconds(3);
 
 } // namespace
 
@@ -41,30 +45,35 @@
     return m_routes->version <= m_lateVersion || (replaced && *replaced > m_settings.replacedRoutesTimeout);
 }
 
+// A holder that answers no hand-over is cut off, perhaps in one direction only, or has ended.
+bool packet_balancer::isReachableHolder(const known_balancer &balancer, time_point now) const
+{
+    if (!balancer.takesOpenings || now - balancer.lastHeardAt > 2 * helloCycle() + kHolderMargin)
+        return false;
+    const bool isSilent = balancer.unansweredSince && now - *balancer.unansweredSince > kHandOverTimeout;
+    return !isSilent || now - balancer.handedOverAt > kSilentHolderPause;
+}
+
 // The routes of a holder must not be late themselves. The first packet stays in the failure domain if possible. A copy goes
 // to any holder, since that of the first packet may have ended.
 std::optional<host_address> packet_balancer::newerRoutesHolder(const packet_header &opening, time_point now)
 {
-    const duration timeout = 2 * helloCycle() + kHolderMargin;
-    const auto isCurrent = [&](std::uint64_t version) {
-        return version > routesVersion()
-               && m_routesHistory.replacedFor(version, now).value_or(duration(0)) <= m_settings.replacedRoutesTimeout;
-    };
     std::vector<host_address> near;
     std::vector<host_address> all;
     for (const auto &[address, balancer] : m_balancers) {
-        if (!balancer.takesOpenings || now - balancer.lastHeardAt > timeout || !isCurrent(balancer.routesVersion))
+        const bool isNewer = balancer.routesVersion > routesVersion();
+        const auto replaced = m_routesHistory.replacedFor(balancer.routesVersion, now);
+        const bool isLate = replaced && *replaced > m_settings.replacedRoutesTimeout;
+        if (!isNewer || isLate || !isReachableHolder(balancer, now))
             continue;
         all.push_back(address);
         if (balancer.domain == m_settings.domain)
             near.push_back(address);
     }
     const auto &candidates = near.empty() || opening.acknowledged > 0 ? all : near;
-    if (!candidates.empty())
-        return candidates[m_random() % candidates.size()];
-    if (m_namedHolder && now - m_namedHolder->namedAt <= timeout && isCurrent(m_namedHolder->version))
-        return m_namedHolder->balancer;
-    return std::nullopt;
+    if (candidates.empty())
+        return std::nullopt;
+    return candidates[m_random() % candidates.size()];
 }
 
 // A copy of an opening packet that was placed here goes to the agent of the first one. Returns false if the opening is to
@@ -78,6 +87,11 @@
     const auto holder = newerRoutesHolder(arrived.header, now);
     if (!holder)
         return false;
+    known_balancer &receiver = m_balancers.at(*holder);
+    const bool isRetry = receiver.unansweredSince && now - receiver.handedOverAt > kSilentHolderPause;
+    if (!receiver.unansweredSince || isRetry)
+        receiver.unansweredSince = now;
+    receiver.handedOverAt = now;
     ++m_openingsHandedOver;
     const auto replaced = routesReplacedFor(now);
     log(log_class::placement,
@@ -114,6 +128,7 @@
             out);
         return;
     }
+    out->emplace_back(send_to_node{from, flow_owner_list{}}); // Shows the sender that its openings arrive.
     packet arrived{*header, message.packetBytes};
     const packet_route *const route = m_routes->find(header->destination);
     if (route == nullptr) {
@@ -146,7 +161,12 @@
     m_routesHistory.record(notice.newestRoutes, now);
     if (routesVersion() < notice.newestRoutes)
         m_lateVersion = routesVersion();
-    m_namedHolder = named_holder{notice.newestHolder, notice.newestRoutes, now};
+    addBalancer(notice.newestHolder, now);
+    if (const auto holder = m_balancers.find(notice.newestHolder); holder != m_balancers.end()) {
+        holder->second.lastHeardAt = now;
+        holder->second.routesVersion = std::max(holder->second.routesVersion, notice.newestRoutes);
+        holder->second.takesOpenings = true;
+    }
     log(log_class::belief,
         absl::StrCat("routes are replaced, as an agent knows, flow=", toString(key), " agent=", toString(agent),
                      " in_force=", routesVersion(), " newest=", notice.newestRoutes,
--- a/src/libpacket/packet_balancer_late_routes_test.cpp
+++ b/src/libpacket/packet_balancer_late_routes_test.cpp
@@ -126,6 +126,38 @@
     EXPECT_TRUE(forwarded()[0].second.isNewestKnown);
 }
 
+// Guards against a late balancer whose openings are lost on a path that works in one direction only: it hears hellos of
+// others, which do not hear it.
+TEST_F(PacketBalancerLateRoutes, AHolderThatDoesNotAnswerGetsNoMoreOpenings)
+{
+    passTime(seconds(2));
+    actions.clear();
+    fromCaller(openingPacket());
+    EXPECT_EQ(receivers(), std::vector{kOtherBalancer});
+    passTime(milliseconds(300));
+    actions.clear();
+    fromCaller(openingWithSequence(700));
+    ASSERT_EQ(forwarded().size(), 1U);
+    EXPECT_NE(forwarded()[0].first, kOtherBalancer);
+    EXPECT_TRUE(forwarded()[0].second.isNewestKnown);
+    passTime(seconds(3));
+    actions.clear();
+    fromCaller(openingWithSequence(1400));
+    EXPECT_EQ(receivers(), std::vector{kOtherBalancer}) << "it is tried again";
+}
+
+// The same holder answers.
+TEST_F(PacketBalancerLateRoutes, AHolderThatAnswersGetsFurtherOpenings)
+{
+    passTime(seconds(2));
+    fromCaller(openingPacket());
+    core.message(kOtherBalancer, flow_owner_list{}, now, &actions);
+    passTime(milliseconds(300));
+    actions.clear();
+    fromCaller(openingWithSequence(700));
+    EXPECT_EQ(receivers(), std::vector{kOtherBalancer});
+}
+
 // Guards against a holder of the last software version, which drops openings of other balancers.
 TEST_F(PacketBalancerLateRoutes, AnOpeningIsNotGivenToABalancerThatDoesNotTakeIt)
 {
@@ -184,12 +216,15 @@
     receiveOpening(4);
     ASSERT_EQ(receivers(), std::vector{kAgentA});
     EXPECT_EQ(forwarded()[0].second.origin, kBalancer);
+    EXPECT_EQ(messagesOf<flow_owner_list>(actions),
+              (std::vector<std::pair<host_address, flow_owner_list>>{{kOtherBalancer, {}}}))
+        << "the sender must learn that the opening has arrived";
     EXPECT_EQ(forwarded()[0].second.routesVersion, 5U);
     actions.clear();
     core.message(kAgentB, owner_notice{kFlow, {}}, now, &actions);
     core.message(kAgentB, owner_notice{kFlow, {}}, now, &actions);
     const auto owners = messagesOf<flow_owner_list>(actions);
-    ASSERT_EQ(owners.size(), 1U);
+    ASSERT_EQ(owners.size(), 1U) << "once";
     EXPECT_EQ(owners[0].first, kOtherBalancer);
     EXPECT_EQ(owners[0].second.entries, (std::vector<flow_owner_entry>{{kFlow, kAgentB}}));
 }
--- a/src/libpacket/packet_balancer_nodes.cpp
+++ b/src/libpacket/packet_balancer_nodes.cpp
@@ -66,7 +66,11 @@
 {
     const auto known = m_balancers.find(from);
     const bool isNew = known == m_balancers.end() || known->second.domain.empty();
-    m_balancers[from] = {now, hello.domain, hello.routesVersion, hello.takesOpenings};
+    known_balancer &sender = m_balancers[from];
+    sender.lastHeardAt = now;
+    sender.domain = hello.domain;
+    sender.routesVersion = hello.routesVersion;
+    sender.takesOpenings = hello.takesOpenings;
     for (const host_address &other : hello.balancers)
         addBalancer(other, now);
     for (const host_address &agent : hello.unlistedAgents) {
@@ -344,8 +348,10 @@
 
 // Existing entries are kept, since what this balancer learned from an agent is newer than another balancer's cached
 // state.
-void packet_balancer::onOwnerList(const flow_owner_list &owners, time_point now)
+void packet_balancer::onOwnerList(const host_address &from, const flow_owner_list &owners, time_point now)
 {
+    if (const auto sender = m_balancers.find(from); sender != m_balancers.end())
+        sender->second.unansweredSince = std::nullopt;
     for (const flow_owner_entry &entry : owners.entries) {
         if (m_flows.size() >= kMaxFlows)
             return;
