--- a/src/include/citroncrank/node_message.h
+++ b/src/include/citroncrank/node_message.h
@@ -49,7 +49,7 @@
 /// Most samples in a message.
 constexpr std::size_t kMaxLoadSamples = 8;
 
-/// A caller's packet, forwarded to an agent.
+/// A caller's packet, forwarded to an agent; or an opening packet that a balancer with late routes gives to another one.
 struct forwarded_packet
 {
     forward_purpose purpose = forward_purpose::to_owner;
@@ -62,8 +62,8 @@
     bool isSettled = false; ///< The receiver is the least loaded agent found; it forwards the packet to no other.
     std::vector<agent_load_sample> visited; ///< Agents that forwarded the opening packet for lack of a free slot.
     std::uint64_t routesVersion = 0;        ///< Routes that bound the opening packet. 0: unknown.
-    bool isNewestKnown =
-        false; ///< The balancer can reach nobody with newer routes, so the agent takes them as current.
+    /// The balancer knows of newer routes and can reach nobody who has them, so the agent takes the opening all the same.
+    bool isNewestKnown = false;
     auto operator<=>(const forwarded_packet &) const = default;
 };
 
--- a/src/include/citroncrank/packet_balancer.h
+++ b/src/include/citroncrank/packet_balancer.h
@@ -42,7 +42,7 @@
     routes_watch_settings routesWatch;
     /// How the balancers of a failure domain share the watch of evacuations. Nullopt: the deployment has none.
     std::optional<routes_watch_settings> evacuationsWatch = std::nullopt;
-    /// Routes that were replaced elsewhere for longer bind no opening here, if another balancer can place it.
+    /// Routes that were replaced for longer bind no opening here, if a balancer with newer ones can be reached.
     duration replacedRoutesTimeout = std::chrono::milliseconds(1500);
 };
 
@@ -118,7 +118,7 @@
     std::size_t flowCount() const { return m_flows.size(); }
     const agent_directory &agents() const { return m_agents; }
     std::size_t balancerCount() const { return m_balancers.size(); }
-    /// Openings that another balancer was given, since its start, as the routes here were replaced.
+    /// Openings that were given to balancers with newer routes, since the start of this one.
     std::uint64_t openingsHandedOver() const { return m_openingsHandedOver; }
     /// Openings that this balancer has refused itself, since its start.
     const refusal_counts &refusals() const { return m_refusals; }
