balancer: a call to another balancer is given more time after one that failed

Cause: a burst fills its 10 Mbit/s link. A round trip takes about 0.45 s, a call on a new connection needs two, and each call ended after 0.5 s and began anew, so none could succeed until the burst ended. Change: the deadline doubles with each failure in a row, up to 2 s, in the thread that does nothing else.

--- a/src/include/citroncrank/routes_worker.h
+++ b/src/include/citroncrank/routes_worker.h
@@ -26,6 +26,10 @@
 /// Deadline of a call that reads routes from another balancer, until the answer begins.
 constexpr std::chrono::milliseconds kPeerCallDeadline{500};
 
+/// Longest deadline of such a call. A round trip over the full link of a small host takes about half a second, and a call on
+/// a new connection needs two.
+constexpr std::chrono::milliseconds kMaxPeerCallDeadline{2000};
+
 /// How the workers read routes from other balancers.
 struct peer_routes_access
 {
@@ -43,7 +47,9 @@
 class peer_routes_reader
 {
 public:
-    peer_routes_reader(routes_receiver receive, peer_routes_access peers, store_log log);
+    /// The deadline doubles with each failure in a row up to `maxDeadline`.
+    peer_routes_reader(routes_receiver receive, peer_routes_access peers, store_log log,
+                       std::chrono::milliseconds maxDeadline = kPeerCallDeadline);
 
     /// Reads from the source that is known now, if there is one.
     void read();
@@ -63,6 +69,8 @@
     routes_receiver m_receive;
     peer_routes_access m_peers;
     store_log m_log;
+    std::chrono::milliseconds m_deadline = kPeerCallDeadline; ///< Of the next call.
+    std::chrono::milliseconds m_maxDeadline;
     std::mutex m_mutex;
     http_connection *m_connection = nullptr; ///< Of the call in progress.
     bool m_isInterrupted = false;
--- a/src/libpacketnode/peer_routes_worker_test.cpp
+++ b/src/libpacketnode/peer_routes_worker_test.cpp
@@ -20,9 +20,11 @@
 class serving_balancer
 {
 public:
-    explicit serving_balancer(std::uint64_t version)
+    /// `delay`: from a request to its answer.
+    explicit serving_balancer(std::uint64_t version, milliseconds delay = milliseconds(0))
     {
-        m_http.handle("GET", "/routes", [version](const http_request &) {
+        m_http.handle("GET", "/routes", [version, delay](const http_request &) {
+            std::this_thread::sleep_for(delay);
             return http_reply{.status = 200, .contentType = "application/json", .body = configuration(version)};
         });
         EXPECT_FALSE(m_http.start());
@@ -125,3 +127,18 @@
     m_worker.stop();
     EXPECT_LT(std::chrono::steady_clock::now() - before, milliseconds(200));
 }
+
+// Guards against a balancer that keeps older routes while its link is full: each call ended after the same time, which no answer
+// could meet.
+TEST_F(PeerRoutes, AnAnswerThatTakesLongerThanTheDeadlineIsWaitedForNextTime)
+{
+    const serving_balancer slow(7, milliseconds(700));
+    announce({slow.address(), 7});
+    m_worker.start();
+    const auto end = std::chrono::steady_clock::now() + kConfigApplyLimit;
+    while (m_version != 7 && std::chrono::steady_clock::now() < end) {
+        announce({slow.address(), 7}); // Its hellos still arrive.
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    EXPECT_EQ(m_version, 7U);
+}
--- a/src/libpacketnode/routes_worker.cpp
+++ b/src/libpacketnode/routes_worker.cpp
@@ -33,10 +33,12 @@
 
 } // namespace
 
-peer_routes_reader::peer_routes_reader(routes_receiver receive, peer_routes_access peers, store_log log)
+peer_routes_reader::peer_routes_reader(routes_receiver receive, peer_routes_access peers, store_log log,
+                                       milliseconds maxDeadline)
     : m_receive(std::move(receive))
     , m_peers(std::move(peers))
     , m_log(std::move(log))
+    , m_maxDeadline(maxDeadline)
 {}
 
 void peer_routes_reader::interrupt()
@@ -49,7 +51,7 @@
 
 std::optional<std::string> peer_routes_reader::fetch(const host_address &peer)
 {
-    http_connection connection({.address = peer, .callDeadline = kPeerCallDeadline});
+    http_connection connection({.address = peer, .callDeadline = m_deadline});
     {
         const std::lock_guard lock(m_mutex);
         if (m_isInterrupted)
@@ -97,6 +99,7 @@
     std::string reason;
     auto fetched = fetchAnnounced(*source, &reason);
     const auto waitedMs = wholeMilliseconds(monotonicNow() - calledAt);
+    m_deadline = fetched ? kPeerCallDeadline : std::min(2 * m_deadline, m_maxDeadline);
     if (!fetched) {
         m_log(absl::StrCat("cannot read routes from balancer, balancer=", toString(source->http),
                            " version=", source->version, " reason=", reason, " waited_ms=", waitedMs));
@@ -230,7 +233,7 @@
 peer_routes_worker::peer_routes_worker(const routes_receiver &receive, const peer_routes_access &peers,
                                        const store_log &log)
     : m_peers(peers)
-    , m_reader(receive, peers, log)
+    , m_reader(receive, peers, log, kMaxPeerCallDeadline)
 {}
 
 std::optional<duration> peer_routes_worker::step()
